--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Targets: build test lint demo prove measure generate
+GO ?= go
+BIN := bin
+
+.PHONY: build test lint demo prove measure generate ci
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/... 
+	cd bench && $(GO) build -o ../$(BIN)/ ./cmd/...
+
+lint:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "gofmt: files above need formatting"; exit 1; }
+	$(GO) vet ./... 
+	cd bench && $(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	cd bench && $(GO) tool staticcheck ./...
+
+test: lint build
+	$(GO) test ./... 
+	cd bench && $(GO) test ./...
+
+# generate rebuilds the committed protocol code. Nobody needs it for building.
+generate:
+	@command -v protoc >/dev/null || { apt-get update -q && apt-get install -yq protobuf-compiler; }
+	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc -I proto --go_out=. --go_opt=module=foxtaildock.example/dock \
+	  --connect-go_out=. --connect-go_opt=module=foxtaildock.example/dock proto/dock/v1/dock.proto
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,151 @@
+// Package placement says which agent is the home of a job key in which epoch.
+//
+// A placement epoch is a numbered row in the platform's table service. Each
+// member carries the epoch in which it joined and, once it has gone, the epoch
+// in which it left, so that one row answers for every epoch of the retention
+// window. The home of a key is the top of a rendezvous hash over the members of
+// an epoch.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"foxtaildock.example/dock/ident"
+)
+
+// Member is one agent incarnation in the placement.
+type Member struct {
+	Incarnation ident.Incarnation   `json:"incarnation"`
+	Address     string              `json:"address"`
+	Domain      ident.FailureDomain `json:"domain"`
+	// Joined is the first epoch that lists the member.
+	Joined ident.Epoch `json:"joined"`
+	// Left is the first epoch that no longer lists the member; zero while it
+	// is listed.
+	Left ident.Epoch `json:"left,omitempty"`
+	// LeftUnix is the wall-clock second of leaving, for pruning.
+	LeftUnix int64 `json:"left_unix,omitempty"`
+}
+
+// in reports whether the member is listed in epoch e.
+func (m *Member) in(e ident.Epoch) bool {
+	return m.Joined <= e && (m.Left == 0 || e < m.Left)
+}
+
+// Placement is one immutable placement row.
+type Placement struct {
+	Epoch   ident.Epoch
+	Members []Member
+	byID    map[ident.Incarnation]int
+	hash    *rendezvous.Rendezvous
+}
+
+// New builds a placement. Members may come in any order.
+func New(epoch ident.Epoch, members []Member) *Placement {
+	p := &Placement{Epoch: epoch, Members: slices.Clone(members)}
+	slices.SortFunc(p.Members, func(a, b Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	p.byID = make(map[ident.Incarnation]int, len(p.Members))
+	for i := range p.Members {
+		p.byID[p.Members[i].Incarnation] = i
+	}
+	p.hash = p.hashAt(epoch)
+	return p
+}
+
+// hashAt builds the rendezvous hash over the members of epoch e.
+func (p *Placement) hashAt(e ident.Epoch) *rendezvous.Rendezvous {
+	var ids []string
+	for i := range p.Members {
+		if p.Members[i].in(e) {
+			ids = append(ids, string(p.Members[i].Incarnation))
+		}
+	}
+	return rendezvous.New(ids, xxhash.Sum64String)
+}
+
+// hashInput is the string form of a key that the hash is taken over.
+func hashInput(key ident.JobKey) string { return string(key.Team) + "\x00" + key.Key }
+
+// Home returns the home of the key in the placement's own epoch, and false if
+// the epoch lists nobody.
+func (p *Placement) Home(key ident.JobKey) (Member, bool) {
+	return p.lookup(p.hash, key)
+}
+
+// HomeAt returns the home of the key in an earlier epoch.
+func (p *Placement) HomeAt(e ident.Epoch, key ident.JobKey) (Member, bool) {
+	if e == p.Epoch {
+		return p.Home(key)
+	}
+	return p.lookup(p.hashAt(e), key)
+}
+
+func (p *Placement) lookup(h *rendezvous.Rendezvous, key ident.JobKey) (Member, bool) {
+	id := h.Lookup(hashInput(key))
+	if id == "" {
+		return Member{}, false
+	}
+	return p.Members[p.byID[ident.Incarnation(id)]], true
+}
+
+// FormerHomes returns the distinct homes of the key in the retained epochs from
+// the given one up to the one before the newest, without the newest home.
+func (p *Placement) FormerHomes(key ident.JobKey, from ident.Epoch) []Member {
+	current, _ := p.Home(key)
+	var homes []Member
+	seen := map[ident.Incarnation]bool{current.Incarnation: true}
+	for _, e := range p.changes() {
+		if e < from || e >= p.Epoch {
+			continue
+		}
+		m, ok := p.HomeAt(e, key)
+		if ok && !seen[m.Incarnation] {
+			seen[m.Incarnation] = true
+			homes = append(homes, m)
+		}
+	}
+	return homes
+}
+
+// changes returns the retained epochs at which membership changed, ascending.
+func (p *Placement) changes() []ident.Epoch {
+	var es []ident.Epoch
+	for i := range p.Members {
+		es = append(es, p.Members[i].Joined)
+		if p.Members[i].Left != 0 {
+			es = append(es, p.Members[i].Left)
+		}
+	}
+	slices.Sort(es)
+	return slices.Compact(es)
+}
+
+// Member returns the member with the given incarnation, listed now or formerly.
+func (p *Placement) Member(id ident.Incarnation) (Member, bool) {
+	i, ok := p.byID[id]
+	if !ok {
+		return Member{}, false
+	}
+	return p.Members[i], true
+}
+
+// Lists reports whether the incarnation is listed in the placement's own epoch.
+func (p *Placement) Lists(id ident.Incarnation) bool {
+	m, ok := p.Member(id)
+	return ok && m.Left == 0
+}
+
+// Current returns the members listed in the placement's own epoch.
+func (p *Placement) Current() []Member {
+	var ms []Member
+	for i := range p.Members {
+		if p.Members[i].Left == 0 {
+			ms = append(ms, p.Members[i])
+		}
+	}
+	return ms
+}
