--- /dev/null
+++ b/home/events.go
@@ -0,0 +1,234 @@
+package home
+
+import (
+	"time"
+
+	"foxtaildock.example/dock/dispatch"
+	"foxtaildock.example/dock/gate"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/job"
+	"foxtaildock.example/dock/permit"
+	"foxtaildock.example/dock/placement"
+)
+
+// Event is one input of the core.
+type Event interface{ isHomeEvent() }
+
+// Submit hands over a job from an entry. A repeated Submit attaches.
+type Submit struct {
+	Request ident.RequestID
+	Spec    *job.Spec
+	// Fresh means that no other incarnation can have seen the job.
+	Fresh bool
+	// Age is the wall-clock time since the caller's first attempt.
+	Age time.Duration
+}
+
+// Lookup asks for the state or outcome of a job and starts nothing. With Wait
+// it is answered when the outcome is known.
+type Lookup struct {
+	Request ident.RequestID
+	Key     ident.JobKey
+	Wait    bool
+}
+
+// Cancel ends a job. Tasks that run go on, and their results are dropped.
+type Cancel struct {
+	Request ident.RequestID
+	Key     ident.JobKey
+}
+
+// Gone says that the caller of a request waits no longer.
+type Gone struct{ Request ident.RequestID }
+
+// SealAsked is a newer home asking for a record, or for the promise never to
+// accept the key.
+type SealAsked struct {
+	Request ident.RequestID
+	Key     ident.JobKey
+	From    ident.Incarnation
+	// Epoch is the epoch in which From takes itself for the home.
+	Epoch ident.Epoch
+}
+
+// SealVerdict is what became of asking for a seal.
+type SealVerdict int
+
+// The verdicts; the first three values are those of the protocol.
+const (
+	// Sealed means that the peer has no record and will never accept the key.
+	Sealed SealVerdict = iota + 1
+	// Held means that the peer has the record.
+	Held
+	// Replaced means that another incarnation answered at the peer's address,
+	// so the asked one is gone.
+	Replaced
+	// Unreachable means that no answer could be had.
+	Unreachable
+)
+
+// SealAnswered is the answer of a former home.
+type SealAnswered struct {
+	Key     ident.JobKey
+	Peer    ident.Incarnation
+	Verdict SealVerdict
+	Vouches []ident.Incarnation
+}
+
+// Answered is the answer of a gate to one task.
+type Answered struct {
+	Agent   ident.Incarnation
+	Task    ident.TaskID
+	Attempt int
+	Verdict gate.Verdict
+	Body    []byte
+	Reason  job.Reason
+	Detail  string
+	Credit  int
+	Free    int
+}
+
+// NotSent says that a task never left this process, so it may go elsewhere.
+type NotSent struct {
+	Agent   ident.Incarnation
+	Task    ident.TaskID
+	Attempt int
+}
+
+// AgentGone says that an incarnation is gone for good.
+type AgentGone struct{ Agent ident.Incarnation }
+
+// Offered says that a gate keeps idle slots for this home.
+type Offered struct {
+	Agent ident.Incarnation
+	Slots int
+}
+
+// SetExecutors replaces the view of the agents that can run tasks.
+type SetExecutors struct{ Executors []dispatch.Executor }
+
+// SetPlacement hands over a newer placement. Older ones are ignored.
+type SetPlacement struct{ Placement *placement.Placement }
+
+// SetPermit hands over the newest permit.
+type SetPermit struct{ Permit permit.Permit }
+
+// Leave begins a planned leave: no new job is accepted.
+type Leave struct{}
+
+// HandedOver brings records from a leaving home. Last says that the peer has
+// sent all that was meant for this home.
+type HandedOver struct {
+	From    ident.Incarnation
+	Records []Record
+	Last    bool
+}
+
+// Tick lets time pass: deadlines, retention, retries.
+type Tick struct{}
+
+func (Submit) isHomeEvent()       {}
+func (Lookup) isHomeEvent()       {}
+func (Cancel) isHomeEvent()       {}
+func (Gone) isHomeEvent()         {}
+func (SealAsked) isHomeEvent()    {}
+func (SealAnswered) isHomeEvent() {}
+func (Answered) isHomeEvent()     {}
+func (NotSent) isHomeEvent()      {}
+func (AgentGone) isHomeEvent()    {}
+func (Offered) isHomeEvent()      {}
+func (SetExecutors) isHomeEvent() {}
+func (SetPlacement) isHomeEvent() {}
+func (SetPermit) isHomeEvent()    {}
+func (Leave) isHomeEvent()        {}
+func (HandedOver) isHomeEvent()   {}
+func (Tick) isHomeEvent()         {}
+
+// Action is one output of the core.
+type Action interface{ isHomeAction() }
+
+// Reply answers a request with a final outcome.
+type Reply struct {
+	Request ident.RequestID
+	Outcome job.Outcome
+}
+
+// ReplyState answers a look-up of an unfinished job.
+type ReplyState struct {
+	Request  ident.RequestID
+	Total    int
+	Started  int
+	Finished int
+}
+
+// Redirect answers a request with the incarnation to ask instead. It is a
+// promise that this incarnation has not started the job.
+type Redirect struct {
+	Request ident.RequestID
+	To      placement.Member
+}
+
+// AnswerSeal answers SealAsked.
+type AnswerSeal struct {
+	Request ident.RequestID
+	Verdict SealVerdict
+	Vouches []ident.Incarnation
+}
+
+// AskSeal asks a former home. The shell answers with SealAnswered, at the
+// latest after a time-out.
+type AskSeal struct {
+	Peer  placement.Member
+	Key   ident.JobKey
+	Epoch ident.Epoch
+}
+
+// Execute sends tasks of one job to the gate of an agent, this one included.
+// The shell goes on calling the same incarnation until every task is answered
+// or the agent is gone.
+type Execute struct {
+	Agent    ident.Incarnation
+	Key      ident.JobKey
+	Service  ident.Service
+	Tasks    []gate.Task
+	Deadline time.Duration
+}
+
+// Revoke drops tasks of a job that wait at a gate.
+type Revoke struct {
+	Agent ident.Incarnation
+	Key   ident.JobKey
+}
+
+// Want tells a gate how many tasks wait here.
+type Want struct {
+	Agent   ident.Incarnation
+	Service ident.Service
+	Count   int
+	Oldest  time.Duration
+}
+
+// Handover sends records to the home that follows this one for them.
+type Handover struct {
+	To      placement.Member
+	Records []Record
+	Last    bool
+}
+
+// Record is one finished or sealed job as it is handed over.
+type Record struct {
+	Key     ident.JobKey
+	Digest  uint64
+	Sealed  bool
+	Outcome job.Outcome
+}
+
+func (Reply) isHomeAction()      {}
+func (ReplyState) isHomeAction() {}
+func (Redirect) isHomeAction()   {}
+func (AnswerSeal) isHomeAction() {}
+func (AskSeal) isHomeAction()    {}
+func (Execute) isHomeAction()    {}
+func (Revoke) isHomeAction()     {}
+func (Want) isHomeAction()       {}
+func (Handover) isHomeAction()   {}
--- /dev/null
+++ b/home/resolve.go
@@ -0,0 +1,346 @@
+package home
+
+import (
+	"slices"
+	"time"
+
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/job"
+	"foxtaildock.example/dock/placement"
+)
+
+// ask is one former home that has to seal a key.
+type ask struct {
+	peer    placement.Member
+	state   askState
+	retryAt time.Duration
+}
+
+type askState int
+
+const (
+	askOpen     askState = iota // asked, no answer yet
+	askPaused                   // no answer could be had, to be asked again
+	askSealed                   // sealed, or vouched for
+	askVanished                 // gone for good, can't seal
+)
+
+// submit takes a job from an entry.
+func (h *Home) submit(now time.Duration, e Submit) {
+	r := h.records[e.Spec.Key]
+	switch {
+	case r == nil:
+		h.submitUnknown(now, e, nil)
+	case r.phase == phaseSealed:
+		h.submitSealed(now, e, r)
+	case r.digest != e.Spec.Digest():
+		h.reply(e.Request, h.signed(job.Refuse(job.ReasonKeyReused, 0, "the key belongs to a job with another body")))
+	case r.phase == phaseDone:
+		h.stats.Attached++
+		h.touch(now, r)
+		h.reply(e.Request, r.outcome)
+	default:
+		h.stats.Attached++
+		r.waiters = append(r.waiters, e.Request)
+	}
+}
+
+// submitSealed takes a key that was sealed for another home. Only a later epoch
+// that makes this home the owner again lets it ask for the key back.
+func (h *Home) submitSealed(now time.Duration, e Submit, r *record) {
+	if h.ownsKey(e.Spec.Key) && h.placement.Epoch > r.sealEpoch {
+		e.Fresh = false
+		h.submitUnknown(now, e, r)
+		return
+	}
+	h.redirectTo(e.Request, r.sealedTo, false)
+}
+
+// submitUnknown takes a key without an active record. An old record is a seal.
+func (h *Home) submitUnknown(now time.Duration, e Submit, old *record) {
+	if r, detail := h.closed(now); r != "" {
+		h.reply(e.Request, h.turnAway(e.Fresh, r, detail))
+		return
+	}
+	if m, ok := h.placement.Home(e.Spec.Key); !ok || m.Incarnation != h.cfg.Self {
+		h.redirectTo(e.Request, m.Incarnation, e.Fresh)
+		return
+	}
+	if e.Age > h.cfg.AcceptWindow {
+		h.reply(e.Request, h.tooOld(e.Fresh))
+		return
+	}
+	if old == nil && len(h.records) >= h.cfg.MaxRecords {
+		h.reply(e.Request, h.turnAway(e.Fresh, job.ReasonOverloaded, "the home has no room for another record"))
+		return
+	}
+	h.resolve(now, e, old)
+}
+
+func (h *Home) tooOld(fresh bool) job.Outcome {
+	if fresh {
+		return h.signed(job.Refuse(job.ReasonTooOld, 0, "the first attempt is older than the accept window"))
+	}
+	return h.signed(job.Fail(job.ReasonTooOld, 0, "the first attempt is older than the accept window and there is no record"))
+}
+
+// closed returns why this home accepts no unknown key now. Invariant: a key is
+// accepted only under a live permit that names the newest epoch known here.
+func (h *Home) closed(now time.Duration) (job.Reason, string) {
+	switch {
+	case h.leaving:
+		return job.ReasonStopping, "the agent is leaving"
+	case h.placement == nil:
+		return job.ReasonNoHome, "the agent knows no placement yet"
+	case !h.permit.Live(now):
+		return job.ReasonNoPermit, "the agent has no live permit"
+	case h.permit.Epoch != h.placement.Epoch:
+		return job.ReasonNoPermit, "the agent's permit names another epoch"
+	}
+	return "", ""
+}
+
+func (h *Home) ownsKey(key ident.JobKey) bool {
+	if h.placement == nil {
+		return false
+	}
+	m, ok := h.placement.Home(key)
+	return ok && m.Incarnation == h.cfg.Self
+}
+
+// resolve makes a record and asks the former homes that could have started the
+// job. A job that is fresh has been nowhere else; it only has to be kept from
+// starting at a former home whose permit for an earlier epoch may still be live.
+func (h *Home) resolve(now time.Duration, e Submit, old *record) {
+	r := &record{
+		key:      e.Spec.Key,
+		digest:   e.Spec.Digest(),
+		spec:     e.Spec,
+		phase:    phaseResolving,
+		fresh:    e.Fresh,
+		waiters:  []ident.RequestID{e.Request},
+		arrived:  now,
+		deadline: now + e.Spec.Deadline,
+		giveUp:   now + h.cfg.ResolveLimit,
+	}
+	if old != nil {
+		r.sealedTo = old.sealedTo
+		r.sealEpoch = old.sealEpoch
+	}
+	h.records[r.key] = r
+	h.active = append(h.active, r)
+	h.openAsks(now, r)
+	h.settle(now, r)
+}
+
+// openAsks determines whom to ask.
+func (h *Home) openAsks(now time.Duration, r *record) {
+	from, until := h.oldestLapsing(now)
+	r.startable = until
+	if r.fresh && until <= now {
+		return
+	}
+	if !r.fresh {
+		from = 0
+	}
+	for _, m := range h.placement.FormerHomes(r.key, from) {
+		h.addAsk(r, m)
+	}
+	if m, ok := h.placement.Member(r.sealedTo); ok {
+		h.addAsk(r, m)
+	}
+	for i := range r.asks {
+		h.ask(r, &r.asks[i])
+	}
+}
+
+func (h *Home) addAsk(r *record, m placement.Member) {
+	known := slices.ContainsFunc(r.asks, func(a ask) bool { return a.peer.Incarnation == m.Incarnation })
+	if known || m.Incarnation == h.cfg.Self {
+		return
+	}
+	r.asks = append(r.asks, ask{peer: m})
+}
+
+// ask sends one question, unless the peer handed its records over to this home.
+func (h *Home) ask(r *record, a *ask) {
+	if h.vouched[a.peer.Incarnation] && h.inherits(h.cfg.Self, a.peer, r.key) {
+		a.state = askSealed
+		return
+	}
+	a.state = askOpen
+	h.emit(AskSeal{Peer: a.peer, Key: r.key, Epoch: h.placement.Epoch})
+}
+
+// inherits reports whether the heir was the key's home in the epoch in which the
+// peer left, so that it has every record of the key that the peer had.
+func (h *Home) inherits(heir ident.Incarnation, peer placement.Member, key ident.JobKey) bool {
+	if peer.Left == 0 {
+		return false
+	}
+	m, ok := h.placement.HomeAt(peer.Left, key)
+	return ok && m.Incarnation == heir
+}
+
+// oldestLapsing returns the oldest epoch that a permit may still name, and when
+// the last such permit lapses.
+func (h *Home) oldestLapsing(now time.Duration) (ident.Epoch, time.Duration) {
+	h.lapsing = slices.DeleteFunc(h.lapsing, func(l lapsing) bool { return l.until <= now })
+	if len(h.lapsing) == 0 {
+		return 0, 0
+	}
+	return h.lapsing[0].epoch, h.lapsing[len(h.lapsing)-1].until
+}
+
+// sealAnswered takes the answer of a former home.
+func (h *Home) sealAnswered(now time.Duration, e SealAnswered) {
+	r := h.records[e.Key]
+	if r == nil || r.phase != phaseResolving {
+		return
+	}
+	i := slices.IndexFunc(r.asks, func(a ask) bool { return a.peer.Incarnation == e.Peer })
+	if i < 0 {
+		return
+	}
+	switch e.Verdict {
+	case Sealed:
+		r.asks[i].state = askSealed
+		h.applyVouches(r, e)
+	case Held:
+		h.passOn(now, r, e.Peer)
+		return
+	case Replaced:
+		h.vanish(&r.asks[i])
+	case Unreachable:
+		h.unreachable(now, &r.asks[i])
+	}
+	h.settle(now, r)
+}
+
+// applyVouches marks peers as sealed whose records the answering peer inherited.
+func (h *Home) applyVouches(r *record, e SealAnswered) {
+	for i := range r.asks {
+		peer := r.asks[i].peer
+		if slices.Contains(e.Vouches, peer.Incarnation) && h.inherits(e.Peer, peer, r.key) {
+			r.asks[i].state = askSealed
+		}
+	}
+}
+
+func (h *Home) vanish(a *ask) {
+	if a.state != askSealed {
+		a.state = askVanished
+	}
+}
+
+// unreachable notes a question without an answer. A peer that the placement no
+// longer lists is taken for gone, any other is asked again.
+func (h *Home) unreachable(now time.Duration, a *ask) {
+	if a.state == askSealed {
+		return
+	}
+	if !h.placement.Lists(a.peer.Incarnation) {
+		a.state = askVanished
+		return
+	}
+	a.state = askPaused
+	a.retryAt = now + h.cfg.ResolveRetry
+}
+
+// passOn sends everybody who waits to the home that holds the record.
+func (h *Home) passOn(now time.Duration, r *record, holder ident.Incarnation) {
+	waiters := r.waiters
+	r.waiters = nil
+	h.retire(now, r)
+	for _, req := range waiters {
+		h.redirectTo(req, holder, false)
+	}
+}
+
+// settle starts or ends a resolving job as soon as the answers allow it.
+func (h *Home) settle(now time.Duration, r *record) {
+	if r.phase != phaseResolving {
+		return
+	}
+	open, vanished := r.openAsks()
+	switch {
+	case open == 0 && vanished == 0:
+		h.begin(now, r)
+	case r.fresh && now >= r.startable:
+		h.begin(now, r)
+	case !r.fresh && open == 0:
+		h.conclude(now, r, job.Fail(job.ReasonHomeLost, 0, "a home that may have run the job is gone"))
+	}
+}
+
+// openAsks counts the questions without an answer and those without a seal.
+func (r *record) openAsks() (open, vanished int) {
+	for i := range r.asks {
+		switch r.asks[i].state {
+		case askOpen, askPaused:
+			open++
+		case askVanished:
+			vanished++
+		}
+	}
+	return open, vanished
+}
+
+// retryResolve asks again and gives up in time.
+func (h *Home) retryResolve(now time.Duration, r *record) {
+	h.settle(now, r)
+	if r.phase != phaseResolving {
+		return
+	}
+	if now >= r.giveUp && !(r.fresh && r.startable > now) {
+		h.discard(now, r, h.turnAway(r.fresh, job.ReasonUnresolved, "a former home of the job does not answer"))
+		return
+	}
+	for i := range r.asks {
+		a := &r.asks[i]
+		if a.state == askPaused && now >= a.retryAt {
+			h.ask(r, a)
+		}
+	}
+}
+
+// sealAsked answers a newer home. Invariant: once Sealed is answered, this home
+// accepts the key only after the asking home has sealed it in turn.
+func (h *Home) sealAsked(now time.Duration, e SealAsked) {
+	r := h.records[e.Key]
+	switch {
+	case r == nil:
+		r = &record{key: e.Key}
+		h.records[e.Key] = r
+		h.seal(now, r, e)
+	case r.phase == phaseSealed:
+		h.seal(now, r, e)
+	case r.phase == phaseResolving && h.placement.Epoch < e.Epoch:
+		h.passOn(now, r, e.From)
+		h.records[e.Key] = r
+		h.seal(now, r, e)
+	default:
+		h.emit(AnswerSeal{Request: e.Request, Verdict: Held})
+	}
+}
+
+func (h *Home) seal(now time.Duration, r *record, e SealAsked) {
+	h.stats.Sealed++
+	r.phase = phaseSealed
+	if e.Epoch >= r.sealEpoch {
+		r.sealedTo = e.From
+		r.sealEpoch = e.Epoch
+	}
+	h.touch(now, r)
+	h.emit(AnswerSeal{Request: e.Request, Verdict: Sealed, Vouches: h.vouchers()})
+}
+
+// vouchers lists the incarnations whose records this home inherited.
+func (h *Home) vouchers() []ident.Incarnation {
+	ids := make([]ident.Incarnation, 0, len(h.vouched))
+	for id := range h.vouched {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/home/run.go
@@ -0,0 +1,245 @@
+package home
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"foxtaildock.example/dock/dispatch"
+	"foxtaildock.example/dock/gate"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/job"
+)
+
+// begin accepts a resolved job: its tasks join the queue.
+func (h *Home) begin(now time.Duration, r *record) {
+	if reason, detail := h.closed(now); reason != "" {
+		h.discard(now, r, h.signed(job.Refuse(reason, h.cfg.RetryAfter, detail)))
+		return
+	}
+	if !h.ownsKey(r.key) {
+		m, _ := h.placement.Home(r.key)
+		h.passOn(now, r, m.Incarnation)
+		return
+	}
+	if reason, detail := h.cannotRun(r.spec); reason != "" {
+		h.discard(now, r, h.signed(job.Refuse(reason, h.cfg.RetryAfter, detail)))
+		return
+	}
+	h.stats.Accepted++
+	r.phase = phaseRunning
+	r.asks = nil
+	r.tasks = make([]task, len(r.spec.Tasks))
+	r.left = len(r.tasks)
+	h.waiting.push(r)
+}
+
+// cannotRun returns why no executor known here could run the job.
+func (h *Home) cannotRun(s *job.Spec) (job.Reason, string) {
+	largest := 0
+	for i := range h.executors {
+		if slices.Contains(h.executors[i].Services, s.Service) {
+			largest = max(largest, h.executors[i].Slots)
+		}
+	}
+	if largest == 0 {
+		return job.ReasonCannotRun, fmt.Sprintf("no backend server offers service %q now", s.Service)
+	}
+	for i := range s.Tasks {
+		if s.Tasks[i].Size > largest {
+			return job.ReasonCannotRun, fmt.Sprintf("task %d needs %d slots, the largest backend server has %d", i, s.Tasks[i].Size, largest)
+		}
+	}
+	return "", ""
+}
+
+// place hands waiting tasks to executors while the pool has room.
+func (h *Home) place(now time.Duration) {
+	for _, service := range h.waiting.services() {
+		h.placeService(now, service)
+	}
+}
+
+func (h *Home) placeService(now time.Duration, service ident.Service) {
+	for {
+		r, index, ok := h.waiting.peek(service)
+		if !ok {
+			return
+		}
+		agent, ok := h.pool.Pick(now, service)
+		if !ok {
+			h.tellWants(now, service)
+			return
+		}
+		h.waiting.pop(service)
+		h.send(now, r, index, agent)
+	}
+}
+
+// tellWants tells executors that tasks wait here.
+func (h *Home) tellWants(now time.Duration, service ident.Service) {
+	count, oldest := h.waiting.backlog(service, now)
+	for _, agent := range h.pool.Wants(now, service, count, oldest) {
+		h.emit(Want{Agent: agent, Service: service, Count: count, Oldest: oldest})
+	}
+}
+
+// send notes where a task goes and adds it to the batch of this step.
+func (h *Home) send(now time.Duration, r *record, index int, agent ident.Incarnation) {
+	t := &r.tasks[index]
+	t.state = taskSent
+	t.agent = agent
+	t.sentAt = now
+	h.stats.TasksSent++
+	g := gate.Task{Task: r.spec.Tasks[index], Attempt: t.attempt}
+	for i := range h.batch {
+		if h.batch[i].Agent == agent && h.batch[i].Key == r.key {
+			h.batch[i].Tasks = append(h.batch[i].Tasks, g)
+			return
+		}
+	}
+	h.batch = append(h.batch, Execute{Agent: agent, Key: r.key, Service: r.spec.Service, Tasks: []gate.Task{g}, Deadline: r.deadline})
+}
+
+// answered takes a gate's answer to one task.
+func (h *Home) answered(now time.Duration, e Answered) {
+	r, t := h.sentTask(e.Task, e.Agent, e.Attempt)
+	h.report(now, e, t)
+	if t == nil {
+		h.stats.LateAnswers++
+		return
+	}
+	switch e.Verdict {
+	case gate.Done:
+		h.taskDone(now, r, t, e.Body)
+	case gate.NotStarted:
+		h.moveTask(r, t, e.Task.Index)
+	case gate.Ran, gate.WrongIncarnation:
+		h.taskLost(now, r, e)
+	}
+}
+
+// sentTask returns the task an answer belongs to, or nil if the answer is late
+// or crossed: of another agent, attempt or job.
+func (h *Home) sentTask(id ident.TaskID, agent ident.Incarnation, attempt int) (*record, *task) {
+	r := h.records[id.Job]
+	if r == nil || r.phase != phaseRunning || id.Index < 0 || id.Index >= len(r.tasks) {
+		return nil, nil
+	}
+	t := &r.tasks[id.Index]
+	if t.state != taskSent || t.agent != agent || t.attempt != attempt {
+		return nil, nil
+	}
+	return r, t
+}
+
+func (h *Home) report(now time.Duration, e Answered, t *task) {
+	rep := dispatch.Report{
+		Credit:  e.Credit,
+		Free:    e.Free,
+		Started: e.Verdict != gate.NotStarted,
+		Failed:  e.Verdict == gate.Ran || e.Verdict == gate.WrongIncarnation,
+	}
+	if t != nil {
+		rep.Took = now - t.sentAt
+	}
+	h.pool.Report(now, e.Agent, rep)
+}
+
+func (h *Home) taskDone(now time.Duration, r *record, t *task, body []byte) {
+	t.state = taskDone
+	t.body = body
+	r.left--
+	if r.left == 0 {
+		h.conclude(now, r, job.Outcome{Kind: job.Complete, Results: r.results()})
+	}
+}
+
+// moveTask returns a task to the queue whose attempt was sealed by the gate.
+func (h *Home) moveTask(r *record, t *task, index int) {
+	h.stats.TasksMoved++
+	t.state = taskWaiting
+	t.attempt++
+	t.agent = ""
+	h.waiting.putBack(r, index)
+}
+
+func (h *Home) taskLost(now time.Duration, r *record, e Answered) {
+	reason := e.Reason
+	if reason == "" {
+		reason = job.ReasonWorkerLost
+	}
+	h.fail(now, r, reason, fmt.Sprintf("task %d: %s", e.Task.Index, e.Detail))
+}
+
+// notSent returns a task that never left this process.
+func (h *Home) notSent(now time.Duration, e NotSent) {
+	h.pool.Report(now, e.Agent, dispatch.Report{})
+	r, t := h.sentTask(e.Task, e.Agent, e.Attempt)
+	if t != nil {
+		h.moveTask(r, t, e.Task.Index)
+	}
+}
+
+// agentGone ends the jobs with tasks at an incarnation that will never answer.
+func (h *Home) agentGone(now time.Duration, e AgentGone) {
+	h.pool.Remove(e.Agent)
+	for _, r := range slices.Clone(h.active) {
+		if r.phase == phaseRunning && slices.Contains(r.agents(), e.Agent) {
+			h.fail(now, r, job.ReasonWorkerLost, "worker "+string(e.Agent)+" is gone")
+		}
+		if r.phase == phaseResolving {
+			h.peerGone(now, r, e.Agent)
+		}
+	}
+}
+
+func (h *Home) peerGone(now time.Duration, r *record, peer ident.Incarnation) {
+	for i := range r.asks {
+		if r.asks[i].peer.Incarnation == peer {
+			h.vanish(&r.asks[i])
+		}
+	}
+	h.settle(now, r)
+}
+
+// fail ends a running job without an answer.
+func (h *Home) fail(now time.Duration, r *record, reason job.Reason, detail string) {
+	h.withdrawTasks(r)
+	h.conclude(now, r, job.Fail(reason, 0, detail))
+}
+
+// abandon ends an active job: refused if nothing of it can have started, failed
+// otherwise.
+func (h *Home) abandon(now time.Duration, r *record, reason job.Reason, detail string) {
+	if r.sent() > 0 || (r.phase == phaseResolving && !r.fresh) {
+		h.fail(now, r, reason, detail)
+		return
+	}
+	h.withdrawTasks(r)
+	h.conclude(now, r, job.Refuse(reason, 0, detail))
+}
+
+// expireJob ends a job whose deadline has passed. If nothing started the key is
+// free again, so that the caller may come back with more time.
+func (h *Home) expireJob(now time.Duration, r *record) {
+	const detail = "the deadline passed"
+	if r.sent() > 0 {
+		h.fail(now, r, job.ReasonDeadline, detail)
+		return
+	}
+	if r.phase == phaseRunning {
+		h.withdrawTasks(r)
+		h.discard(now, r, h.signed(job.Refuse(job.ReasonDeadline, h.cfg.RetryAfter, detail)))
+		return
+	}
+	h.discard(now, r, h.turnAway(r.fresh, job.ReasonDeadline, detail))
+}
+
+// withdrawTasks drops waiting tasks here and at the gates.
+func (h *Home) withdrawTasks(r *record) {
+	h.waiting.remove(r)
+	for _, agent := range r.agents() {
+		h.emit(Revoke{Agent: agent, Key: r.key})
+	}
+}
--- a/job/job.go
+++ b/job/job.go
@@ -135,6 +135,7 @@
 	ReasonKeyReused     Reason = "key-reused"           // the same key with another body
 	ReasonTooOld        Reason = "too-old"              // first attempted before the accept window
 	ReasonSealed        Reason = "sealed"               // a newer home has taken the key over
+	ReasonAnswerDropped Reason = "answer-dropped"       // the job ran; its answer made room for newer ones
 	ReasonUnknownKey    Reason = "unknown-key"          // a look-up found no record
 	ReasonNoHome        Reason = "no-home"              // no home can be reached
 	ReasonInvalid       Reason = "invalid"              // the request is malformed
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -98,8 +98,8 @@
 	current, _ := p.Home(key)
 	var homes []Member
 	seen := map[ident.Incarnation]bool{current.Incarnation: true}
-	for _, e := range p.changes() {
-		if e < from || e >= p.Epoch {
+	for _, e := range append(p.changes(), from) {
+		if e == 0 || e < from || e >= p.Epoch {
 			continue
 		}
 		m, ok := p.HomeAt(e, key)
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,359 @@
+// Package routing is the decision core of an entry: it finds the home of each
+// job, sends again after silence, follows redirects, and decides what the caller
+// is told when no home answers.
+//
+// Invariants. A request has at most one call outstanding. A call goes to another
+// incarnation only after a definite answer from the one before, or if nothing was
+// sent to it. "Refused" is said only for a first attempt of which every call that
+// may have arrived was answered with a promise not to start it.
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/job"
+	"foxtaildock.example/dock/placement"
+)
+
+// Config bounds the core.
+type Config struct {
+	// RetryPause is the wait before a call is made again.
+	RetryPause time.Duration
+	// GiveUpUnsent is how long a home that can't be reached at all is tried
+	// before the request is refused.
+	GiveUpUnsent time.Duration
+	// GiveUpSilent is how long an incarnation that may have the job, and that
+	// the placement still lists, is called again before the job is given up.
+	GiveUpSilent time.Duration
+	// GiveUpGone is the same for one that the placement lists no more.
+	GiveUpGone time.Duration
+	// MaxRedirects bounds the redirects that one request follows.
+	MaxRedirects int
+	// RetryAfter is when callers are told to come back.
+	RetryAfter time.Duration
+}
+
+// DefaultConfig returns the bounds that a daemon uses unless its settings say
+// otherwise.
+func DefaultConfig() Config {
+	return Config{
+		RetryPause:   50 * time.Millisecond,
+		GiveUpUnsent: 5 * time.Second,
+		GiveUpSilent: 20 * time.Second,
+		GiveUpGone:   time.Second,
+		MaxRedirects: 8,
+		RetryAfter:   time.Second,
+	}
+}
+
+// Stats counts what the core did, for metrics.
+type Stats struct {
+	Requests   uint64
+	Calls      uint64
+	Resends    uint64
+	Redirects  uint64
+	LateAnswer uint64
+}
+
+// flight is one request on its way.
+type flight struct {
+	req      Request
+	deadline time.Duration
+	target   placement.Member
+	calls    int // calls made in all
+	toTarget int // calls made to the present target
+	open     bool
+	retryAt  time.Duration
+	troubled time.Duration // when the present target began to fail; -1 if it does not
+	redirect int
+	// fresh is true while no incarnation but the present target can have
+	// the job.
+	fresh bool
+	// maybeSent is true if the present target may have got a call.
+	maybeSent bool
+	// tried holds former homes that a look-up has already asked.
+	tried []ident.Incarnation
+}
+
+// Routing is the core. The zero value is not usable; call New.
+type Routing struct {
+	cfg       Config
+	placement *placement.Placement
+	flights   map[ident.RequestID]*flight
+	order     []ident.RequestID
+	stats     Stats
+	out       []Action
+}
+
+// New returns a core that knows no placement yet.
+func New(cfg Config) *Routing {
+	return &Routing{cfg: cfg, flights: make(map[ident.RequestID]*flight)}
+}
+
+// Stats returns the counters.
+func (r *Routing) Stats() Stats { return r.stats }
+
+// InFlight returns the number of requests without an answer.
+func (r *Routing) InFlight() int { return len(r.flights) }
+
+// Step processes one event at the monotonic time now and returns what to do.
+// The returned slice is valid until the next call.
+func (r *Routing) Step(now time.Duration, e Event) []Action {
+	r.out = r.out[:0]
+	switch e := e.(type) {
+	case Request:
+		r.request(now, e)
+	case Answered:
+		r.answered(e)
+	case State:
+		r.state(e)
+	case Redirected:
+		r.redirected(now, e)
+	case Failed:
+		r.failed(now, e)
+	case Gone:
+		delete(r.flights, e.ID)
+	case SetPlacement:
+		if r.placement == nil || e.Placement.Epoch > r.placement.Epoch {
+			r.placement = e.Placement
+		}
+	case Tick:
+		r.tick(now)
+	}
+	return r.out
+}
+
+func (r *Routing) request(now time.Duration, e Request) {
+	r.stats.Requests++
+	f := &flight{req: e, deadline: now + e.Deadline, fresh: e.First && e.Op == OpSubmit, troubled: -1}
+	r.flights[e.ID] = f
+	r.order = append(r.order, e.ID)
+	r.aim(now, f)
+}
+
+// aim chooses the home and calls it.
+func (r *Routing) aim(now time.Duration, f *flight) {
+	if m, ok := r.home(f.req.Key); ok {
+		r.call(f, m)
+		return
+	}
+	r.wait(now, f)
+}
+
+func (r *Routing) home(key ident.JobKey) (placement.Member, bool) {
+	if r.placement == nil {
+		return placement.Member{}, false
+	}
+	return r.placement.Home(key)
+}
+
+func (r *Routing) call(f *flight, to placement.Member) {
+	if to.Incarnation != f.target.Incarnation {
+		f.target = to
+		f.toTarget = 0
+		f.maybeSent = false
+		f.troubled = -1
+	}
+	f.calls++
+	f.toTarget++
+	f.open = true
+	r.stats.Calls++
+	r.out = append(r.out, Call{ID: f.req.ID, Call: f.calls, Op: f.req.Op, To: f.target, Key: f.req.Key, Spec: f.req.Spec, Fresh: f.fresh, Deadline: f.deadline})
+}
+
+// wait notes trouble and schedules the next call.
+func (r *Routing) wait(now time.Duration, f *flight) {
+	f.open = false
+	f.retryAt = now + r.cfg.RetryPause
+	if f.troubled < 0 {
+		f.troubled = now
+	}
+}
+
+// current returns the flight that an answer belongs to, or nil if it is late.
+func (r *Routing) current(id ident.RequestID, call int) *flight {
+	f := r.flights[id]
+	if f == nil || !f.open || f.calls != call {
+		r.stats.LateAnswer++
+		return nil
+	}
+	return f
+}
+
+func (r *Routing) answered(e Answered) {
+	f := r.current(e.ID, e.Call)
+	if f == nil {
+		return
+	}
+	if r.lookFurther(f, e.Outcome) {
+		return
+	}
+	r.finish(f, r.honest(f, e.Outcome))
+}
+
+// lookFurther asks the next former home if a look-up found no record.
+func (r *Routing) lookFurther(f *flight, o job.Outcome) bool {
+	if f.req.Op == OpSubmit || o.Reason != job.ReasonUnknownKey || r.placement == nil {
+		return false
+	}
+	f.tried = append(f.tried, f.target.Incarnation)
+	for _, m := range r.placement.FormerHomes(f.req.Key, 0) {
+		if !slices.Contains(f.tried, m.Incarnation) {
+			r.call(f, m)
+			return true
+		}
+	}
+	return false
+}
+
+// honest turns a refusal into a failure if an earlier call may still lead to a
+// start: a home's refusal speaks only for the calls that it has seen.
+func (r *Routing) honest(f *flight, o job.Outcome) job.Outcome {
+	if o.Kind == job.Refused && f.toTarget > 1 && f.maybeSent {
+		return job.Outcome{Kind: job.Failed, Reason: job.ReasonUnresolved, RetryAfter: o.RetryAfter, Home: o.Home,
+			Detail: fmt.Sprintf("%s: %s; an earlier sending may still arrive", o.Reason, o.Detail)}
+	}
+	return o
+}
+
+func (r *Routing) state(e State) {
+	f := r.current(e.ID, e.Call)
+	if f == nil {
+		return
+	}
+	delete(r.flights, e.ID)
+	r.out = append(r.out, ReplyState{ID: e.ID, Total: e.Total, Started: e.Started, Finished: e.Finished})
+}
+
+// redirected follows a redirect. A call that was made more than once may still
+// arrive at the old target, so the job stays fresh only after a single call.
+func (r *Routing) redirected(now time.Duration, e Redirected) {
+	f := r.current(e.ID, e.Call)
+	if f == nil {
+		return
+	}
+	r.stats.Redirects++
+	f.redirect++
+	if f.toTarget > 1 {
+		f.fresh = false
+	}
+	if f.redirect > r.cfg.MaxRedirects {
+		r.finish(f, r.unsettled(f, job.ReasonUnresolved, "the homes of the job point at each other"))
+		return
+	}
+	if e.To.Incarnation == f.target.Incarnation {
+		r.wait(now, f)
+		return
+	}
+	r.call(f, e.To)
+}
+
+// failed takes the end of a call without an answer.
+func (r *Routing) failed(now time.Duration, e Failed) {
+	f := r.current(e.ID, e.Call)
+	if f == nil {
+		return
+	}
+	if e.Sent {
+		f.maybeSent = true
+	}
+	if e.Replaced {
+		r.targetGone(now, f)
+		return
+	}
+	r.wait(now, f)
+}
+
+// targetGone ends or redirects a request whose target is gone for good.
+func (r *Routing) targetGone(now time.Duration, f *flight) {
+	if f.maybeSent && f.req.Op == OpSubmit {
+		r.finish(f, job.Fail(job.ReasonHomeLost, 0, "the home that may have run the job is gone"))
+		return
+	}
+	r.wait(now, f)
+}
+
+// tick resends, aims again and ends requests whose time is up.
+func (r *Routing) tick(now time.Duration) {
+	kept := r.order[:0]
+	for _, id := range r.order {
+		f := r.flights[id]
+		if f == nil {
+			continue
+		}
+		r.check(now, f)
+		if r.flights[id] != nil {
+			kept = append(kept, id)
+		}
+	}
+	r.order = kept
+}
+
+func (r *Routing) check(now time.Duration, f *flight) {
+	switch {
+	case now >= f.deadline:
+		r.finish(f, r.unsettled(f, job.ReasonDeadline, "the deadline passed"))
+	case f.open:
+		return
+	case r.exhausted(now, f):
+		r.finish(f, r.unsettled(f, r.exhaustedReason(f), "the job's home does not answer"))
+	case now >= f.retryAt:
+		r.retry(now, f)
+	}
+}
+
+// exhausted reports whether the present target has failed for too long.
+func (r *Routing) exhausted(now time.Duration, f *flight) bool {
+	if f.troubled < 0 {
+		return false
+	}
+	limit := r.cfg.GiveUpUnsent
+	if f.maybeSent {
+		limit = r.cfg.GiveUpSilent
+		if r.placement != nil && !r.placement.Lists(f.target.Incarnation) {
+			limit = r.cfg.GiveUpGone
+		}
+	}
+	return now-f.troubled >= limit
+}
+
+func (r *Routing) exhaustedReason(f *flight) job.Reason {
+	if f.maybeSent {
+		return job.ReasonHomeLost
+	}
+	return job.ReasonNoHome
+}
+
+// retry calls the same incarnation if it may have the job, else the newest home.
+func (r *Routing) retry(now time.Duration, f *flight) {
+	r.stats.Resends++
+	if f.maybeSent {
+		r.call(f, f.target)
+		return
+	}
+	m, ok := r.home(f.req.Key)
+	if !ok {
+		r.wait(now, f)
+		return
+	}
+	trouble := f.troubled
+	r.call(f, m)
+	f.troubled = trouble
+}
+
+// unsettled is the outcome of a request that got no answer from any home.
+func (r *Routing) unsettled(f *flight, reason job.Reason, detail string) job.Outcome {
+	notRun := f.fresh && !f.maybeSent && !f.open
+	if f.req.Op == OpSubmit && notRun {
+		return job.Refuse(reason, r.cfg.RetryAfter, detail)
+	}
+	return job.Fail(reason, r.cfg.RetryAfter, detail)
+}
+
+func (r *Routing) finish(f *flight, o job.Outcome) {
+	delete(r.flights, f.req.ID)
+	r.out = append(r.out, Reply{ID: f.req.ID, Outcome: o})
+}
