--- /dev/null
+++ b/bench/platformd/server.go
@@ -0,0 +1,286 @@
+// Package platformd is a stand-in for the platform's table service and object
+// store. It serves the HTTP interface of package platform, keeps everything in
+// memory, and has the stated rates and faults that can be set while it runs.
+package platformd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/platform/memory"
+)
+
+// Paths of the admin interface.
+const (
+	// PathFaults takes GET and PUT of Faults.
+	PathFaults = "/admin/faults"
+	// PathStats takes GET of Stats.
+	PathStats = "/admin/stats"
+)
+
+const (
+	// DefaultReadsPerSecond is the stated rate of reads.
+	DefaultReadsPerSecond = 2000
+	// DefaultWritesPerSecond is the stated rate of writes.
+	DefaultWritesPerSecond = 500
+	// maxBodyBytes bounds the body of one call.
+	maxBodyBytes = 64 << 20
+)
+
+// Options sets the rates. Zero values mean the defaults.
+type Options struct {
+	ReadsPerSecond  int
+	WritesPerSecond int
+}
+
+// Server is the stand-in. It is an http.Handler.
+type Server struct {
+	table   platform.Table
+	objects platform.Objects
+	reads   *bucket
+	writes  *bucket
+	mux     *http.ServeMux
+
+	mu       sync.Mutex
+	faults   Faults
+	stats    Stats
+	effected int64
+}
+
+// New returns a stand-in with an empty store.
+func New(opts Options) *Server {
+	if opts.ReadsPerSecond <= 0 {
+		opts.ReadsPerSecond = DefaultReadsPerSecond
+	}
+	if opts.WritesPerSecond <= 0 {
+		opts.WritesPerSecond = DefaultWritesPerSecond
+	}
+	now := time.Now()
+	store := memory.New()
+	s := &Server{
+		table:   store.Table(),
+		objects: store.Objects(),
+		reads:   newBucket(opts.ReadsPerSecond, now),
+		writes:  newBucket(opts.WritesPerSecond, now),
+		mux:     http.NewServeMux(),
+	}
+	s.routes()
+	return s
+}
+
+func (s *Server) routes() {
+	s.mux.HandleFunc("POST "+platform.PathGet, s.get)
+	s.mux.HandleFunc("POST "+platform.PathScan, s.scan)
+	s.mux.HandleFunc("POST "+platform.PathCommit, s.commit)
+	s.mux.HandleFunc("PUT "+platform.PathObject, s.putObject)
+	s.mux.HandleFunc("GET "+platform.PathObject, s.getObject)
+	s.mux.HandleFunc("POST "+platform.PathObjectList, s.listObjects)
+	s.mux.HandleFunc("GET "+PathFaults, s.getFaults)
+	s.mux.HandleFunc("PUT "+PathFaults, s.putFaults)
+	s.mux.HandleFunc("GET "+PathStats, s.getStats)
+}
+
+// ServeHTTP serves the platform's and the admin interface.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Stats returns the counts so far.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+func (s *Server) currentFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// count changes the counters under the lock.
+func (s *Server) count(change func(*Stats)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.stats)
+}
+
+// admit applies the faults and the rate that come before the effect. It returns
+// false if the call was answered, or must stay without an answer.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, limit *bucket, cost int) bool {
+	faults := s.currentFaults()
+	if faults.Silent {
+		<-r.Context().Done()
+		return false
+	}
+	if !sleep(r.Context(), faults.halfLatency()) {
+		return false
+	}
+	if faults.Down || !limit.take(max(cost, 1), time.Now()) {
+		s.count(func(st *Stats) { st.Unavailable++ })
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+// finishWrite applies the faults that come after the effect of a write. It
+// returns false if the answer is to be lost.
+func (s *Server) finishWrite(r *http.Request) bool {
+	faults := s.currentFaults()
+	sleep(r.Context(), faults.halfLatency())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.effected++
+	if faults.LoseEvery <= 0 || s.effected%int64(faults.LoseEvery) != 0 {
+		return true
+	}
+	s.stats.LostAnswers++
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(out)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	var req platform.GetRequest
+	if !readJSON(w, r, &req) || !s.admit(w, r, s.reads, len(req.Keys)) {
+		return
+	}
+	rows, err := s.table.Get(r.Context(), req.Keys...)
+	s.answerRows(w, r, rows, err)
+}
+
+func (s *Server) scan(w http.ResponseWriter, r *http.Request) {
+	var req platform.ScanRequest
+	if !readJSON(w, r, &req) || !s.admit(w, r, s.reads, 1) {
+		return
+	}
+	rows, err := s.table.Scan(r.Context(), req.Prefix, req.After, req.Limit)
+	s.answerRows(w, r, rows, err)
+}
+
+func (s *Server) answerRows(w http.ResponseWriter, r *http.Request, rows []platform.Row, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	s.count(func(st *Stats) { st.Reads += int64(max(len(rows), 1)) })
+	sleep(r.Context(), s.currentFaults().halfLatency())
+	writeJSON(w, http.StatusOK, platform.RowsAnswer{Rows: rows})
+}
+
+func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
+	var req platform.CommitRequest
+	if !readJSON(w, r, &req) || !s.admit(w, r, s.writes, len(req.Writes)) {
+		return
+	}
+	err := s.table.Commit(r.Context(), req.Writes...)
+	s.count(func(st *Stats) { st.Writes += int64(len(req.Writes)) })
+	if !s.finishWrite(r) {
+		panic(http.ErrAbortHandler)
+	}
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		s.count(func(st *Stats) { st.Conflicts++ })
+		writeJSON(w, http.StatusConflict, platform.ConflictAnswer(*conflict))
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.admit(w, r, s.writes, 1) {
+		return
+	}
+	_ = s.objects.Put(r.Context(), r.URL.Query().Get(platform.ObjectNameParam), body)
+	s.count(func(st *Stats) { st.Writes++ })
+	if !s.finishWrite(r) {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r, s.reads, 1) {
+		return
+	}
+	body, found, _ := s.objects.Get(r.Context(), r.URL.Query().Get(platform.ObjectNameParam))
+	s.count(func(st *Stats) { st.Reads++ })
+	sleep(r.Context(), s.currentFaults().halfLatency())
+	if !found {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (s *Server) listObjects(w http.ResponseWriter, r *http.Request) {
+	var req platform.ScanRequest
+	if !readJSON(w, r, &req) || !s.admit(w, r, s.reads, 1) {
+		return
+	}
+	names, _ := s.objects.List(r.Context(), req.Prefix, req.After, req.Limit)
+	s.count(func(st *Stats) { st.Reads++ })
+	sleep(r.Context(), s.currentFaults().halfLatency())
+	writeJSON(w, http.StatusOK, platform.NamesAnswer{Names: names})
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.currentFaults())
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !readJSON(w, r, &faults) {
+		return
+	}
+	s.SetFaults(faults)
+	writeJSON(w, http.StatusOK, faults)
+}
+
+func (s *Server) getStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Stats())
+}
