--- /dev/null
+++ b/telemetry/jobs.go
@@ -0,0 +1,73 @@
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/job"
+)
+
+// jobDurationBounds are the histogram buckets of response times, in seconds.
+// They are fine where most tasks end, from 50 ms to a second.
+var jobDurationBounds = []float64{
+	.005, .01, .025, .05, .075, .1, .15, .2, .3, .5, .75, 1, 1.5, 2.5, 5, 10, 30, 60, 300,
+}
+
+// JobMetrics counts the answers that one process gave to callers.
+type JobMetrics struct {
+	answers  metric.Int64Counter
+	duration metric.Float64Histogram
+	labels   sync.Map // answerLabels to metric.MeasurementOption
+}
+
+// answerLabels tells the counters apart. Keys of jobs are left to the logs,
+// since each would make a series of its own.
+type answerLabels struct {
+	team    ident.Team
+	outcome job.Kind
+	reason  job.Reason
+}
+
+// NewJobMetrics makes the instruments.
+func NewJobMetrics(m metric.Meter) (*JobMetrics, error) {
+	answers, errAnswers := m.Int64Counter("foxtaildock.jobs",
+		metric.WithDescription("Jobs answered, by team, outcome and reason."))
+	duration, errDuration := m.Float64Histogram("foxtaildock.job.duration",
+		metric.WithUnit("s"),
+		metric.WithDescription("Time from receipt of a submission to its answer."),
+		metric.WithExplicitBucketBoundaries(jobDurationBounds...))
+	if err := errors.Join(errAnswers, errDuration); err != nil {
+		return nil, err
+	}
+	return &JobMetrics{answers: answers, duration: duration}, nil
+}
+
+// Record counts one answer and how long it took.
+func (j *JobMetrics) Record(ctx context.Context, team ident.Team, o *job.Outcome, took time.Duration) {
+	if o.Reason == job.ReasonUnauthorized {
+		team = "" // anybody can make up a team, and each would be a series
+	}
+	option := j.option(answerLabels{team: team, outcome: o.Kind, reason: o.Reason})
+	j.answers.Add(ctx, 1, option)
+	j.duration.Record(ctx, took.Seconds(), option)
+}
+
+// option returns the attributes of the labels, built once for each.
+func (j *JobMetrics) option(l answerLabels) metric.MeasurementOption {
+	if known, ok := j.labels.Load(l); ok {
+		return known.(metric.MeasurementOption)
+	}
+	option := metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("team", string(l.team)),
+		attribute.String("outcome", l.outcome.String()),
+		attribute.String("reason", string(l.reason)),
+	))
+	j.labels.Store(l, option)
+	return option
+}
