Add the membership cores of entries

Cause: entries have to learn their agents from heartbeats and to propose placement epochs, without a configured list.

Ruled out: full peer lists in every reply.

--- /dev/null
+++ b/membership/tracker.go
@@ -0,0 +1,310 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/placement"
+)
+
+// Event is an input of Tracker.Step.
+type Event interface{ trackerEvent() }
+
+// Heartbeat reports a heartbeat that arrived here.
+type Heartbeat struct{ Agent Announcement }
+
+// Elsewhere reports that another entry hears the agents itself.
+type Elsewhere struct{ Agents []Announcement }
+
+// Installed reports a newer placement. Its members count as heard at that time,
+// so that an entry that has just started gives everyone a chance.
+type Installed struct{ Placement *placement.Placement }
+
+// Tick reports that time has passed. It is due a few times per SuspectAfter.
+type Tick struct{}
+
+func (Heartbeat) trackerEvent() {}
+func (Elsewhere) trackerEvent() {}
+func (Installed) trackerEvent() {}
+func (Tick) trackerEvent()      {}
+
+// Action is an output of Tracker.Step.
+type Action interface{ trackerAction() }
+
+// Changed reports that an agent moved between states. From is zero if it is new.
+type Changed struct {
+	Agent    Agent
+	From, To State
+}
+
+// Rejected reports a heartbeat that found no room.
+type Rejected struct{ Incarnation ident.Incarnation }
+
+// Removed reports a heartbeat of an incarnation that an epoch has taken out. It
+// has to start over under a new one.
+type Removed struct{ Incarnation ident.Incarnation }
+
+// FaultOwn reports that more than half of the fleet went silent at once, or
+// that this is over. While it lasts nobody is suspected or declared gone, since
+// the likely cause is this process or its network.
+type FaultOwn struct{ Begins bool }
+
+func (Changed) trackerAction()  {}
+func (Rejected) trackerAction() {}
+func (Removed) trackerAction()  {}
+func (FaultOwn) trackerAction() {}
+
+// Tracker is the core that follows the agents of one cell in one entry.
+//
+// Invariants:
+//   - An agent becomes gone only after GoneAfter without a heartbeat here or
+//     at another entry, and never while most of the fleet is silent.
+//   - An incarnation that an epoch has removed is never up again.
+type Tracker struct {
+	cfg    Config
+	agents map[ident.Incarnation]*Agent
+	// order lists the keys of agents ascending, since maps have no order.
+	order   []ident.Incarnation
+	current *placement.Placement
+	// forgiven is the end of the last own fault. Silence counts from there.
+	forgiven time.Duration
+	ownFault bool
+	// sample is the position of the rotating load sample in order.
+	sample int
+}
+
+// NewTracker returns a tracker that knows nobody.
+func NewTracker(cfg Config) *Tracker {
+	return &Tracker{
+		cfg:     cfg,
+		agents:  make(map[ident.Incarnation]*Agent),
+		current: placement.New(0, nil),
+	}
+}
+
+// Step takes one event.
+func (t *Tracker) Step(now time.Duration, e Event) []Action {
+	switch e := e.(type) {
+	case Heartbeat:
+		return t.heartbeat(now, e.Agent)
+	case Elsewhere:
+		return t.elsewhere(now, e.Agents)
+	case Installed:
+		return t.installed(now, e.Placement)
+	case Tick:
+		return t.tick(now)
+	}
+	return nil
+}
+
+func (t *Tracker) heartbeat(now time.Duration, n Announcement) []Action {
+	if t.hasLeft(n.Incarnation) {
+		return []Action{Removed{n.Incarnation}}
+	}
+	a, ok := t.agents[n.Incarnation]
+	if !ok {
+		if len(t.agents) >= t.cfg.MaxAgents {
+			return []Action{Rejected{n.Incarnation}}
+		}
+		a = t.add(n, now)
+		t.supersede(a)
+	}
+	if !a.announced || !sameDuty(&a.Announcement, &n) {
+		a.ChangedAt = now
+	}
+	a.Announcement = n
+	a.announced = true
+	a.HeardAt = now
+	return t.move(now, a, stateOf(n))
+}
+
+// elsewhere notes what other entries hear. It also makes agents known that this
+// entry does not hear itself, as suspected ones: peers may know of them, and
+// nobody removes them.
+func (t *Tracker) elsewhere(now time.Duration, ns []Announcement) []Action {
+	var acts []Action
+	for _, n := range ns {
+		if t.hasLeft(n.Incarnation) {
+			continue
+		}
+		a, ok := t.agents[n.Incarnation]
+		if !ok {
+			if len(t.agents) >= t.cfg.MaxAgents {
+				continue
+			}
+			a = t.add(n, now)
+			a.HeardAt = now - t.cfg.SuspectAfter
+			acts = append(acts, t.move(now, a, Suspected)...)
+		}
+		a.ElsewhereAt = now
+	}
+	return acts
+}
+
+func (t *Tracker) installed(now time.Duration, p *placement.Placement) []Action {
+	if p == nil || p.Epoch < t.current.Epoch {
+		return nil
+	}
+	t.current = p
+	var acts []Action
+	for i := range p.Members {
+		m := &p.Members[i]
+		a, ok := t.agents[m.Incarnation]
+		if m.Left != 0 {
+			if ok {
+				acts = append(acts, t.move(now, a, Gone)...)
+			}
+			continue
+		}
+		if !ok {
+			a = t.add(Announcement{Incarnation: m.Incarnation, Address: m.Address, Domain: m.Domain}, now)
+			acts = append(acts, t.move(now, a, Suspected)...)
+		}
+	}
+	return acts
+}
+
+// hasLeft reports whether an epoch has removed the incarnation.
+func (t *Tracker) hasLeft(id ident.Incarnation) bool {
+	m, ok := t.current.Member(id)
+	return ok && m.Left != 0
+}
+
+func (t *Tracker) add(n Announcement, now time.Duration) *Agent {
+	a := &Agent{Announcement: n, HeardAt: now, ChangedAt: now}
+	t.agents[n.Incarnation] = a
+	i, _ := slices.BinarySearch(t.order, n.Incarnation)
+	t.order = slices.Insert(t.order, i, n.Incarnation)
+	return a
+}
+
+// supersede marks older incarnations at the address of a new one. Two processes
+// can't listen at one address, so they are given less time: a restart then
+// frees its place early. If one of them is heard again, that counts as usual.
+func (t *Tracker) supersede(by *Agent) {
+	if by.Address == "" {
+		return
+	}
+	for _, id := range t.order {
+		a := t.agents[id]
+		if a != by && a.Address == by.Address {
+			a.superseded = true
+		}
+	}
+}
+
+func (t *Tracker) tick(now time.Duration) []Action {
+	acts := t.judgeSelf(now)
+	if t.ownFault {
+		return acts
+	}
+	for _, id := range slices.Clone(t.order) {
+		a := t.agents[id]
+		silence := t.silence(now, a)
+		switch {
+		case a.State == Gone:
+			if silence >= t.cfg.GoneAfter+t.cfg.ForgetAfter && !t.current.Lists(id) {
+				t.drop(id)
+			}
+		case t.isGone(now, a, silence):
+			acts = append(acts, t.move(now, a, Gone)...)
+		case silence >= t.cfg.SuspectAfter:
+			acts = append(acts, t.move(now, a, Suspected)...)
+		}
+	}
+	return acts
+}
+
+// silence is the time since the agent was heard here, or since this entry was
+// last at fault itself.
+func (t *Tracker) silence(now time.Duration, a *Agent) time.Duration {
+	return now - max(a.HeardAt, t.forgiven)
+}
+
+func (t *Tracker) isGone(now time.Duration, a *Agent, silence time.Duration) bool {
+	limit := t.cfg.GoneAfter
+	if a.superseded {
+		limit = t.cfg.SuspectAfter
+	}
+	if silence < limit {
+		return false
+	}
+	return a.ElsewhereAt == 0 || now-a.ElsewhereAt >= limit
+}
+
+// judgeSelf compares the silent agents with the fleet.
+func (t *Tracker) judgeSelf(now time.Duration) []Action {
+	present, silent := 0, 0
+	for _, a := range t.agents {
+		if a.State == Gone || a.superseded {
+			continue
+		}
+		present++
+		// HeardAt alone counts here: forgiveness must not end the fault.
+		if now-a.HeardAt >= t.cfg.SuspectAfter {
+			silent++
+		}
+	}
+	fault := 2*silent > present
+	if fault == t.ownFault {
+		return nil
+	}
+	t.ownFault = fault
+	if !fault {
+		t.forgiven = now
+	}
+	return []Action{FaultOwn{Begins: fault}}
+}
+
+func (t *Tracker) drop(id ident.Incarnation) {
+	delete(t.agents, id)
+	if i, ok := slices.BinarySearch(t.order, id); ok {
+		t.order = slices.Delete(t.order, i, i+1)
+	}
+}
+
+func (t *Tracker) move(now time.Duration, a *Agent, to State) []Action {
+	if a.State == to {
+		return nil
+	}
+	from := a.State
+	a.State = to
+	a.ChangedAt = now
+	return []Action{Changed{Agent: *a, From: from, To: to}}
+}
+
+// stateOf is the state of an agent that is heard.
+func stateOf(n Announcement) State {
+	if n.Leaving {
+		return Leaving
+	}
+	return Up
+}
+
+// sameDuty reports whether two announcements differ in load at most.
+func sameDuty(a, b *Announcement) bool {
+	return a.Address == b.Address && a.Domain == b.Domain && a.Slots == b.Slots &&
+		a.Leaving == b.Leaving && slices.Equal(a.Services, b.Services)
+}
+
+// OwnFault reports whether most of the fleet is silent.
+func (t *Tracker) OwnFault() bool { return t.ownFault }
+
+// Agent returns one tracked incarnation.
+func (t *Tracker) Agent(id ident.Incarnation) (Agent, bool) {
+	a, ok := t.agents[id]
+	if !ok {
+		return Agent{}, false
+	}
+	return *a, true
+}
+
+// Agents returns all tracked incarnations in the order of their names.
+func (t *Tracker) Agents() []Agent {
+	all := make([]Agent, 0, len(t.order))
+	for _, id := range t.order {
+		all = append(all, *t.agents[id])
+	}
+	return all
+}
