--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -49,6 +49,9 @@
 	Report(now time.Duration, executor ident.Incarnation, r Report)
 	// Offer notes that an executor keeps idle slots for this home.
 	Offer(now time.Duration, executor ident.Incarnation, slots int)
+	// Observe notes the number of idle slots of an executor, as it is now. The
+	// home's own agent calls it whenever its gate's number changes.
+	Observe(now time.Duration, executor ident.Incarnation, free int)
 	// Remove forgets an executor.
 	Remove(executor ident.Incarnation)
 	// Wants returns the executors to be told that tasks of the service wait,
--- /dev/null
+++ b/dispatch/queue_test.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"foxtaildock.example/dock/ident"
+)
+
+// modelQueue finds the next job by a linear search over its definition.
+type modelQueue struct {
+	jobs []*modelJob
+}
+
+type modelJob struct {
+	key     ident.JobKey
+	since   time.Duration
+	indexes []int
+}
+
+func (m *modelQueue) next(weight time.Duration) int {
+	best := 0
+	for i, j := range m.jobs {
+		if j.rank(weight) < m.jobs[best].rank(weight) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (j *modelJob) rank(weight time.Duration) time.Duration {
+	return j.since + time.Duration(len(j.indexes))*weight
+}
+
+func TestQueueMatchesItsDefinition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const weight = 5 * time.Millisecond
+		q := NewQueue(weight)
+		m := &modelQueue{}
+		tasks := 0
+		arrived := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				arrived++
+				j := &modelJob{
+					key:   ident.JobKey{Team: "t", Key: fmt.Sprint(arrived)},
+					since: time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond,
+				}
+				for i := range rapid.IntRange(1, 8).Draw(t, "tasks") {
+					j.indexes = append(j.indexes, i)
+					q.Push(Waiting{Task: ident.TaskID{Job: j.key, Index: i}, Service: "s", Since: j.since})
+					tasks++
+				}
+				m.jobs = append(m.jobs, j)
+			},
+			"pop": func(t *rapid.T) {
+				w, ok := q.Pop("s")
+				if ok != (tasks > 0) {
+					t.Fatalf("popped %v with %d tasks", ok, tasks)
+				}
+				if !ok {
+					return
+				}
+				i := m.next(weight)
+				want := ident.TaskID{Job: m.jobs[i].key, Index: m.jobs[i].indexes[0]}
+				if w.Task != want {
+					t.Fatalf("popped %v, want %v", w.Task, want)
+				}
+				tasks--
+				m.jobs[i].indexes = m.jobs[i].indexes[1:]
+				if len(m.jobs[i].indexes) == 0 {
+					m.jobs = append(m.jobs[:i], m.jobs[i+1:]...)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				if len(m.jobs) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(m.jobs)-1).Draw(t, "job")
+				if got := len(q.RemoveJob(m.jobs[i].key)); got != len(m.jobs[i].indexes) {
+					t.Fatalf("removed %d tasks, want %d", got, len(m.jobs[i].indexes))
+				}
+				tasks -= len(m.jobs[i].indexes)
+				m.jobs = append(m.jobs[:i], m.jobs[i+1:]...)
+			},
+			"": func(t *rapid.T) {
+				if q.Len("s") != tasks {
+					t.Fatalf("holds %d tasks, want %d", q.Len("s"), tasks)
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkQueue(b *testing.B) {
+	q := NewQueue(0)
+	for i := range 1000 {
+		q.Push(Waiting{Task: ident.TaskID{Job: ident.JobKey{Key: fmt.Sprint(i)}}, Service: "s", Since: time.Duration(i)})
+	}
+	for b.Loop() {
+		w, _ := q.Pop("s")
+		q.Push(w)
+	}
+}
