--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,181 @@
+// Package agent is the process beside a backend server. It runs two duties, the
+// home of some jobs and the gate of its backend server, each in its own goroutine
+// around its decision core, and connects them to the other processes.
+package agent
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"foxtaildock.example/dock/dispatch"
+	"foxtaildock.example/dock/gate"
+	"foxtaildock.example/dock/home"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/permit"
+	"foxtaildock.example/dock/placement"
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/dockpb"
+	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
+	"foxtaildock.example/dock/telemetry"
+)
+
+// Sizes and intervals of the duties.
+const (
+	// boxSize is the number of events that may wait for one duty.
+	boxSize = 4096
+	// tickInterval is how often the cores let time pass.
+	tickInterval = 10 * time.Millisecond
+)
+
+// Config is what an agent needs to know.
+type Config struct {
+	Self   ident.Incarnation
+	Domain ident.FailureDomain
+	// Address is the host:port of the internal listener that others are told.
+	Address string
+	Home    home.Config
+	Gate    gate.Config
+	Log     *telemetry.Logger
+	// Intent takes announcements of changes for the permit holder.
+	Intent func(*dockpb.IntentRequest) *dockpb.IntentResponse
+}
+
+// Agent is one incarnation of the process. It lives from New to the end of Run.
+type Agent struct {
+	cfg     Config
+	origin  time.Time
+	log     *telemetry.Logger
+	home    *homeDuty
+	gate    *gateDuty
+	peers   *peerBook
+	calls   *caller
+	permit  atomic.Pointer[permit.Permit]
+	leaving atomic.Bool
+	handler http.Handler
+}
+
+// New returns an agent that does nothing until Run.
+func New(cfg Config) *Agent {
+	a := &Agent{cfg: cfg, origin: time.Now(), log: cfg.Log, peers: newPeerBook()}
+	a.permit.Store(&permit.Permit{})
+	a.calls = newCaller(a)
+	a.gate = newGateDuty(a)
+	a.home = newHomeDuty(a, newPool(cfg.Self))
+	mux := http.NewServeMux()
+	mux.Handle(dockpbconnect.NewAgentServiceHandler(&server{agent: a}))
+	a.handler = mux
+	return a
+}
+
+// newPool returns the placement policy of the home.
+func newPool(self ident.Incarnation) dispatch.Pool {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return dispatch.NewCredit(dispatch.Config{Own: self, Random: random})
+}
+
+// Now returns the monotonic time since the agent's origin.
+func (a *Agent) Now() time.Duration { return time.Since(a.origin) }
+
+// Handler serves the AgentService.
+func (a *Agent) Handler() http.Handler { return a.handler }
+
+// Run runs the duties until the context ends.
+func (a *Agent) Run(ctx context.Context) {
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		a.gate.run(ctx)
+	}()
+	a.home.run(ctx)
+	<-stopped
+	a.calls.wait()
+}
+
+// SetPermit hands over the newest permit; its times are on the agent's clock.
+func (a *Agent) SetPermit(p permit.Permit) {
+	a.permit.Store(&p)
+	a.gate.box.Put(gate.SetPermit{Permit: p})
+	a.home.box.Put(home.SetPermit{Permit: p})
+}
+
+// SetPlacement hands over a newer placement.
+func (a *Agent) SetPlacement(p *placement.Placement) {
+	a.peers.setPlacement(p)
+	a.home.box.Put(home.SetPlacement{Placement: p})
+}
+
+// SetPeers hands over the state of all other agents of the cell.
+func (a *Agent) SetPeers(peers []membership.Agent) {
+	for _, gone := range a.peers.setPeers(peers) {
+		a.home.box.Put(home.AgentGone{Agent: gone})
+		a.calls.abort(gone)
+	}
+	a.publishExecutors()
+}
+
+// publishExecutors gives the home its view of all executors, this one included.
+func (a *Agent) publishExecutors() {
+	executors := a.peers.executors()
+	own := a.gate.executor()
+	own.Accepting = own.Accepting && !a.leaving.Load()
+	a.home.box.Put(home.SetExecutors{Executors: append(executors, own)})
+}
+
+// Announcement is what the next heartbeat says.
+func (a *Agent) Announcement() membership.Announcement {
+	own := a.gate.executor()
+	g := a.gate.load()
+	h := a.home.load()
+	return membership.Announcement{
+		Incarnation: a.cfg.Self,
+		Address:     a.cfg.Address,
+		Domain:      a.cfg.Domain,
+		Services:    own.Services,
+		Slots:       own.Slots,
+		Free:        g.Free,
+		Queued:      h.Waiting,
+		Running:     g.Running,
+		Jobs:        h.Active,
+		Leaving:     a.leaving.Load(),
+	}
+}
+
+// Leave begins a planned leave. New work is turned away; Idle tells when the
+// rest is finished.
+func (a *Agent) Leave() {
+	a.leaving.Store(true)
+	a.home.box.Put(home.Leave{})
+	a.publishExecutors()
+}
+
+// CloseGate stops the gate from starting anything. It is called once nobody
+// sends work here any more.
+func (a *Agent) CloseGate() { a.gate.box.Put(gate.Leave{}) }
+
+// Idle reports whether a leaving agent has nothing left to do. An agent that
+// was never a member of the placement has no records to hand over.
+func (a *Agent) Idle(member bool) bool {
+	h := a.home.load()
+	g := a.gate.load()
+	handed := h.HandedOver || !member
+	return handed && h.Active == 0 && g.Running == 0 && g.Queued == 0 && a.calls.handovers() == 0
+}
+
+// Serve answers the AgentService on the listener until the context ends.
+func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	srv := rpc.NewServer(h)
+	go func() {
+		<-ctx.Done()
+		_ = srv.Close()
+	}()
+	if err := srv.Serve(l); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("internal listener: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/execute.go
@@ -0,0 +1,174 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"foxtaildock.example/dock/gate"
+	"foxtaildock.example/dock/home"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/job"
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/dockpb"
+	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
+)
+
+// execution is the call of one gate for some tasks of one job. It goes on
+// calling the same incarnation until every task is answered, the job's time is
+// up, or the incarnation is gone.
+type execution struct {
+	caller *caller
+	spec   home.Execute
+	open   map[int]gate.Task // tasks without an answer, by index
+	sent   bool              // a call may have arrived
+	made   time.Time
+}
+
+// execute starts an execution.
+func (c *caller) execute(e home.Execute) {
+	x := &execution{caller: c, spec: e, open: make(map[int]gate.Task, len(e.Tasks)), made: time.Now()}
+	for _, t := range e.Tasks {
+		x.open[t.Index] = t
+	}
+	cl, ok := c.to(e.Agent)
+	if !ok {
+		c.start(x.returnAll)
+		return
+	}
+	c.start(func() { x.run(cl) })
+}
+
+func (x *execution) run(cl dockpbconnect.AgentServiceClient) {
+	left := x.spec.Deadline - x.caller.agent.Now()
+	ctx, cancel := context.WithTimeout(x.caller.context(x.spec.Agent), left)
+	defer cancel()
+	for len(x.open) > 0 && ctx.Err() == nil {
+		err := x.call(ctx, cl)
+		if len(x.open) == 0 {
+			return
+		}
+		if x.end(err) {
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// end deals with a call that left tasks open, and reports whether to stop.
+func (x *execution) end(err error) bool {
+	switch {
+	case rpc.IsReplaced(err):
+		x.loseAll()
+		return true
+	case rpc.MaybeSent(err):
+		x.sent = true
+		return false
+	case !x.sent:
+		x.returnAll()
+		return true
+	}
+	return false
+}
+
+// call makes one call and delivers its answers.
+func (x *execution) call(ctx context.Context, cl dockpbconnect.AgentServiceClient) error {
+	stream, err := cl.Execute(ctx, connect.NewRequest(x.request()))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		x.answer(stream.Msg())
+		if len(x.open) == 0 {
+			return nil
+		}
+	}
+	if stream.Err() == nil {
+		return errStreamEnded
+	}
+	return stream.Err()
+}
+
+// errStreamEnded is the end of a stream that left tasks without an answer.
+var errStreamEnded = errors.New("the stream ended early")
+
+func (x *execution) request() *dockpb.ExecuteRequest {
+	req := &dockpb.ExecuteRequest{
+		Key:           rpc.KeyToProto(x.spec.Key),
+		Home:          string(x.caller.agent.cfg.Self),
+		To:            string(x.spec.Agent),
+		Service:       string(x.spec.Service),
+		CreatedUnixMs: x.made.UnixMilli(),
+		DeadlineMs:    rpc.Millis(x.spec.Deadline - x.caller.agent.Now()),
+	}
+	for _, t := range x.spec.Tasks {
+		if open, ok := x.open[t.Index]; ok {
+			req.Tasks = append(req.Tasks, rpc.TaskToProto(&open.Task, open.Attempt))
+		}
+	}
+	return req
+}
+
+// answer delivers one answer; one that was delivered already is dropped.
+func (x *execution) answer(m *dockpb.ExecuteResponse) {
+	t, ok := x.open[int(m.GetIndex())]
+	if !ok || t.Attempt != int(m.GetAttempt()) {
+		return
+	}
+	delete(x.open, t.Index)
+	x.caller.deliver(home.Answered{
+		Agent:   x.spec.Agent,
+		Task:    ident.TaskID{Job: x.spec.Key, Index: t.Index},
+		Attempt: t.Attempt,
+		Verdict: gate.Verdict(m.GetVerdict()),
+		Body:    m.GetBody(),
+		Reason:  job.Reason(m.GetReason()),
+		Detail:  m.GetDetail(),
+		Credit:  int(m.GetCredit()),
+		Free:    int(m.GetFree()),
+	})
+}
+
+// loseAll reports that the incarnation is gone and will never answer.
+func (x *execution) loseAll() {
+	for _, t := range x.spec.Tasks {
+		if _, ok := x.open[t.Index]; !ok {
+			continue
+		}
+		x.caller.deliver(home.Answered{
+			Agent:   x.spec.Agent,
+			Task:    ident.TaskID{Job: x.spec.Key, Index: t.Index},
+			Attempt: t.Attempt,
+			Verdict: gate.WrongIncarnation,
+			Detail:  "the worker was replaced",
+		})
+	}
+}
+
+// returnAll reports that no byte of the open tasks was sent.
+func (x *execution) returnAll() {
+	for i := range x.spec.Tasks {
+		if _, ok := x.open[x.spec.Tasks[i].Index]; ok {
+			x.caller.deliver(notSent(&x.spec, i))
+		}
+	}
+}
+
+// notSent reports that the i-th task of the execution never left this process.
+func notSent(e *home.Execute, i int) home.NotSent {
+	t := &e.Tasks[i]
+	return home.NotSent{Agent: e.Agent, Task: ident.TaskID{Job: e.Key, Index: t.Index}, Attempt: t.Attempt}
+}
+
+// pause waits or returns early when the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/agent/peers.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"slices"
+	"sync"
+
+	"foxtaildock.example/dock/dispatch"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/placement"
+)
+
+// peerBook knows the addresses and the state of the other agents.
+type peerBook struct {
+	mu        sync.Mutex
+	addresses map[ident.Incarnation]string
+	peers     map[ident.Incarnation]membership.Agent
+}
+
+func newPeerBook() *peerBook {
+	return &peerBook{
+		addresses: make(map[ident.Incarnation]string),
+		peers:     make(map[ident.Incarnation]membership.Agent),
+	}
+}
+
+// setPlacement learns the addresses of all members, former ones included.
+func (b *peerBook) setPlacement(p *placement.Placement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range p.Members {
+		b.addresses[p.Members[i].Incarnation] = p.Members[i].Address
+	}
+}
+
+// setPeers updates the state of peers and returns those that are newly gone.
+func (b *peerBook) setPeers(peers []membership.Agent) []ident.Incarnation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var gone []ident.Incarnation
+	for _, p := range peers {
+		b.addresses[p.Incarnation] = p.Address
+		if p.State == membership.Gone {
+			if _, known := b.peers[p.Incarnation]; known {
+				gone = append(gone, p.Incarnation)
+			}
+			delete(b.peers, p.Incarnation)
+			continue
+		}
+		b.peers[p.Incarnation] = p
+	}
+	return gone
+}
+
+// address returns where an incarnation was last heard of.
+func (b *peerBook) address(id ident.Incarnation) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	addr, ok := b.addresses[id]
+	return addr, ok
+}
+
+// executors returns the peers as the dispatch policy sees them, in order.
+func (b *peerBook) executors() []dispatch.Executor {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]dispatch.Executor, 0, len(b.peers)+1)
+	for id, p := range b.peers {
+		out = append(out, dispatch.Executor{
+			Incarnation: id,
+			Domain:      p.Domain,
+			Services:    p.Services,
+			Slots:       p.Slots,
+			Free:        p.Free,
+			Accepting:   p.State == membership.Up,
+		})
+	}
+	slices.SortFunc(out, func(x, y dispatch.Executor) int {
+		if x.Incarnation < y.Incarnation {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- a/home/events.go
+++ b/home/events.go
@@ -208,11 +208,12 @@
 	Oldest  time.Duration
 }
 
-// Handover sends records to the home that follows this one for them.
+// Handover sends records to the home that follows this one for them. The shell
+// may split them, and says that it sent the last only after all others were
+// acknowledged.
 type Handover struct {
 	To      placement.Member
 	Records []Record
-	Last    bool
 }
 
 // Record is one finished or sealed job as it is handed over.
--- a/home/leave.go
+++ b/home/leave.go
@@ -5,12 +5,8 @@
 	"time"
 
 	"foxtaildock.example/dock/ident"
-	"foxtaildock.example/dock/placement"
 )
 
-// handoverChunk is the number of records in one Handover.
-const handoverChunk = 200
-
 // handOver passes the records on, once, when this home has left the placement
 // and no job is active here any more. Every member of the epoch in which it
 // left gets its share, even an empty one, so that it can vouch for this home.
@@ -25,7 +21,9 @@
 	h.handedOver = true
 	shares := h.shares(self.Left)
 	for _, m := range h.placement.Current() {
-		h.handOverTo(m, shares[m.Incarnation])
+		records := shares[m.Incarnation]
+		sortRecords(records)
+		h.emit(Handover{To: m, Records: records})
 	}
 }
 
@@ -43,15 +41,6 @@
 	return out
 }
 
-func (h *Home) handOverTo(m placement.Member, records []Record) {
-	sortRecords(records)
-	for len(records) > handoverChunk {
-		h.emit(Handover{To: m, Records: records[:handoverChunk]})
-		records = records[handoverChunk:]
-	}
-	h.emit(Handover{To: m, Records: records, Last: true})
-}
-
 // receive takes records from a leaving home.
 func (h *Home) receive(now time.Duration, e HandedOver) {
 	for i := range e.Records {
--- /dev/null
+++ b/rpc/transport.go
@@ -0,0 +1,87 @@
+// Package rpc holds what the processes of the system share to talk to each
+// other over connect: HTTP/2 without TLS on loopback or private networks, with
+// health checks of each connection, and the meaning of errors.
+package rpc
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+)
+
+// Times of the health check of a connection. A connection that is silent for
+// their sum is closed, its calls end, and the next call opens a new one.
+const (
+	pingAfter   = 500 * time.Millisecond
+	pingTimeout = 1 * time.Second
+	dialTimeout = 500 * time.Millisecond
+)
+
+// maxStreams is the number of calls on one connection.
+const maxStreams = 1 << 16
+
+// NewClient returns an HTTP client for calls between processes.
+func NewClient() *http.Client {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return &http.Client{Transport: &http.Transport{
+		Protocols:   p,
+		DialContext: dialer.DialContext,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		},
+		IdleConnTimeout: time.Minute,
+	}}
+}
+
+// NewServer returns an HTTP server for calls between processes.
+func NewServer(h http.Handler) *http.Server {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:   h,
+		Protocols: p,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams,
+			SendPingTimeout:      pingAfter,
+			PingTimeout:          pingTimeout,
+		},
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+}
+
+// errReplaced is the cause of answers by another incarnation than was meant.
+var errReplaced = errors.New("another incarnation answers at this address")
+
+// Replaced is the error that a process answers to a call that was meant for
+// another incarnation.
+func Replaced() error { return connect.NewError(connect.CodeFailedPrecondition, errReplaced) }
+
+// IsReplaced reports whether a call ended since another incarnation answered, so
+// that the one that was meant is gone for good.
+func IsReplaced(err error) bool { return connect.CodeOf(err) == connect.CodeFailedPrecondition }
+
+// MaybeSent reports whether a call that ended with the error can have reached
+// the peer. It is false only if no connection could be made.
+func MaybeSent(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return false
+	}
+	return !IsReplaced(err) && !IsBusy(err)
+}
+
+// errBusy is the cause of calls that a process turned away unread.
+var errBusy = errors.New("too busy to look at the call")
+
+// Busy is the error that a process answers when its channel is full.
+func Busy() error { return connect.NewError(connect.CodeResourceExhausted, errBusy) }
+
+// IsBusy reports whether the peer turned the call away unread.
+func IsBusy(err error) bool { return connect.CodeOf(err) == connect.CodeResourceExhausted }
