--- /dev/null
+++ b/document/token.go
@@ -0,0 +1,117 @@
+package document
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"foxtaildock.example/dock/ident"
+)
+
+// Sizes of the parts of a token, in bytes.
+const (
+	saltBytes   = 16
+	hashBytes   = sha256.Size
+	secretBytes = 32
+)
+
+// ErrToken is the answer to every token that does not fit, whatever is wrong
+// with it, so that a guess learns nothing.
+var ErrToken = errors.New("missing or wrong token")
+
+// Identity is who a token speaks for.
+type Identity struct {
+	Team    ident.Team
+	TokenID string
+	Role    Role
+}
+
+// String names the identity in audit rows.
+func (i Identity) String() string { return string(i.Team) + "/" + i.TokenID }
+
+// NewToken makes a token for a team and the entry that the team's section keeps
+// of it. The secret has 256 random bits, so one round of SHA-256 with a salt is
+// enough: there is no dictionary to try.
+func NewToken(random io.Reader, team ident.Team, id string, role Role) (string, TokenEntry, error) {
+	if !tokenID(id) {
+		return "", TokenEntry{}, fmt.Errorf("token id %q must be of letters a to z, digits, _ and -", id)
+	}
+	secret := make([]byte, secretBytes)
+	salt := make([]byte, saltBytes)
+	if _, err := io.ReadFull(random, secret); err != nil {
+		return "", TokenEntry{}, fmt.Errorf("read random secret: %w", err)
+	}
+	if _, err := io.ReadFull(random, salt); err != nil {
+		return "", TokenEntry{}, fmt.Errorf("read random salt: %w", err)
+	}
+	text := base64.RawURLEncoding.EncodeToString(secret)
+	entry := TokenEntry{ID: id, Role: role, Salt: hex.EncodeToString(salt), SHA256: hex.EncodeToString(HashSecret(salt, text))}
+	return fmt.Sprintf("%s/%s/%s", team, id, text), entry, nil
+}
+
+// HashSecret is what the document keeps of the third part of a token: the
+// SHA-256 of the salt followed by the text of the secret.
+func HashSecret(salt []byte, secret string) []byte {
+	h := sha256.New()
+	h.Write(salt)
+	h.Write([]byte(secret))
+	return h.Sum(nil)
+}
+
+// HashBootstrap returns the hexadecimal SHA-256 of a bootstrap token, as the
+// entry's settings keep it.
+func HashBootstrap(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// EqualBootstrap compares a token with the hash in the settings in constant
+// time. An empty hash matches nothing.
+func EqualBootstrap(token, hash string) bool {
+	return hash != "" && subtle.ConstantTimeCompare([]byte(HashBootstrap(token)), []byte(strings.ToLower(hash))) == 1
+}
+
+func tokenID(id string) bool {
+	if id == "" || len(id) > MaxNameLength {
+		return false
+	}
+	for _, r := range id {
+		if !nameRune(r) || r == ':' || r == '.' {
+			return false
+		}
+	}
+	return true
+}
+
+// Authenticate says whom a token of the form team/id/secret speaks for, or
+// ErrToken. The work does not depend on which part is wrong.
+func (v *View) Authenticate(token string) (Identity, error) {
+	team, rest, _ := strings.Cut(token, "/")
+	id, secret, _ := strings.Cut(rest, "/")
+	entry, found := v.token(ident.Team(team), id)
+	salt, _ := hex.DecodeString(entry.Salt)
+	want, _ := hex.DecodeString(entry.SHA256)
+	have := HashSecret(salt, secret)
+	match := subtle.ConstantTimeCompare(have, want) == 1
+	if !found || !match {
+		return Identity{}, ErrToken
+	}
+	return Identity{Team: ident.Team(team), TokenID: id, Role: entry.Role}, nil
+}
+
+// noToken stands in for a token that does not exist.
+var noToken = TokenEntry{Salt: strings.Repeat("00", saltBytes), SHA256: strings.Repeat("00", hashBytes)}
+
+func (v *View) token(team ident.Team, id string) (TokenEntry, bool) {
+	for _, t := range v.teams[team].Tokens {
+		if t.ID == id {
+			return t, true
+		}
+	}
+	return noToken, false
+}
