--- a/routing/events.go
+++ b/routing/events.go
@@ -33,8 +33,10 @@
 	Key ident.JobKey
 	// Spec is set for OpSubmit only.
 	Spec *job.Spec
-	// First is the caller's mark of a first attempt.
-	First bool
+	// First is the caller's mark of a first attempt, FirstAttempt the caller's
+	// wall-clock time of it.
+	First        bool
+	FirstAttempt time.Time
 	// Deadline is the time allowed from now on.
 	Deadline time.Duration
 }
@@ -103,6 +105,8 @@
 	Key   ident.JobKey
 	Spec  *job.Spec
 	Fresh bool
+	// FirstAttempt is passed on from the request.
+	FirstAttempt time.Time
 	// Deadline is the end of the request on the core's clock.
 	Deadline time.Duration
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -161,7 +161,8 @@
 	f.toTarget++
 	f.open = true
 	r.stats.Calls++
-	r.out = append(r.out, Call{ID: f.req.ID, Call: f.calls, Op: f.req.Op, To: f.target, Key: f.req.Key, Spec: f.req.Spec, Fresh: f.fresh, Deadline: f.deadline})
+	r.out = append(r.out, Call{ID: f.req.ID, Call: f.calls, Op: f.req.Op, To: f.target, Key: f.req.Key, Spec: f.req.Spec, Fresh: f.fresh,
+		FirstAttempt: f.req.FirstAttempt, Deadline: f.deadline})
 }
 
 // wait notes trouble and schedules the next call.
