--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,8 +42,9 @@
 	Home    home.Config
 	Gate    gate.Config
 	Log     *telemetry.Logger
-	// Intent takes announcements of changes for the permit holder.
-	Intent func(*dockpb.IntentRequest) *dockpb.IntentResponse
+	// Intent takes the announcement of a change for the permit holder and
+	// returns whether it is acknowledged.
+	Intent func(context.Context, *dockpb.IntentRequest) bool
 }
 
 // Agent is one incarnation of the process. It lives from New to the end of Run.
@@ -82,6 +83,12 @@
 // Now returns the monotonic time since the agent's origin.
 func (a *Agent) Now() time.Duration { return time.Since(a.origin) }
 
+// Self returns the agent's incarnation.
+func (a *Agent) Self() ident.Incarnation { return a.cfg.Self }
+
+// Permitted reports whether the agent holds a live permit.
+func (a *Agent) Permitted() bool { return a.permit.Load().Live(a.Now()) }
+
 // Handler serves the AgentService.
 func (a *Agent) Handler() http.Handler { return a.handler }
 
--- a/agent/gateduty.go
+++ b/agent/gateduty.go
@@ -146,3 +146,9 @@
 // announceTimeout is the silence after which a backend server that announced
 // itself is taken for absent.
 const announceTimeout = 5 * time.Second
+
+func (g *gateDuty) counters() gate.Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stats
+}
--- a/agent/homeduty.go
+++ b/agent/homeduty.go
@@ -120,3 +120,9 @@
 	defer h.mu.Unlock()
 	return h.state
 }
+
+func (h *homeDuty) counters() home.Stats {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stats
+}
--- a/agent/server.go
+++ b/agent/server.go
@@ -271,5 +271,5 @@
 	if s.agent.cfg.Intent == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, nil)
 	}
-	return connect.NewResponse(s.agent.cfg.Intent(req.Msg)), nil
+	return connect.NewResponse(&dockpb.IntentResponse{Accepted: s.agent.cfg.Intent(ctx, req.Msg)}), nil
 }
