Add the control duty of entries and the agents' link to entries

Cause: the permit, membership and document cores need shells: reads of the platform, heartbeats, exchanges, announced commits, the document store.

Ruled out: settling an announcement without proof after a lost answer. A commit can be under way for long, so each attempt writes an intent row as new, and whoever gives up waiting writes it first with a cancellation. Also ruled out: reusing the change id for the announcement, since two attempts of one change at two entries would settle each other.

--- /dev/null
+++ b/control/audit.go
@@ -0,0 +1,175 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"foxtaildock.example/dock/audit"
+	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/telemetry"
+)
+
+func placementKeyOf(c *Config) string { return membership.PlacementKey(c.Cell) }
+
+// auditRefusal writes the row of a refused change. It does not depend on the
+// caller's context: a caller that hangs up leaves a row as well.
+func (s *Store) auditRefusal(c document.Change, forced bool, cause error) {
+	row := s.row(c, forced)
+	row.Outcome = outcomeOf(cause)
+	row.Detail = cause.Error()
+	var conflict *document.ConflictError
+	if errors.As(cause, &conflict) {
+		row.Version = conflict.Winner.Version
+	}
+	row.ID = s.cfg.NewID()
+	s.Record(row)
+}
+
+// Record writes an audit row that belongs to no transaction. If the platform is
+// away, the row goes to the log only.
+func (s *Store) Record(row audit.Row) {
+	ctx, stop := context.WithTimeout(context.Background(), s.cfg.ReadTimeout)
+	defer stop()
+	err := s.cfg.Table.Commit(ctx, platform.Write{Key: row.Key(), Expect: platform.AnyVersion, Value: encodeRow(row)})
+	if err != nil {
+		s.cfg.Log.Error("an audit row was not written: "+string(encodeRow(row)), telemetry.Err(err))
+	}
+}
+
+// outcomeOf names the outcome of a refused change.
+func outcomeOf(err error) audit.Outcome {
+	var conflict *document.ConflictError
+	var faults *document.CheckError
+	switch {
+	case errors.As(err, &conflict):
+		return audit.Conflict
+	case errors.As(err, &faults), errors.Is(err, errIDReused), errors.Is(err, errChangeID):
+		return audit.Invalid
+	case errors.Is(err, document.ErrForbidden):
+		return audit.Forbidden
+	case errors.Is(err, ErrUnannounced):
+		return audit.Unannounced
+	case errors.Is(err, platform.ErrUnknown):
+		return audit.Unknown
+	}
+	return audit.Unavailable
+}
+
+// Audit returns the newest rows that a query selects, newest first.
+func (s *Store) Audit(ctx context.Context, q audit.Query) ([]audit.Row, error) {
+	q = q.Bounded()
+	after := audit.Prefix
+	if !q.Since.IsZero() {
+		after = audit.KeyAt(q.Since)
+	}
+	var rows []audit.Row
+	for {
+		page, err := s.cfg.Table.Scan(ctx, audit.Prefix, after, scanPage)
+		if err != nil {
+			return nil, fmt.Errorf("read the audit trail: %w", err)
+		}
+		for i := range page {
+			row, err := audit.Decode(page[i].Value)
+			if err != nil {
+				return nil, err
+			}
+			if q.Matches(&row) {
+				rows = append(rows, row)
+			}
+		}
+		// Only the newest rows are returned, so older ones need not be kept.
+		if extra := len(rows) - q.Limit; extra > 0 {
+			rows = rows[extra:]
+		}
+		if len(page) < scanPage {
+			return newestFirst(rows, q.Limit), nil
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
+// trimHistory moves texts beyond maxHistory to the object store. A failure is
+// made up for by the next change of the section.
+func (s *Store) trimHistory(n document.Name) {
+	ctx, stop := context.WithTimeout(context.Background(), s.cfg.ReadTimeout)
+	defer stop()
+	rows, err := s.cfg.Table.Scan(ctx, historyDir(n), "", scanPage)
+	for i := 0; err == nil && i < len(rows)-maxHistory; i++ {
+		err = s.archive(ctx, rows[i])
+	}
+	if err != nil {
+		s.cfg.Log.Warn("earlier texts of a section were not archived", telemetry.Err(err))
+	}
+}
+
+// archive puts a row into the object store and then deletes it.
+func (s *Store) archive(ctx context.Context, r platform.Row) error {
+	if s.cfg.Objects != nil {
+		if err := s.cfg.Objects.Put(ctx, "archive/"+r.Key, r.Value); err != nil {
+			return fmt.Errorf("archive %s: %w", r.Key, err)
+		}
+	}
+	if err := s.cfg.Table.Commit(ctx, platform.Write{Key: r.Key, Expect: r.Version, Delete: true}); err != nil {
+		return fmt.Errorf("delete archived %s: %w", r.Key, err)
+	}
+	return nil
+}
+
+// Ages of rows that only serve to resolve lost answers.
+const (
+	intentAge = 24 * time.Hour
+	changeAge = 7 * 24 * time.Hour
+	// upkeepRows bounds the rows that one round deletes of each kind.
+	upkeepRows = 200
+)
+
+// upkeepLoop deletes or archives old rows in the first of the live entries.
+func (d *Duty) upkeepLoop(ctx context.Context) {
+	for wait(ctx, d.cfg.UpkeepInterval) {
+		rank, err := d.Rank(ctx)
+		if err != nil || rank != 0 {
+			continue
+		}
+		if err := d.Store().upkeep(ctx, time.Now()); err != nil {
+			d.cfg.Log.Warn("old rows were not deleted", telemetry.Err(err))
+		}
+	}
+}
+
+func (s *Store) upkeep(ctx context.Context, wall time.Time) error {
+	ctx, stop := context.WithTimeout(ctx, s.cfg.UpkeepInterval)
+	defer stop()
+	audits := s.expire(ctx, audit.Prefix, audit.KeyAt(wall.Add(-s.cfg.AuditAge)), true)
+	intents := s.expire(ctx, intentPrefix, intentKey(idAt(wall.Add(-intentAge))), false)
+	changes := s.expire(ctx, changePrefix, changeKey(idAt(wall.Add(-changeAge))), false)
+	return errors.Join(audits, intents, changes)
+}
+
+// idAt returns the beginning of the names that NewID gives at a time.
+func idAt(t time.Time) string { return fmt.Sprintf("%013d", t.UnixMilli()) }
+
+// expire deletes the rows of a prefix that sort before a key.
+func (s *Store) expire(ctx context.Context, prefix, before string, keep bool) error {
+	rows, err := s.cfg.Table.Scan(ctx, prefix, "", upkeepRows)
+	if err != nil {
+		return fmt.Errorf("scan %s: %w", prefix, err)
+	}
+	for _, r := range rows {
+		if r.Key >= before {
+			return nil
+		}
+		if keep {
+			err = s.archive(ctx, r)
+		} else {
+			err = s.cfg.Table.Commit(ctx, platform.Write{Key: r.Key, Expect: r.Version, Delete: true})
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/entries.go
@@ -0,0 +1,297 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/permit"
+	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/dockpb"
+	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
+	"foxtaildock.example/dock/telemetry"
+)
+
+// exchangePeers is the number of agents that one exchange tells of.
+const exchangePeers = 128
+
+// forgetEntry is how long an entry may be silent and unlisted before it is given
+// up.
+const forgetEntry = time.Minute
+
+func (d *Duty) entryOrder() []string { return slices.Sorted(maps.Keys(d.entries)) }
+
+// meet starts exchanges with an entry unless they go on already.
+func (d *Duty) meet(address string) {
+	now := d.now()
+	if s, ok := d.entries[address]; ok {
+		s.listedAt = now
+		return
+	}
+	if address == "" || address == d.cfg.Address || len(d.entries) >= maxEntries {
+		return
+	}
+	ctx, stop := context.WithCancel(d.ctx)
+	d.entries[address] = &entryState{listedAt: now, stop: stop}
+	d.work.Add(1)
+	go func() {
+		defer d.work.Done()
+		d.exchangeLoop(ctx, address)
+	}()
+}
+
+// expireEntries forgets entries that are silent and listed nowhere.
+func (d *Duty) expireEntries(now time.Duration) {
+	for _, address := range d.entryOrder() {
+		s := d.entries[address]
+		if s.heard && now-s.heardAt >= silentEntry {
+			s.heard = false
+			d.listener.SetDemand(s.incarnation, nil)
+		}
+		if now-max(s.heardAt, s.listedAt) >= forgetEntry {
+			s.stop()
+			delete(d.entries, address)
+		}
+	}
+}
+
+// exchangeLoop calls another entry until the context ends.
+func (d *Duty) exchangeLoop(ctx context.Context, address string) {
+	client := dockpbconnect.NewEntryServiceClient(d.cfg.Client, "http://"+address)
+	for wait(ctx, d.cfg.ExchangeInterval) {
+		e := draftExchange{address: address, reply: make(chan *dockpb.ExchangeRequest, 1)}
+		if !d.box.Put(e) {
+			return
+		}
+		var request *dockpb.ExchangeRequest
+		select {
+		case request = <-e.reply:
+		case <-ctx.Done():
+			return
+		}
+		d.callEntry(ctx, client, address, request)
+	}
+}
+
+func (d *Duty) callEntry(ctx context.Context, client dockpbconnect.EntryServiceClient, address string, r *dockpb.ExchangeRequest) {
+	ctx, stop := context.WithTimeout(ctx, d.cfg.CallTimeout)
+	defer stop()
+	sentAt := d.now()
+	resp, err := client.Exchange(ctx, connect.NewRequest(r))
+	if err != nil {
+		d.cfg.Log.Debug("an entry does not answer", telemetry.Err(err))
+		return
+	}
+	d.box.Put(exchanged{address: address, sentAt: sentAt, response: resp.Msg})
+}
+
+// draftExchange writes the next call to another entry.
+func (d *Duty) draftExchange() *dockpb.ExchangeRequest {
+	now := d.now()
+	r := &dockpb.ExchangeRequest{Self: d.selfPeer(), Confirmation: d.confirmationAt(now)}
+	for _, n := range d.tracker.HeardHere(now, exchangePeers) {
+		r.Peers = append(r.Peers, &dockpb.Peer{Incarnation: string(n.Incarnation), Address: n.Address, Domain: string(n.Domain)})
+	}
+	for _, t := range d.listener.Demand() {
+		r.Demand = append(r.Demand, &dockpb.TeamDemand{
+			Team: string(t.Team), StartsPerSecond: uint32(max(t.StartsPerSecond, 0)), Running: uint32(max(t.Running, 0)),
+		})
+	}
+	return r
+}
+
+// exchange answers another entry. What the request says of states is news only.
+func (d *Duty) exchange(r *dockpb.ExchangeRequest) *dockpb.ExchangeResponse {
+	now := d.now()
+	self := r.GetSelf()
+	d.meet(self.GetAddress())
+	theirs := rpc.StateFromProto(self.GetVersion(), self.GetEpoch())
+	d.news(theirs)
+	d.news(rpc.StateFromProto(r.GetConfirmation().GetVersion(), r.GetConfirmation().GetEpoch()))
+	d.apply(d.tracker.Step(now, membership.Elsewhere{Agents: elsewhereOf(r)}))
+	d.listener.SetDemand(ident.Incarnation(self.GetIncarnation()), demandOf(r))
+	resp := &dockpb.ExchangeResponse{Self: d.selfPeer(), Confirmation: d.confirmationAt(now)}
+	s := d.current.Load()
+	if s == nil || s.state() != d.granter.Base().State {
+		return resp
+	}
+	if theirs.Version < s.document.Version {
+		resp.Document = documentToProto(s.document)
+	}
+	if theirs.Epoch < s.placement.Epoch {
+		resp.Placement = rpc.PlacementToProto(s.placement)
+	}
+	return resp
+}
+
+// news learns of a state and reads the platform if it is newer.
+func (d *Duty) news(s permit.State) {
+	if s.NewerThan(d.granter.Known()) {
+		d.kickReader()
+	}
+	d.granter.Learn(s)
+}
+
+// exchanged takes the answer of another entry: its word on freshness, and the
+// content of a newer state.
+func (d *Duty) exchanged(e exchanged) {
+	now := d.now()
+	s, ok := d.entries[e.address]
+	if !ok {
+		return
+	}
+	self := e.response.GetSelf()
+	s.incarnation = ident.Incarnation(self.GetIncarnation())
+	s.domain = ident.FailureDomain(self.GetDomain())
+	s.known = rpc.StateFromProto(self.GetVersion(), self.GetEpoch())
+	s.heard = true
+	s.heardAt = now
+	c := e.response.GetConfirmation()
+	if c == nil {
+		return
+	}
+	state := rpc.StateFromProto(c.GetVersion(), c.GetEpoch())
+	d.news(state)
+	if next := d.snapshotOf(e.response, state); next != nil {
+		d.install(next)
+	}
+	d.granter.Confirm(permit.FromAnswer(e.sentAt, state, rpc.Duration(c.GetAgeMs())))
+}
+
+// snapshotOf puts a newer state together out of the answer of another entry and
+// of what is known here. Both parts have to be those of one committed state.
+func (d *Duty) snapshotOf(r *dockpb.ExchangeResponse, state permit.State) *snapshot {
+	s := &snapshot{}
+	if old := d.current.Load(); old != nil {
+		s.document, s.view, s.placement = old.document, old.view, old.placement
+	}
+	if r.GetDocument() != nil {
+		doc := documentFromProto(r.GetDocument())
+		view, err := document.NewView(doc)
+		if err != nil {
+			d.cfg.Log.Error("another entry sent a faulty document", telemetry.Err(err))
+			return nil
+		}
+		s.document, s.view = doc, view
+	}
+	if r.GetPlacement() != nil {
+		s.placement = rpc.PlacementFromProto(r.GetPlacement())
+	}
+	if s.document == nil || s.placement == nil || s.state() != state {
+		return nil
+	}
+	return s
+}
+
+func elsewhereOf(r *dockpb.ExchangeRequest) []membership.Announcement {
+	var ns []membership.Announcement
+	for _, p := range r.GetPeers() {
+		ns = append(ns, rpc.AnnouncementFromProto(p))
+	}
+	return ns
+}
+
+func demandOf(r *dockpb.ExchangeRequest) []Demand {
+	ds := []Demand{}
+	for _, t := range r.GetDemand() {
+		ds = append(ds, Demand{
+			Team: ident.Team(t.GetTeam()), StartsPerSecond: int(t.GetStartsPerSecond()), Running: int(t.GetRunning()),
+		})
+	}
+	return ds
+}
+
+func documentToProto(d *document.Document) *dockpb.Document {
+	p := &dockpb.Document{Version: uint64(d.Version)}
+	for _, s := range d.Sections() {
+		p.Sections = append(p.Sections, &dockpb.Section{Name: string(s.Name), Version: uint64(s.Version), Text: s.Text})
+	}
+	return p
+}
+
+func documentFromProto(p *dockpb.Document) *document.Document {
+	sections := make([]document.Section, 0, len(p.GetSections()))
+	for _, s := range p.GetSections() {
+		sections = append(sections, document.Section{
+			Name: document.Name(s.GetName()), Version: ident.DocVersion(s.GetVersion()), Text: s.GetText(),
+		})
+	}
+	return document.New(ident.DocVersion(p.GetVersion()), sections)
+}
+
+// entriesLoop keeps this entry's row in the table and looks up the others.
+func (d *Duty) entriesLoop(ctx context.Context) {
+	var renewed time.Duration
+	for {
+		if renewed == 0 || d.now()-renewed >= membership.EntryRowRenewal*time.Second {
+			if d.renewRow(ctx) {
+				renewed = d.now()
+			}
+		}
+		d.lookUpEntries(ctx)
+		if !wait(ctx, d.cfg.EntriesInterval) {
+			d.removeRow()
+			return
+		}
+	}
+}
+
+func (d *Duty) renewRow(ctx context.Context) bool {
+	ctx, stop := context.WithTimeout(ctx, d.cfg.ReadTimeout)
+	defer stop()
+	value, err := membership.EncodeEntry(membership.EntryRow{
+		Incarnation: d.cfg.Self, Address: d.cfg.Address, Domain: d.cfg.Domain, RenewedUnix: time.Now().Unix(),
+	})
+	if err == nil {
+		err = d.cfg.Table.Commit(ctx, platform.Write{
+			Key: membership.EntryKey(d.cfg.Cell, d.cfg.Self), Expect: platform.AnyVersion, Value: value,
+		})
+	}
+	if err != nil {
+		d.cfg.Log.Warn("this entry's row can't be renewed", telemetry.Err(err))
+	}
+	return err == nil
+}
+
+// removeRow takes the row back at a planned stop. If that fails, it expires.
+func (d *Duty) removeRow() {
+	ctx, stop := context.WithTimeout(context.Background(), d.cfg.CallTimeout)
+	defer stop()
+	err := d.cfg.Table.Commit(ctx, platform.Write{
+		Key: membership.EntryKey(d.cfg.Cell, d.cfg.Self), Expect: platform.AnyVersion, Delete: true,
+	})
+	if err != nil {
+		d.cfg.Log.Warn("this entry's row can't be removed and will expire", telemetry.Err(err))
+	}
+}
+
+func (d *Duty) lookUpEntries(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, d.cfg.ReadTimeout)
+	defer stop()
+	rows, err := d.cfg.Table.Scan(ctx, membership.EntryPrefix(d.cfg.Cell), "", maxEntries)
+	if err != nil {
+		return
+	}
+	oldest := time.Now().Unix() - membership.EntryRowExpiry
+	var addresses []string
+	for _, row := range rows {
+		r, err := membership.DecodeEntry(row.Value)
+		if err == nil && r.RenewedUnix >= oldest {
+			addresses = append(addresses, r.Address)
+			continue
+		}
+		// Whoever comes first deletes an expired row; the version check
+		// spares one that has been renewed meanwhile.
+		if err := d.cfg.Table.Commit(ctx, platform.Write{Key: row.Key, Expect: row.Version, Delete: true}); err != nil {
+			d.cfg.Log.Debug("an expired entry row can't be deleted", telemetry.Err(err))
+		}
+	}
+	d.box.Put(listed{addresses})
+}
--- /dev/null
+++ b/control/heartbeat.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"time"
+
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/permit"
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/dockpb"
+)
+
+// beat answers one heartbeat.
+func (d *Duty) beat(r *dockpb.HeartbeatRequest) *dockpb.HeartbeatResponse {
+	now := d.now()
+	n := announcementOf(r)
+	echo := d.echoOf(r)
+	resp := &dockpb.HeartbeatResponse{Entry: string(d.cfg.Self), Echo: echoAt(now)}
+	acts := d.tracker.Step(now, membership.Heartbeat{Agent: n})
+	d.apply(acts)
+	resp.Removed = isRemoved(acts)
+	d.hear(now, r, n, echo)
+	resp.Settled = d.settledFor(now, r.GetIntent())
+	resp.Permit = d.permitFor(now, &n)
+	resp.Confirmation = d.confirmationAt(now)
+	resp.Entries = d.entryPeers(now)
+	if s := d.current.Load(); s != nil && ident.Epoch(r.GetEpoch()) < s.placement.Epoch {
+		resp.Placement = rpc.PlacementToProto(s.placement)
+	}
+	for _, p := range d.tracker.PeersSince(now, echo, n.Incarnation) {
+		resp.Peers = append(resp.Peers, rpc.PeerToProto(&p))
+	}
+	return resp
+}
+
+func announcementOf(r *dockpb.HeartbeatRequest) membership.Announcement {
+	n := rpc.AnnouncementFromProto(r.GetSelf())
+	n.Running = int(r.GetRunning())
+	n.Jobs = int(r.GetJobs())
+	n.Known = rpc.StateFromProto(r.GetVersion(), r.GetEpoch())
+	return n
+}
+
+// echoAt is the protocol's form of a time of the duty's clock.
+func echoAt(now time.Duration) uint64 { return uint64(now / time.Microsecond) }
+
+// echoOf returns the time of the newest reply of this incarnation that the agent
+// had before it wrote the heartbeat, or zero.
+func (d *Duty) echoOf(r *dockpb.HeartbeatRequest) time.Duration {
+	if r.GetEntry() != string(d.cfg.Self) {
+		return 0
+	}
+	return time.Duration(r.GetEcho()) * time.Microsecond
+}
+
+// hear passes what the heartbeat says about changes to the granter. A
+// confirmation in a request is news only, since the request may be old.
+func (d *Duty) hear(now time.Duration, r *dockpb.HeartbeatRequest, n membership.Announcement, echo time.Duration) {
+	c := r.GetConfirmation()
+	known := rpc.StateFromProto(c.GetVersion(), c.GetEpoch())
+	if known.NewerThan(d.granter.Known()) {
+		d.kickReader()
+	}
+	d.granter.Learn(known)
+	if echo > 0 && echo <= now {
+		d.granter.Hear(n.Incarnation, permit.Heard{Echo: echo, Known: known, Pending: r.GetIntent() != ""})
+	}
+}
+
+func isRemoved(acts []membership.Action) bool {
+	for _, a := range acts {
+		if _, ok := a.(membership.Removed); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// settledFor answers an intent that an agent still waits for, and has it looked
+// up if its outcome is not known here.
+func (d *Duty) settledFor(now time.Duration, id string) *dockpb.SettledIntent {
+	if id == "" {
+		return nil
+	}
+	if after, ok := d.intents.outcome(id); ok {
+		return &dockpb.SettledIntent{Id: id, Version: uint64(after.Version), Epoch: uint64(after.Epoch)}
+	}
+	if d.intents.due(now, id) {
+		select {
+		case d.unsettled <- id:
+		default:
+		}
+	}
+	return nil
+}
+
+func (d *Duty) permitFor(now time.Duration, n *membership.Announcement) *dockpb.Permit {
+	f, ok := d.granter.Grant(now, n.Domain, n.Incarnation, n.Address)
+	if !ok && f.State == (permit.State{}) {
+		return nil
+	}
+	return &dockpb.Permit{
+		Version:   uint64(f.State.Version),
+		Epoch:     uint64(f.State.Epoch),
+		InService: f.InService,
+		// Rounded down: a permit must not become longer on its way.
+		RemainingMs: uint32(f.Remaining / time.Millisecond),
+	}
+}
+
+// confirmationAt is the granter's base with its age. The age is rounded up.
+func (d *Duty) confirmationAt(now time.Duration) *dockpb.Confirmation {
+	c := d.granter.Base()
+	if !d.Ready() {
+		return nil
+	}
+	return &dockpb.Confirmation{
+		Version: uint64(c.State.Version),
+		Epoch:   uint64(c.State.Epoch),
+		AgeMs:   rpc.Millis(c.Age(now)),
+	}
+}
+
+// entryPeers lists this entry and the others that it hears.
+func (d *Duty) entryPeers(now time.Duration) []*dockpb.EntryPeer {
+	peers := []*dockpb.EntryPeer{d.selfPeer()}
+	for _, address := range d.entryOrder() {
+		s := d.entries[address]
+		if s.heard && now-s.heardAt < silentEntry {
+			peers = append(peers, entryToProto(address, s))
+		}
+	}
+	return peers
+}
+
+func (d *Duty) selfPeer() *dockpb.EntryPeer {
+	known := d.granter.Base().State
+	return &dockpb.EntryPeer{
+		Incarnation: string(d.cfg.Self),
+		Address:     d.cfg.Address,
+		Domain:      string(d.cfg.Domain),
+		Version:     uint64(known.Version),
+		Epoch:       uint64(known.Epoch),
+	}
+}
+
+func entryToProto(address string, s *entryState) *dockpb.EntryPeer {
+	return &dockpb.EntryPeer{
+		Incarnation: string(s.incarnation),
+		Address:     address,
+		Domain:      string(s.domain),
+		Version:     uint64(s.known.Version),
+		Epoch:       uint64(s.known.Epoch),
+	}
+}
--- /dev/null
+++ b/control/server.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"context"
+	"errors"
+
+	"connectrpc.com/connect"
+
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/dockpb"
+	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
+)
+
+// server answers the EntryService. It hands each call to the duty and waits.
+type server struct{ duty *Duty }
+
+var _ dockpbconnect.EntryServiceHandler = (*server)(nil)
+
+// Service returns the EntryService of this entry, for its internal listener.
+func (d *Duty) Service() dockpbconnect.EntryServiceHandler { return &server{d} }
+
+var errNoName = errors.New("the call names no incarnation or address")
+
+// Heartbeat implements EntryService.
+func (s *server) Heartbeat(ctx context.Context, r *connect.Request[dockpb.HeartbeatRequest]) (*connect.Response[dockpb.HeartbeatResponse], error) {
+	if r.Msg.GetSelf().GetIncarnation() == "" || r.Msg.GetSelf().GetAddress() == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errNoName)
+	}
+	e := beat{request: r.Msg, reply: make(chan *dockpb.HeartbeatResponse, 1)}
+	return await(ctx, s.duty, e, e.reply)
+}
+
+// Exchange implements EntryService.
+func (s *server) Exchange(ctx context.Context, r *connect.Request[dockpb.ExchangeRequest]) (*connect.Response[dockpb.ExchangeResponse], error) {
+	if r.Msg.GetSelf().GetIncarnation() == "" || r.Msg.GetSelf().GetAddress() == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errNoName)
+	}
+	e := exchange{request: r.Msg, reply: make(chan *dockpb.ExchangeResponse, 1)}
+	return await(ctx, s.duty, e, e.reply)
+}
+
+// await offers an event to the duty and waits for its reply.
+func await[M any](ctx context.Context, d *Duty, e event, reply <-chan *M) (*connect.Response[M], error) {
+	if !d.box.Offer(e) {
+		return nil, rpc.Busy()
+	}
+	select {
+	case m := <-reply:
+		return connect.NewResponse(m), nil
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+}
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"context"
+	"fmt"
+
+	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/permit"
+	"foxtaildock.example/dock/placement"
+	"foxtaildock.example/dock/platform"
+)
+
+// scanPage is the number of rows of one page of a scan.
+const scanPage = 500
+
+// snapshot is one committed state of document and placement with all content.
+type snapshot struct {
+	document  *document.Document
+	view      *document.View
+	placement *placement.Placement
+	// headRow and placementRow are the table's versions of the two rows, for
+	// compare-and-set. They are zero together with fromTable unset if the
+	// snapshot came from another entry, which can't be committed upon.
+	headRow, placementRow uint64
+	fromTable             bool
+}
+
+// state names the snapshot.
+func (s *snapshot) state() permit.State {
+	return permit.State{Version: s.document.Version, Epoch: s.placement.Epoch}
+}
+
+// members returns the incarnations that have a say in changes of the snapshot.
+func (s *snapshot) members() []ident.Incarnation {
+	current := s.placement.Current()
+	ids := make([]ident.Incarnation, len(current))
+	for i := range current {
+		ids[i] = current[i].Incarnation
+	}
+	return ids
+}
+
+// heads is one read of the two rows that name a state. Both come from one
+// snapshot of the table, so the state was committed.
+type heads struct {
+	head      headRow
+	headRow   uint64
+	placement *placement.Placement
+	epochRow  uint64
+}
+
+func (h *heads) state() permit.State {
+	return permit.State{Version: h.head.Version, Epoch: h.placement.Epoch}
+}
+
+// readHeads reads document head and placement together.
+func readHeads(ctx context.Context, t platform.Table, cell string) (*heads, error) {
+	key := membership.PlacementKey(cell)
+	rows, err := t.Get(ctx, headKey, key)
+	if err != nil {
+		return nil, fmt.Errorf("read document head and placement: %w", err)
+	}
+	if len(rows) != 2 {
+		return nil, fmt.Errorf("read document head and placement: %d rows instead of 2", len(rows))
+	}
+	h := &heads{headRow: rows[0].Version, epochRow: rows[1].Version}
+	if h.head, err = decodeRow[headRow](headKey, rows[0].Value); err != nil {
+		return nil, err
+	}
+	if h.placement, err = membership.DecodePlacement(rows[1].Value); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+// loadTries bounds how often a load starts over since the document moved.
+const loadTries = 5
+
+// load reads a whole snapshot. Sections are read between two reads of the head:
+// every change of a section raises the head, so equal heads mean that the
+// sections belong to it. A known document of that version saves the sections.
+func load(ctx context.Context, t platform.Table, cell string, known *snapshot) (*snapshot, error) {
+	before, err := readHeads(ctx, t, cell)
+	if err != nil {
+		return nil, err
+	}
+	for range loadTries {
+		if known != nil && known.document.Version == before.head.Version {
+			return join(before, known.document, known.view), nil
+		}
+		sections, err := readSections(ctx, t)
+		if err != nil {
+			return nil, err
+		}
+		after, err := readHeads(ctx, t, cell)
+		if err != nil {
+			return nil, err
+		}
+		if after.head.Version == before.head.Version {
+			return check(after, document.New(after.head.Version, sections))
+		}
+		before = after
+	}
+	return nil, fmt.Errorf("the document changed %d times while it was read", loadTries)
+}
+
+func check(h *heads, d *document.Document) (*snapshot, error) {
+	view, err := document.NewView(d)
+	if err != nil {
+		return nil, fmt.Errorf("document version %d is faulty: %w", d.Version, err)
+	}
+	return join(h, d, view), nil
+}
+
+func join(h *heads, d *document.Document, v *document.View) *snapshot {
+	return &snapshot{
+		document: d, view: v, placement: h.placement,
+		headRow: h.headRow, placementRow: h.epochRow, fromTable: true,
+	}
+}
+
+func readSections(ctx context.Context, t platform.Table) ([]document.Section, error) {
+	var sections []document.Section
+	err := scanAll(ctx, t, sectionPrefix, func(r platform.Row) error {
+		s, err := decodeRow[document.Section](r.Key, r.Value)
+		if err == nil {
+			sections = append(sections, s)
+		}
+		return err
+	})
+	return sections, err
+}
+
+// scanAll walks all rows with a prefix in pages.
+func scanAll(ctx context.Context, t platform.Table, prefix string, visit func(platform.Row) error) error {
+	after := ""
+	for {
+		rows, err := t.Scan(ctx, prefix, after, scanPage)
+		if err != nil {
+			return fmt.Errorf("scan %s: %w", prefix, err)
+		}
+		for _, r := range rows {
+			if err := visit(r); err != nil {
+				return err
+			}
+		}
+		if len(rows) < scanPage {
+			return nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
--- /dev/null
+++ b/control/status.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/permit"
+)
+
+// EntryStatus is what is known of one entry.
+type EntryStatus struct {
+	Incarnation ident.Incarnation
+	Address     string
+	Domain      ident.FailureDomain
+	// State is what is in force at the entry.
+	State permit.State
+	// HeardAgo is the time since it last answered; zero for this entry.
+	HeardAgo time.Duration
+	// Behind is true if it does not have the newest state yet.
+	Behind bool
+}
+
+// AgentStatus is what is known of one agent.
+type AgentStatus struct {
+	membership.Agent
+	// HeardAgo is the time since its last heartbeat to this entry.
+	HeardAgo time.Duration
+	// Member is true if the placement lists it.
+	Member bool
+	// Behind is true if it does not act under the newest state yet.
+	Behind bool
+}
+
+// Status is the state of the cell as one entry sees it.
+type Status struct {
+	Cell string
+	Self ident.Incarnation
+	// Newest is the newest state that this entry heard of.
+	Newest permit.State
+	// Mode says what permits rest on here, and ConfirmedAgo for how long the
+	// newest confirmation has been at hand.
+	Mode         permit.Mode
+	ConfirmedAgo time.Duration
+	// OwnFault is true while most agents are silent at once.
+	OwnFault bool
+	Entries  []EntryStatus
+	Agents   []AgentStatus
+}
+
+// Status asks the duty for the state of the cell.
+func (d *Duty) Status(ctx context.Context) (Status, error) {
+	e := askStatus{reply: make(chan Status, 1)}
+	return ask(ctx, d, e, e.reply)
+}
+
+// Rank asks the duty for the position of this entry among the live ones.
+func (d *Duty) Rank(ctx context.Context) (int, error) {
+	e := askRank{reply: make(chan int, 1)}
+	return ask(ctx, d, e, e.reply)
+}
+
+func ask[T any](ctx context.Context, d *Duty, e event, reply <-chan T) (T, error) {
+	var zero T
+	if !d.box.Offer(e) {
+		return zero, errBusy
+	}
+	select {
+	case v := <-reply:
+		return v, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+func (d *Duty) status() Status {
+	now := d.now()
+	s := Status{
+		Cell: d.cfg.Cell, Self: d.cfg.Self, Newest: d.granter.Known(), Mode: d.granter.Mode(now),
+		ConfirmedAgo: d.granter.Base().Age(now), OwnFault: d.tracker.OwnFault(),
+	}
+	own := d.granter.Base().State
+	s.Entries = append(s.Entries, EntryStatus{
+		Incarnation: d.cfg.Self, Address: d.cfg.Address, Domain: d.cfg.Domain, State: own, Behind: s.Newest.NewerThan(own),
+	})
+	for _, address := range d.entryOrder() {
+		e := d.entries[address]
+		if e.heardAt == 0 {
+			continue
+		}
+		s.Entries = append(s.Entries, EntryStatus{
+			Incarnation: e.incarnation, Address: address, Domain: e.domain, State: e.known,
+			HeardAgo: now - e.heardAt, Behind: s.Newest.NewerThan(e.known),
+		})
+	}
+	placement := d.Placement()
+	for _, a := range d.tracker.Agents() {
+		s.Agents = append(s.Agents, AgentStatus{
+			Agent: a, HeardAgo: now - a.HeardAt, Behind: s.Newest.NewerThan(a.Known),
+			Member: placement != nil && placement.Lists(a.Incarnation),
+		})
+	}
+	return s
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -138,6 +138,9 @@
 type Agent struct {
 	Announcement
 	State State
+	// OutOfService is true while the operators' document has taken the agent's
+	// failure domain or backend server out of service.
+	OutOfService bool
 	// HeardAt is when the newest heartbeat arrived here.
 	HeardAt time.Duration
 	// ElsewhereAt is when another entry last said that it hears the agent.
--- a/membership/peers.go
+++ b/membership/peers.go
@@ -8,11 +8,12 @@
 
 // PeersSince returns what a heartbeat reply tells an agent about its peers:
 // those that changed since the given time, which is that of the last reply the
-// agent got (zero for all), and a rotating sample of LoadSample others for
-// their load. The list is an update by incarnation, not the whole.
-func (t *Tracker) PeersSince(since time.Duration, to ident.Incarnation) []Agent {
+// agent got (zero for all), and a sample of LoadSample others for their load.
+// The sample moves on with time and so reaches everyone. The list is an update
+// by incarnation, not the whole.
+func (t *Tracker) PeersSince(now, since time.Duration, to ident.Incarnation) []Agent {
 	var peers []Agent
-	sampled := t.nextSample()
+	sampled := t.sampleAt(now)
 	for i, id := range t.order {
 		a := t.agents[id]
 		if id == to || (since == 0 && a.State == Gone) {
@@ -35,26 +36,35 @@
 	return (i-w.start+w.ring)%w.ring < w.length
 }
 
-// nextSample moves the window of the load sample on by its length.
-func (t *Tracker) nextSample() window {
+// sampleInterval is the time after which the load sample moves on. It is that
+// of heartbeats, so that an agent gets all samples in turn.
+const sampleInterval = 500 * time.Millisecond
+
+// sampleAt returns the window of the load sample at a time.
+func (t *Tracker) sampleAt(now time.Duration) window {
 	n := len(t.order)
 	if n == 0 {
 		return window{}
 	}
-	w := window{start: t.sample % n, length: min(t.cfg.LoadSample, n), ring: n}
-	t.sample = (w.start + w.length) % n
-	return w
+	length := min(t.cfg.LoadSample, n)
+	return window{start: int(now/sampleInterval) * length % n, length: length, ring: n}
 }
 
-// HeardHere returns the announcements of agents that this entry hears itself,
-// for exchange with other entries.
-func (t *Tracker) HeardHere(now time.Duration) []Announcement {
+// HeardHere returns up to limit announcements of agents that this entry hears
+// itself, for exchange with other entries. Calls go round, so that all agents
+// are told in turn at a bounded cost.
+func (t *Tracker) HeardHere(now time.Duration, limit int) []Announcement {
 	var ns []Announcement
-	for _, id := range t.order {
-		a := t.agents[id]
+	n := len(t.order)
+	looked := 0
+	for ; looked < n && len(ns) < limit; looked++ {
+		a := t.agents[t.order[(t.told+looked)%n]]
 		if a.announced && a.State != Gone && now-a.HeardAt < t.cfg.SuspectAfter {
 			ns = append(ns, a.Announcement)
 		}
 	}
+	if n > 0 {
+		t.told = (t.told + looked) % n
+	}
 	return ns
 }
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
 )
 
@@ -21,18 +22,23 @@
 // so that an entry that has just started gives everyone a chance.
 type Installed struct{ Placement *placement.Placement }
 
+// ViewChanged reports a newer document version.
+type ViewChanged struct{ View permit.View }
+
 // Tick reports that time has passed. It is due a few times per SuspectAfter.
 type Tick struct{}
 
-func (Heartbeat) trackerEvent() {}
-func (Elsewhere) trackerEvent() {}
-func (Installed) trackerEvent() {}
-func (Tick) trackerEvent()      {}
+func (Heartbeat) trackerEvent()   {}
+func (Elsewhere) trackerEvent()   {}
+func (Installed) trackerEvent()   {}
+func (ViewChanged) trackerEvent() {}
+func (Tick) trackerEvent()        {}
 
 // Action is an output of Tracker.Step.
 type Action interface{ trackerAction() }
 
-// Changed reports that an agent moved between states. From is zero if it is new.
+// Changed reports that an agent moved between states, or, with equal states, that
+// it was taken out of service or returned. From is zero if it is new.
 type Changed struct {
 	Agent    Agent
 	From, To State
@@ -67,11 +73,12 @@
 	// order lists the keys of agents ascending, since maps have no order.
 	order   []ident.Incarnation
 	current *placement.Placement
+	view    permit.View
 	// forgiven is the end of the last own fault. Silence counts from there.
 	forgiven time.Duration
 	ownFault bool
-	// sample is the position of the rotating load sample in order.
-	sample int
+	// told is the position of HeardHere in order.
+	told int
 }
 
 // NewTracker returns a tracker that knows nobody.
@@ -92,6 +99,8 @@
 		return t.elsewhere(now, e.Agents)
 	case Installed:
 		return t.installed(now, e.Placement)
+	case ViewChanged:
+		return t.viewChanged(now, e.View)
 	case Tick:
 		return t.tick(now)
 	}
@@ -99,7 +108,8 @@
 }
 
 func (t *Tracker) heartbeat(now time.Duration, n Announcement) []Action {
-	if t.hasLeft(n.Incarnation) {
+	// One that left as planned goes on being heard while it finishes.
+	if t.hasLeft(n.Incarnation) && !n.Leaving {
 		return []Action{Removed{n.Incarnation}}
 	}
 	a, ok := t.agents[n.Incarnation]
@@ -116,9 +126,32 @@
 	a.Announcement = n
 	a.announced = true
 	a.HeardAt = now
+	t.judgeService(a)
 	return t.move(now, a, stateOf(n))
 }
 
+// judgeService applies the document to one agent and reports a change.
+func (t *Tracker) judgeService(a *Agent) bool {
+	out := t.view != nil && !t.view.InService(a.Domain, a.Incarnation, a.Address)
+	changed := out != a.OutOfService
+	a.OutOfService = out
+	return changed
+}
+
+// viewChanged applies a newer document to all agents.
+func (t *Tracker) viewChanged(now time.Duration, v permit.View) []Action {
+	t.view = v
+	var acts []Action
+	for _, id := range t.order {
+		a := t.agents[id]
+		if t.judgeService(a) {
+			a.ChangedAt = now
+			acts = append(acts, Changed{Agent: *a, From: a.State, To: a.State})
+		}
+	}
+	return acts
+}
+
 // elsewhere notes what other entries hear. It also makes agents known that this
 // entry does not hear itself, as suspected ones: peers may know of them, and
 // nobody removes them.
@@ -152,7 +185,7 @@
 		m := &p.Members[i]
 		a, ok := t.agents[m.Incarnation]
 		if m.Left != 0 {
-			if ok {
+			if ok && a.State != Leaving {
 				acts = append(acts, t.move(now, a, Gone)...)
 			}
 			continue
--- a/permit/granter.go
+++ b/permit/granter.go
@@ -75,9 +75,10 @@
 	read   bool
 	// waiting is a newer confirmation than base whose view or members have
 	// not been installed yet.
-	waiting Confirmation
-	known   State
-	heard   map[ident.Incarnation]Heard
+	waiting    Confirmation
+	hasWaiting bool
+	known      State
+	heard      map[ident.Incarnation]Heard
 }
 
 // NewGranter returns a granter that grants nothing yet.
@@ -102,7 +103,7 @@
 		return false
 	}
 	g.known = g.known.Join(s)
-	if s != g.base.State {
+	if s != g.base.State || g.view == nil {
 		// A state that has just been installed counts as unconfirmed: the
 		// zero confirmation is older than any lease.
 		g.base = Confirmation{State: s, ReadAt: -2 * Lease}
@@ -110,7 +111,8 @@
 	g.view = view
 	g.members = slices.Clone(members)
 	g.forget()
-	if g.waiting.State == s {
+	if g.hasWaiting && g.waiting.State == s {
+		g.hasWaiting = false
 		g.Confirm(g.waiting)
 	}
 	return true
@@ -134,12 +136,21 @@
 func (g *Granter) Confirm(c Confirmation) {
 	g.known = g.known.Join(c.State)
 	if c.State != g.base.State || g.view == nil {
-		g.waiting = newest(g.waiting, c)
+		g.wait(c)
 		return
 	}
 	g.base.ReadAt = max(g.base.ReadAt, c.ReadAt)
 }
 
+// wait keeps a confirmation for the state that is installed next.
+func (g *Granter) wait(c Confirmation) {
+	if g.hasWaiting {
+		c = newest(g.waiting, c)
+	}
+	g.waiting = c
+	g.hasWaiting = true
+}
+
 // ConfirmRead takes the confirmation of the granter's own read of the platform
 // that started at c.ReadAt.
 func (g *Granter) ConfirmRead(c Confirmation) {
--- a/permit/state.go
+++ b/permit/state.go
@@ -40,9 +40,7 @@
 func (c Confirmation) Age(now time.Duration) time.Duration { return now - c.ReadAt }
 
 // Fresh reports whether a permit may still rest on the confirmation.
-func (c Confirmation) Fresh(now time.Duration) bool {
-	return c.State != State{} && c.Age(now) < Lease
-}
+func (c Confirmation) Fresh(now time.Duration) bool { return c.Age(now) < Lease }
 
 // FromAnswer translates a confirmation out of the answer to a request. The
 // answer was written after the request was sent, so counting the age from
--- /dev/null
+++ b/rpc/members.go
@@ -0,0 +1,67 @@
+package rpc
+
+import (
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/permit"
+	"foxtaildock.example/dock/rpc/dockpb"
+)
+
+// PeerToProto converts what an entry knows of an agent.
+func PeerToProto(a *membership.Agent) *dockpb.Peer {
+	p := AnnouncementToProto(&a.Announcement)
+	p.State = uint32(a.State)
+	p.OutOfService = a.OutOfService
+	return p
+}
+
+// AnnouncementToProto converts what an agent says of itself.
+func AnnouncementToProto(n *membership.Announcement) *dockpb.Peer {
+	p := &dockpb.Peer{
+		Incarnation: string(n.Incarnation),
+		Address:     n.Address,
+		Domain:      string(n.Domain),
+		Slots:       uint32(max(n.Slots, 0)),
+		Free:        uint32(max(n.Free, 0)),
+		Queued:      uint32(max(n.Queued, 0)),
+		State:       uint32(membership.Up),
+	}
+	if n.Leaving {
+		p.State = uint32(membership.Leaving)
+	}
+	for _, s := range n.Services {
+		p.Services = append(p.Services, string(s))
+	}
+	return p
+}
+
+// AnnouncementFromProto converts what an agent says of itself.
+func AnnouncementFromProto(p *dockpb.Peer) membership.Announcement {
+	n := membership.Announcement{
+		Incarnation: ident.Incarnation(p.GetIncarnation()),
+		Address:     p.GetAddress(),
+		Domain:      ident.FailureDomain(p.GetDomain()),
+		Slots:       int(p.GetSlots()),
+		Free:        int(p.GetFree()),
+		Queued:      int(p.GetQueued()),
+		Leaving:     membership.State(p.GetState()) == membership.Leaving,
+	}
+	for _, s := range p.GetServices() {
+		n.Services = append(n.Services, ident.Service(s))
+	}
+	return n
+}
+
+// PeerFromProto converts what an entry says of an agent.
+func PeerFromProto(p *dockpb.Peer) membership.Agent {
+	return membership.Agent{
+		Announcement: AnnouncementFromProto(p),
+		State:        membership.State(p.GetState()),
+		OutOfService: p.GetOutOfService(),
+	}
+}
+
+// StateFromProto pairs a document version with a placement epoch.
+func StateFromProto(version, epoch uint64) permit.State {
+	return permit.State{Version: ident.DocVersion(version), Epoch: ident.Epoch(epoch)}
+}
