--- a/control/announce.go
+++ b/control/announce.go
@@ -18,6 +18,11 @@
 // changed.
 var ErrUnannounced = errors.New("fewer than half of the agents acknowledged the announcement of the change")
 
+// acksNeeded is the number of members that have to acknowledge an intent. Half
+// of them is enough, since a granter needs the word of more than half: the two
+// sets share a member.
+func acksNeeded(members int) int { return (members + 1) / 2 }
+
 // announcer tells members of changes before they are committed and after.
 type announcer struct {
 	client  connect.HTTPClient
@@ -27,8 +32,8 @@
 // maxCalls bounds the calls that one announcement has open.
 const maxCalls = 64
 
-// announce tells the intent to the members and returns once more than half of
-// them have acknowledged it. A member whose address is answered by another
+// announce tells the intent to the members and returns once half of them
+// have acknowledged it. A member whose address is answered by another
 // incarnation is gone for good, and can't vouch for anything any more, which is
 // as good as its word. Members that are slower learn nothing.
 func (a *announcer) announce(ctx context.Context, id string, members []placement.Member) error {
@@ -36,7 +41,7 @@
 		return nil
 	}
 	acks := a.tell(ctx, members, &dockpb.IntentRequest{Id: id})
-	need := len(members)/2 + 1
+	need := acksNeeded(len(members))
 	have := 0
 	for range members {
 		if <-acks {
@@ -49,6 +54,26 @@
 	return ErrUnannounced
 }
 
+// settlement is the certain outcome of an announced change.
+type settlement struct {
+	id      string
+	after   permit.State
+	members []placement.Member
+}
+
+// settleLoop tells members the outcomes of changes.
+func (d *Duty) settleLoop(ctx context.Context) {
+	for {
+		select {
+		case s := <-d.settlements:
+			d.box.Put(settled{id: s.id, after: s.after})
+			d.announcer().settle(ctx, s.id, s.after, s.members)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // settle tells the members the certain outcome of an intent. Those that it does
 // not reach ask in their heartbeats.
 func (a *announcer) settle(ctx context.Context, id string, after permit.State, members []placement.Member) {
--- a/control/duty.go
+++ b/control/duty.go
@@ -34,8 +34,10 @@
 	kick chan struct{}
 	// unsettled passes intents to the resolver.
 	unsettled chan string
-	current   atomic.Pointer[snapshot]
-	work      sync.WaitGroup
+	// settlements passes the outcomes of changes to the settler.
+	settlements chan settlement
+	current     atomic.Pointer[snapshot]
+	work        sync.WaitGroup
 
 	// The rest belongs to the goroutine of Run.
 	ctx     context.Context
@@ -75,11 +77,13 @@
 		box:       mailbox.New[event](boxSize),
 		kick:      make(chan struct{}, 1),
 		unsettled: make(chan string, maxIntents),
-		granter:   permit.NewGranter(),
-		tracker:   membership.NewTracker(cfg.Membership),
-		planner:   membership.NewPlanner(cfg.Membership),
-		intents:   newIntentBook(cfg.IntentExpiry),
-		entries:   make(map[string]*entryState),
+
+		settlements: make(chan settlement, maxIntents),
+		granter:     permit.NewGranter(),
+		tracker:     membership.NewTracker(cfg.Membership),
+		planner:     membership.NewPlanner(cfg.Membership),
+		intents:     newIntentBook(cfg.IntentExpiry),
+		entries:     make(map[string]*entryState),
 	}, nil
 }
 
@@ -90,7 +94,7 @@
 // Run runs the duty until the context ends.
 func (d *Duty) Run(ctx context.Context) {
 	d.ctx = ctx
-	for _, loop := range []func(context.Context){d.readLoop, d.resolveLoop, d.entriesLoop, d.upkeepLoop} {
+	for _, loop := range []func(context.Context){d.readLoop, d.resolveLoop, d.settleLoop, d.entriesLoop, d.upkeepLoop} {
 		d.work.Add(1)
 		go func() {
 			defer d.work.Done()
@@ -128,7 +132,11 @@
 	if old != nil && !s.state().Covers(old.state()) {
 		return false
 	}
-	if old != nil && s.state() == old.state() && (old.fromTable || !s.fromTable) {
+	if old != nil && s.state() == old.state() {
+		// The same content; the table knows its row versions best.
+		if s.fromTable {
+			d.current.Store(s)
+		}
 		return true
 	}
 	if !d.granter.Install(s.state(), s.view, s.members()) {
--- a/control/epoch.go
+++ b/control/epoch.go
@@ -59,7 +59,7 @@
 	after := permit.State{Version: s.document.Version, Epoch: prop.Next.Epoch}
 	c := commit{
 		table: d.cfg.Table, tell: d.announcer(), id: d.cfg.NewID(), base: s, after: after, forced: forced,
-		timeout: d.cfg.ReadTimeout,
+		timeout: d.cfg.ReadTimeout, settlements: d.settlements,
 		writes: []platform.Write{
 			{Key: membership.PlacementKey(d.cfg.Cell), Expect: s.placementRow, Value: value},
 			{Key: headKey, Expect: s.headRow, CheckOnly: true},
@@ -68,6 +68,7 @@
 	if err := c.run(ctx); err != nil {
 		return err
 	}
+	d.box.Put(loaded{s.withPlacement(prop.Next)})
 	d.cfg.Log.Info("placement committed", telemetry.Epoch(prop.Next.Epoch), telemetry.Count(len(prop.Next.Current())))
 	return nil
 }
@@ -91,6 +92,8 @@
 	writes  []platform.Write
 	forced  bool
 	timeout time.Duration
+	// settlements takes the outcome for the members.
+	settlements chan<- settlement
 }
 
 // errCancelled means that another entry gave up waiting for the commit and made
@@ -159,12 +162,15 @@
 	return lost
 }
 
-// settleLater tells the members in the background. It outlives the request that
-// made the change, since members must not wait for its caller.
+// settleLater has the members told by the settler, so that the request that made
+// the change need not wait. If the settler is busy, the members ask for the
+// outcome in their heartbeats.
 func (c *commit) settleLater(after permit.State) {
 	if c.forced {
 		return
 	}
-	members := c.base.placement.Current()
-	go c.tell.settle(context.Background(), c.id, after, members)
+	select {
+	case c.settlements <- settlement{id: c.id, after: after, members: c.base.placement.Current()}:
+	default:
+	}
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -121,6 +121,23 @@
 	}
 }
 
+// withDocument returns the snapshot after the commit of a document upon s. The
+// row that was written has moved on by one version.
+func (s *snapshot) withDocument(d *document.Document, v *document.View) *snapshot {
+	next := *s
+	next.document, next.view = d, v
+	next.headRow++
+	return &next
+}
+
+// withPlacement returns the snapshot after the commit of a placement upon s.
+func (s *snapshot) withPlacement(p *placement.Placement) *snapshot {
+	next := *s
+	next.placement = p
+	next.placementRow++
+	return &next
+}
+
 func readSections(ctx context.Context, t platform.Table) ([]document.Section, error) {
 	var sections []document.Section
 	err := scanAll(ctx, t, sectionPrefix, func(r platform.Row) error {
--- a/control/store.go
+++ b/control/store.go
@@ -78,13 +78,15 @@
 		if err != nil {
 			return Applied{}, err
 		}
-		next, err := s.decide(ctx, snap, c)
+		next, section, err := s.decide(ctx, snap, c)
 		if err != nil {
 			return Applied{}, err
 		}
-		err = s.commit(ctx, snap, next, c, forced)
+		err = s.commit(ctx, snap, section, c, forced)
 		if err == nil {
-			return Applied{ChangeID: c.ID, Section: c.Section, Version: next.Version}, nil
+			// The platform may go away now; others learn the content here.
+			s.duty.box.Put(loaded{next})
+			return Applied{ChangeID: c.ID, Section: c.Section, Version: section.Version}, nil
 		}
 		var conflict *platform.ConflictError
 		if !errors.As(err, &conflict) {
@@ -137,7 +139,7 @@
 	return snap
 }
 
-func (s *Store) decide(ctx context.Context, snap *snapshot, c document.Change) (document.Section, error) {
+func (s *Store) decide(ctx context.Context, snap *snapshot, c document.Change) (*snapshot, document.Section, error) {
 	base := ""
 	if last, ok := snap.document.Last(c.Section); ok && last.Version != c.Expect && c.Expect != 0 {
 		old, _, err := getRow[document.Section](ctx, s.cfg.Table, historyKey(c.Section, c.Expect))
@@ -146,8 +148,11 @@
 		}
 		base = old.Text
 	}
-	_, next, err := document.Decide(snap.document, c, base, time.Now())
-	return next, err
+	view, doc, next, err := document.Decide(snap.document, c, base, time.Now())
+	if err != nil {
+		return nil, document.Section{}, err
+	}
+	return snap.withDocument(doc, view), next, nil
 }
 
 // commit writes one accepted change.
@@ -170,7 +175,7 @@
 	change := commit{
 		table: s.cfg.Table, tell: s.duty.announcer(), id: s.cfg.NewID(), base: snap, forced: forced,
 		after:   permit.State{Version: next.Version, Epoch: snap.placement.Epoch},
-		timeout: s.cfg.ReadTimeout, writes: writes,
+		timeout: s.cfg.ReadTimeout, writes: writes, settlements: s.duty.settlements,
 	}
 	return change.run(ctx)
 }
--- a/document/change.go
+++ b/document/change.go
@@ -46,16 +46,16 @@
 		e.Section, e.Winner.Version, e.Winner.By, time.Unix(e.Winner.AtUnix, 0).UTC().Format(time.RFC3339), e.Expect)
 }
 
-// Decide checks a change against the current document and returns the section
-// and the document after it. The error is ErrForbidden, a *ConflictError or a
+// Decide checks a change against the current document and returns the document
+// after it with its view, and the changed section. The error is ErrForbidden, a *ConflictError or a
 // *CheckError. base is the text at the expected version, if known.
-func Decide(d *Document, c Change, base string, at time.Time) (*Document, Section, error) {
+func Decide(d *Document, c Change, base string, at time.Time) (*View, *Document, Section, error) {
 	last, _ := d.Last(c.Section)
 	if err := allowed(d, c); err != nil {
-		return nil, Section{}, err
+		return nil, nil, Section{}, err
 	}
 	if last.Version != c.Expect && !(last.Deleted && c.Expect == 0) {
-		return nil, Section{}, conflict(last, c, base)
+		return nil, nil, Section{}, conflict(last, c, base)
 	}
 	next := Section{
 		Name: c.Section, Version: d.Version + 1, Text: c.Text, By: c.By.String(),
@@ -68,18 +68,19 @@
 	if !c.Delete {
 		parsed, problems := parse(c.Section, c.Text)
 		if len(problems) > 0 {
-			return nil, Section{}, &CheckError{Problems: problems}
+			return nil, nil, Section{}, &CheckError{Problems: problems}
 		}
 		next.Owner = parsed.owner()
 	}
 	if err := keepsOwner(last, next, c.By.Team); err != nil {
-		return nil, Section{}, err
+		return nil, nil, Section{}, err
 	}
 	after := d.With(next)
-	if err := after.Check(); err != nil {
-		return nil, Section{}, err
+	view, err := NewView(after)
+	if err != nil {
+		return nil, nil, Section{}, err
 	}
-	return after, next, nil
+	return view, after, next, nil
 }
 
 // allowed reports whether the identity may change the section at all. Operators
--- a/document/check.go
+++ b/document/check.go
@@ -96,8 +96,9 @@
 	}
 	sections := d.Sections()
 	for _, s := range sections {
-		if _, ok := v.teams[s.Owner]; !ok {
-			add(s.Name, "owner", "there is no section team/%s", s.Owner)
+		owner := v.Owner(s.Name)
+		if _, ok := v.teams[owner]; !ok {
+			add(s.Name, "owner", "there is no section team/%s", owner)
 		}
 	}
 	for _, s := range sections {
--- a/document/view.go
+++ b/document/view.go
@@ -19,6 +19,7 @@
 	services map[ident.Service]ServiceContent
 	domains  map[ident.FailureDomain]DomainContent
 	drains   map[string]DrainContent
+	owners   map[Name]ident.Team
 }
 
 // NewView parses and checks a whole document. Its error is a *CheckError.
@@ -30,6 +31,7 @@
 		services: make(map[ident.Service]ServiceContent),
 		domains:  make(map[ident.FailureDomain]DomainContent),
 		drains:   make(map[string]DrainContent),
+		owners:   make(map[Name]ident.Team),
 	}
 	var problems []Problem
 	for _, s := range d.Sections() {
@@ -37,6 +39,7 @@
 		problems = append(problems, ps...)
 		if len(ps) == 0 {
 			v.add(s.Name.Subject(), c)
+			v.owners[s.Name] = c.owner()
 		}
 	}
 	if len(problems) == 0 {
@@ -131,6 +134,9 @@
 	return !drained
 }
 
+// Owner returns the team that may change a section, as its text says.
+func (v *View) Owner(n Name) ident.Team { return v.owners[n] }
+
 // hasOperator reports whether the team has a token that may change sections.
 func (v *View) hasOperator(t ident.Team) bool {
 	return slices.ContainsFunc(v.teams[t].Tokens, func(e TokenEntry) bool { return e.Role == RoleOperator })
--- a/permit/granter.go
+++ b/permit/granter.go
@@ -196,9 +196,9 @@
 
 // askMembers renews base.ReadAt from the word of more than half of the members.
 //
-// Why it is a proof: a change is acknowledged by more than half of the members
-// of the state it replaces before it is committed. Two such majorities share a
-// member. That member wrote its heartbeat after Echo and reported neither the
+// Why it is a proof: a change is acknowledged by at least half of the members of
+// the state it replaces before it is committed. That half and more than half
+// share a member. That member wrote its heartbeat after Echo and reported neither the
 // intent nor a newer state, so it had not acknowledged the change yet, and the
 // commit lies after Echo. docs/design/permits.md has the whole argument.
 func (g *Granter) askMembers(now time.Duration) {
