--- a/cmd/foxtaildockd/main.go
+++ b/cmd/foxtaildockd/main.go
@@ -1,4 +1,131 @@
-// Command foxtaildockd is part of foxtaildock, a dispatcher for sub-second tasks.
+// Command foxtaildockd is the daemon of foxtaildock. As an entry it stands
+// between callers and agents; as an agent it stands beside one backend server.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"foxtaildock.example/dock/daemon"
+	"foxtaildock.example/dock/settings"
+	"foxtaildock.example/dock/telemetry"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// roleArgs are the arguments of a role.
+type roleArgs struct {
+	Settings string `arg:"positional,required" help:"the TOML settings file; docs/examples has one for each role"`
+}
+
+// checkArgs are the arguments of check-settings.
+type checkArgs struct {
+	Role     string `arg:"positional,required" help:"entry or agent"`
+	Settings string `arg:"positional,required" help:"the TOML settings file"`
+}
+
+type arguments struct {
+	Entry *roleArgs  `arg:"subcommand:entry" help:"run an entry: takes callers' jobs and operators' changes"`
+	Agent *roleArgs  `arg:"subcommand:agent" help:"run an agent: the process beside a backend server"`
+	Check *checkArgs `arg:"subcommand:check-settings" help:"check a settings file and name everything that is wrong"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "foxtaildockd dispatches sub-second tasks: each starts at most once, each caller gets a whole answer.\n"
+}
+
+// Epilogue is shown by --help.
+func (arguments) Epilogue() string {
+	return `Examples:
+  foxtaildockd check-settings agent /etc/foxtaildock/agent.toml
+  foxtaildockd agent /etc/foxtaildock/agent.toml
+
+SIGTERM or SIGINT is a graceful stop: work in flight is finished first.
+Logs are JSON lines on standard error.
+Exit codes: 0 stopped gracefully, 1 failed, 2 wrong settings or arguments.
+`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var args arguments
+	parser := arg.MustParse(&args)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	switch {
+	case args.Entry != nil:
+		return runEntry(ctx, args.Entry.Settings)
+	case args.Agent != nil:
+		return runAgent(ctx, args.Agent.Settings)
+	case args.Check != nil:
+		return check(args.Check)
+	}
+	parser.WriteHelp(os.Stderr)
+	return exitSettings
+}
+
+func runEntry(ctx context.Context, path string) int {
+	set, err := settings.LoadEntry(path)
+	if err != nil {
+		return fail(err, exitSettings)
+	}
+	log, err := telemetry.NewLogger(telemetry.RoleEntry, set.Log.Level, os.Stderr)
+	if err != nil {
+		return fail(err, exitSettings)
+	}
+	if err := daemon.RunEntry(ctx, set, log); err != nil {
+		log.Error("entry failed", telemetry.Err(err))
+		return exitFailed
+	}
+	return exitOK
+}
+
+func runAgent(ctx context.Context, path string) int {
+	set, err := settings.LoadAgent(path)
+	if err != nil {
+		return fail(err, exitSettings)
+	}
+	log, err := telemetry.NewLogger(telemetry.RoleAgent, set.Log.Level, os.Stderr)
+	if err != nil {
+		return fail(err, exitSettings)
+	}
+	if err := daemon.RunAgent(ctx, set, log); err != nil {
+		log.Error("agent failed", telemetry.Err(err))
+		return exitFailed
+	}
+	return exitOK
+}
+
+func check(args *checkArgs) int {
+	var err error
+	switch args.Role {
+	case "entry":
+		_, err = settings.LoadEntry(args.Settings)
+	case "agent":
+		_, err = settings.LoadAgent(args.Settings)
+	default:
+		err = fmt.Errorf("the role is entry or agent, not %q", args.Role)
+	}
+	if err != nil {
+		return fail(err, exitSettings)
+	}
+	fmt.Printf("%s: ok\n", args.Settings)
+	return exitOK
+}
+
+func fail(err error, code int) int {
+	fmt.Fprintln(os.Stderr, err)
+	return code
+}
--- /dev/null
+++ b/daemon/agent.go
@@ -0,0 +1,270 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"foxtaildock.example/dock/agent"
+	"foxtaildock.example/dock/control/agentlink"
+	"foxtaildock.example/dock/gate"
+	"foxtaildock.example/dock/home"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/permit"
+	"foxtaildock.example/dock/placement"
+	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/dockpb"
+	"foxtaildock.example/dock/settings"
+	"foxtaildock.example/dock/telemetry"
+)
+
+// idleCheck is how often a leaving agent looks whether it is finished.
+const idleCheck = 20 * time.Millisecond
+
+// errNoBackend and errNoPermit are why an agent isn't ready.
+var (
+	errNoBackend = errors.New("no backend server has announced itself")
+	errNoPermit  = errors.New("no entry has granted a permit")
+)
+
+// agentProcess is the process of an agent across its incarnations.
+type agentProcess struct {
+	set      *settings.Agent
+	log      *telemetry.Logger
+	internal swap
+	local    swap
+	current  atomic.Pointer[life]
+}
+
+// life is one incarnation of the agent with its link to the entries.
+type life struct {
+	agent   *agent.Agent
+	link    *agentlink.Link
+	member  atomic.Bool
+	removed chan struct{}
+}
+
+// RunAgent runs an agent until the context ends, then leaves gracefully.
+func RunAgent(ctx context.Context, set *settings.Agent, log *telemetry.Logger) error {
+	p := &agentProcess{set: set, log: log}
+	metrics, err := telemetry.NewMetrics(telemetry.RoleAgent, set.Process.FailureDomain, newIncarnation())
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	listeners, err := p.listen(metrics)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, len(listeners))
+	for _, l := range listeners {
+		go l.serve(failed)
+	}
+	err = p.live(ctx, failed, metrics)
+	p.close(listeners)
+	return err
+}
+
+func (p *agentProcess) listen(m *telemetry.Metrics) ([]*listener, error) {
+	internal, err := listenWith("internal", p.set.Listen.Internal, rpc.NewServer(&p.internal))
+	if err != nil {
+		return nil, err
+	}
+	local, err := listen("local", p.set.Listen.Local, &p.local)
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := listen("metrics", p.set.Listen.Metrics, telemetry.NewHandler(m, p.ready))
+	if err != nil {
+		return nil, err
+	}
+	return []*listener{internal, local, metrics}, nil
+}
+
+func (p *agentProcess) close(listeners []*listener) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, l := range listeners {
+		l.shutdown(ctx)
+	}
+}
+
+// ready returns nil if the agent can start tasks.
+func (p *agentProcess) ready() error {
+	l := p.current.Load()
+	if l == nil {
+		return errNoPermit
+	}
+	switch n := l.agent.Announcement(); {
+	case n.Slots == 0:
+		return errNoBackend
+	case !l.agent.Permitted():
+		return errNoPermit
+	}
+	return nil
+}
+
+// live runs one incarnation after the other until the process is told to stop.
+func (p *agentProcess) live(ctx context.Context, failed <-chan error, m *telemetry.Metrics) error {
+	for {
+		again, err := p.liveOnce(ctx, failed, m)
+		if err != nil || !again {
+			return err
+		}
+	}
+}
+
+// liveOnce runs one incarnation. It returns true if the placement took it out,
+// so that the process has to go on under a new one.
+func (p *agentProcess) liveOnce(ctx context.Context, failed <-chan error, m *telemetry.Metrics) (bool, error) {
+	l, err := p.newLife()
+	if err != nil {
+		return false, err
+	}
+	unregister, err := l.agent.RegisterMetrics(m.Meter())
+	if err != nil {
+		return false, err
+	}
+	defer unregister()
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := l.start(running)
+	p.internal.set(l.agent.Handler())
+	p.local.set(l.agent.LocalHandler())
+	p.current.Store(l)
+	p.log.Info("agent started", telemetry.Incarnation(l.agent.Self()), telemetry.Domain(p.set.Process.FailureDomain))
+	again, err := p.await(ctx, l, failed)
+	p.leave(l)
+	stop()
+	<-ended
+	p.log.Info("agent ended", telemetry.Incarnation(l.agent.Self()))
+	return again, err
+}
+
+// await blocks until the incarnation has to end.
+func (p *agentProcess) await(ctx context.Context, l *life, failed <-chan error) (bool, error) {
+	select {
+	case <-ctx.Done():
+		return false, nil
+	case err := <-failed:
+		return false, err
+	case <-l.removed:
+		p.log.Warn("removed from the placement; going on under a new incarnation", telemetry.Incarnation(l.agent.Self()))
+		return true, nil
+	}
+}
+
+// leave finishes the work in flight and hands the records over.
+func (p *agentProcess) leave(l *life) {
+	l.agent.Leave()
+	deadline := time.Now().Add(p.set.Shutdown.Grace)
+	for time.Now().Before(deadline) {
+		if l.agent.Idle(l.member.Load()) {
+			l.agent.CloseGate()
+			return
+		}
+		time.Sleep(idleCheck)
+	}
+	p.log.Warn("the grace period ended before all work did", telemetry.Incarnation(l.agent.Self()))
+}
+
+func (p *agentProcess) newLife() (*life, error) {
+	self := newIncarnation()
+	l := &life{removed: make(chan struct{})}
+	l.agent = agent.New(agent.Config{
+		Self:    self,
+		Domain:  p.set.Process.FailureDomain,
+		Address: p.set.Listen.Internal.String(),
+		Home:    p.homeConfig(self),
+		Gate:    p.gateConfig(),
+		Log:     p.log.With(telemetry.Incarnation(self)),
+		Intent:  l.intent,
+	})
+	link, err := agentlink.New(p.linkConfig(self), l)
+	if err != nil {
+		return nil, fmt.Errorf("link to the entries: %w", err)
+	}
+	l.link = link
+	return l, nil
+}
+
+func (p *agentProcess) homeConfig(self ident.Incarnation) home.Config {
+	c := home.DefaultConfig(self)
+	c.MaxRecords = p.set.Records.MaxJobs
+	c.MaxResultBytes = int(p.set.Records.MaxResultBytes)
+	return c
+}
+
+func (p *agentProcess) gateConfig() gate.Config {
+	c := gate.DefaultConfig()
+	c.QueueLimit = p.set.Gate.QueueLimit
+	return c
+}
+
+func (p *agentProcess) linkConfig(self ident.Incarnation) agentlink.Config {
+	c := agentlink.DefaultConfig()
+	c.Self = self
+	c.Cell = p.set.Process.Cell
+	c.Table = platform.NewClient(p.set.Platform.Address.String(), p.set.Platform.Timeout)
+	c.NewClient = rpc.NewClient
+	c.Log = p.log
+	for _, s := range p.set.Entries.Seeds {
+		c.Seeds = append(c.Seeds, s.String())
+	}
+	return c
+}
+
+// start runs the duties and the link and returns a channel that is closed when
+// all of them have ended.
+func (l *life) start(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	linked := make(chan struct{})
+	go func() {
+		defer close(linked)
+		l.link.Run(ctx)
+	}()
+	go func() {
+		defer close(ended)
+		l.agent.Run(ctx)
+		<-linked
+	}()
+	return ended
+}
+
+// The methods below are what the link tells the agent and asks of it.
+
+// Now returns the clock of the permits.
+func (l *life) Now() time.Duration { return l.agent.Now() }
+
+// Announcement is what the next heartbeat says.
+func (l *life) Announcement() membership.Announcement { return l.agent.Announcement() }
+
+// SetPermit passes the permit on.
+func (l *life) SetPermit(p permit.Permit) { l.agent.SetPermit(p) }
+
+// SetPeers passes the state of some other agents on.
+func (l *life) SetPeers(peers []membership.Agent) { l.agent.SetPeers(peers) }
+
+// SetPlacement passes the placement on and notes whether it lists this agent.
+func (l *life) SetPlacement(p *placement.Placement) {
+	if _, ok := p.Member(l.agent.Self()); ok {
+		l.member.Store(true)
+	}
+	l.agent.SetPlacement(p)
+}
+
+// Removed ends this incarnation.
+func (l *life) Removed() {
+	select {
+	case <-l.removed:
+	default:
+		close(l.removed)
+	}
+}
+
+func (l *life) intent(ctx context.Context, r *dockpb.IntentRequest) bool {
+	return l.link.Intent(ctx, r)
+}
--- /dev/null
+++ b/daemon/serve.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+// readHeaderTimeout bounds the time for the header of a request.
+const readHeaderTimeout = 5 * time.Second
+
+// listener is one HTTP listener of a daemon.
+type listener struct {
+	name   string
+	socket net.Listener
+	server *http.Server
+}
+
+// listen opens a listener. A server that isn't given is made for plain HTTP.
+func listen(name string, address netip.AddrPort, h http.Handler) (*listener, error) {
+	return listenWith(name, address, &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout})
+}
+
+func listenWith(name string, address netip.AddrPort, server *http.Server) (*listener, error) {
+	socket, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listener %s: %w", name, err)
+	}
+	return &listener{name: name, socket: socket, server: server}, nil
+}
+
+// serve serves until the listener is closed and reports any other end.
+func (l *listener) serve(failed chan<- error) {
+	if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
+		failed <- fmt.Errorf("listener %s: %w", l.name, err)
+	}
+}
+
+// shutdown stops accepting and waits for the requests in flight.
+func (l *listener) shutdown(ctx context.Context) {
+	if l.server.Shutdown(ctx) != nil {
+		_ = l.server.Close()
+	}
+}
+
+// swap is a handler that can be replaced while it serves, for a process that
+// goes on under a new incarnation.
+type swap struct{ current atomic.Pointer[http.Handler] }
+
+func (s *swap) set(h http.Handler) { s.current.Store(&h) }
+
+// ServeHTTP serves by the current handler.
+func (s *swap) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := s.current.Load()
+	if h == nil {
+		http.Error(w, "starting", http.StatusServiceUnavailable)
+		return
+	}
+	(*h).ServeHTTP(w, r)
+}
