--- /dev/null
+++ b/bench/backend/announce.go
@@ -0,0 +1,33 @@
+package backend
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"foxtaildock.example/bench/httpjson"
+)
+
+const (
+	// PathAnnounce is the path on the agent's local listener.
+	PathAnnounce = "/v1/announce"
+	// AnnounceInterval is the time between two announcements.
+	AnnounceInterval = time.Second
+	// firstRetry is the time between announcements until the first succeeds.
+	firstRetry = 50 * time.Millisecond
+)
+
+// Announce sends the announcement to the agent once a second until the context
+// ends. An agent that can't be reached is tried again.
+func Announce(ctx context.Context, agent string, what Announcement) {
+	client := &http.Client{Timeout: AnnounceInterval}
+	defer client.CloseIdleConnections()
+	pause := firstRetry
+	for ctx.Err() == nil {
+		err := httpjson.Call(ctx, client, http.MethodPost, "http://"+agent+PathAnnounce, what, nil)
+		if err == nil {
+			pause = AnnounceInterval
+		}
+		wait(ctx, pause)
+	}
+}
--- /dev/null
+++ b/bench/backend/server_test.go
@@ -0,0 +1,110 @@
+package backend_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"foxtaildock.example/bench/backend"
+)
+
+func post(t *testing.T, url, job string, index int, echo string) (int, backend.Answer, http.Header) {
+	t.Helper()
+	body, _ := json.Marshal(backend.Payload{Echo: echo})
+	req, err := http.NewRequest(http.MethodPost, url+backend.PathRun, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(backend.HeaderTeam, "north")
+	req.Header.Set(backend.HeaderJob, job)
+	req.Header.Set(backend.HeaderIndex, strconv.Itoa(index))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer backend.Answer
+	if resp.StatusCode == http.StatusOK {
+		if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return resp.StatusCode, answer, resp.Header
+}
+
+func start(t *testing.T) (*backend.Server, string) {
+	t.Helper()
+	srv := backend.New(backend.Options{Name: "b1", Domain: "lulea", Slots: 8})
+	web := httptest.NewServer(srv)
+	t.Cleanup(web.Close)
+	return srv, web.URL
+}
+
+func TestAnswersCarryTheirTask(t *testing.T) {
+	srv, url := start(t)
+	status, answer, head := post(t, url, "j1", 3, "e3")
+	want := backend.Answer{Team: "north", Job: "j1", Index: 3, Echo: "e3", Server: "b1"}
+	if status != http.StatusOK || answer != want || head.Get(backend.HeaderIndex) != "3" {
+		t.Fatalf("answer = %d %+v", status, answer)
+	}
+	post(t, url, "j1", 4, "e4")
+	post(t, url, "j1", 3, "e3")
+	got := srv.Starts(false)
+	if got.Total != 3 || len(got.Doubles) != 1 || got.Doubles[0].Index != 3 || got.MaxRunning != 1 {
+		t.Fatalf("starts = %+v", got)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	srv, url := start(t)
+	srv.SetFaults(backend.Faults{Refuse: true})
+	status, _, head := post(t, url, "j1", 0, "")
+	if status != http.StatusServiceUnavailable || head.Get(backend.HeaderNotStarted) != "true" {
+		t.Fatalf("refuse: status %d, head %v", status, head)
+	}
+	if total := srv.Starts(false).Total; total != 0 {
+		t.Fatalf("a refused task counted %d starts", total)
+	}
+	srv.SetFaults(backend.Faults{Fail: true})
+	if status, _, _ := post(t, url, "j1", 0, ""); status != http.StatusInternalServerError {
+		t.Fatalf("fail: status %d", status)
+	}
+	if total := srv.Starts(false).Total; total != 1 {
+		t.Fatalf("a failed task counted %d starts", total)
+	}
+	srv.SetFaults(backend.Faults{})
+	post(t, url, "j2", 7, "first")
+	srv.SetFaults(backend.Faults{Crossed: true, Twice: true})
+	_, answer, head := post(t, url, "j3", 1, "second")
+	if answer.Job != "j2" || answer.Index != 7 || head.Get(backend.HeaderJob) != "j2" {
+		t.Fatalf("crossed answer = %+v", answer)
+	}
+}
+
+func TestLedgerFileSurvivesACutLine(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ledger")
+	var text strings.Builder
+	ledger := backend.NewLedger(&text)
+	id := backend.TaskID{Team: "north", Job: "j", Index: 1}
+	for range 2 {
+		if err := ledger.Add(backend.Start{TaskID: id, Server: "b1"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.WriteFile(path, []byte(text.String()+`{"team":"no`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	starts, err := backend.ReadLedger(path)
+	if err != nil || len(starts) != 2 {
+		t.Fatalf("ledger = %v, %v", starts, err)
+	}
+	if doubles := backend.Doubles(starts); len(doubles) != 1 || doubles[0] != id {
+		t.Fatalf("doubles = %v", doubles)
+	}
+}
--- a/bench/platformd/server.go
+++ b/bench/platformd/server.go
@@ -5,13 +5,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
+	"foxtaildock.example/bench/httpjson"
 	"foxtaildock.example/dock/platform"
 	"foxtaildock.example/dock/platform/memory"
 )
@@ -164,24 +164,9 @@
 	}
 }
 
-func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(out)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	var req platform.GetRequest
-	if !readJSON(w, r, &req) || !s.admit(w, r, s.reads, len(req.Keys)) {
+	if !httpjson.Read(w, r, &req) || !s.admit(w, r, s.reads, len(req.Keys)) {
 		return
 	}
 	rows, err := s.table.Get(r.Context(), req.Keys...)
@@ -190,7 +175,7 @@
 
 func (s *Server) scan(w http.ResponseWriter, r *http.Request) {
 	var req platform.ScanRequest
-	if !readJSON(w, r, &req) || !s.admit(w, r, s.reads, 1) {
+	if !httpjson.Read(w, r, &req) || !s.admit(w, r, s.reads, 1) {
 		return
 	}
 	rows, err := s.table.Scan(r.Context(), req.Prefix, req.After, req.Limit)
@@ -204,12 +189,12 @@
 	}
 	s.count(func(st *Stats) { st.Reads += int64(max(len(rows), 1)) })
 	sleep(r.Context(), s.currentFaults().halfLatency())
-	writeJSON(w, http.StatusOK, platform.RowsAnswer{Rows: rows})
+	httpjson.Write(w, http.StatusOK, platform.RowsAnswer{Rows: rows})
 }
 
 func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
 	var req platform.CommitRequest
-	if !readJSON(w, r, &req) || !s.admit(w, r, s.writes, len(req.Writes)) {
+	if !httpjson.Read(w, r, &req) || !s.admit(w, r, s.writes, len(req.Writes)) {
 		return
 	}
 	err := s.table.Commit(r.Context(), req.Writes...)
@@ -220,10 +205,10 @@
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
 		s.count(func(st *Stats) { st.Conflicts++ })
-		writeJSON(w, http.StatusConflict, platform.ConflictAnswer(*conflict))
+		httpjson.Write(w, http.StatusConflict, platform.ConflictAnswer(*conflict))
 		return
 	}
-	writeJSON(w, http.StatusOK, struct{}{})
+	httpjson.Write(w, http.StatusOK, struct{}{})
 }
 
 func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
@@ -240,7 +225,7 @@
 	if !s.finishWrite(r) {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, http.StatusOK, struct{}{})
+	httpjson.Write(w, http.StatusOK, struct{}{})
 }
 
 func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
@@ -259,28 +244,28 @@
 
 func (s *Server) listObjects(w http.ResponseWriter, r *http.Request) {
 	var req platform.ScanRequest
-	if !readJSON(w, r, &req) || !s.admit(w, r, s.reads, 1) {
+	if !httpjson.Read(w, r, &req) || !s.admit(w, r, s.reads, 1) {
 		return
 	}
 	names, _ := s.objects.List(r.Context(), req.Prefix, req.After, req.Limit)
 	s.count(func(st *Stats) { st.Reads++ })
 	sleep(r.Context(), s.currentFaults().halfLatency())
-	writeJSON(w, http.StatusOK, platform.NamesAnswer{Names: names})
+	httpjson.Write(w, http.StatusOK, platform.NamesAnswer{Names: names})
 }
 
 func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.currentFaults())
+	httpjson.Write(w, http.StatusOK, s.currentFaults())
 }
 
 func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
-	if !readJSON(w, r, &faults) {
+	if !httpjson.Read(w, r, &faults) {
 		return
 	}
 	s.SetFaults(faults)
-	writeJSON(w, http.StatusOK, faults)
+	httpjson.Write(w, http.StatusOK, faults)
 }
 
 func (s *Server) getStats(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.Stats())
+	httpjson.Write(w, http.StatusOK, s.Stats())
 }
