--- /dev/null
+++ b/bench/cluster/cluster.go
@@ -0,0 +1,408 @@
+// Package cluster starts and stops a whole foxtaildock system as separate
+// processes on loopback: entries, agents, and the stand-ins for backend servers,
+// the platform and the links to them.
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"foxtaildock.example/bench/backend"
+	"foxtaildock.example/bench/httpjson"
+	"foxtaildock.example/bench/link"
+	"foxtaildock.example/bench/platformd"
+)
+
+const (
+	// pollInterval is the time between two looks at a process that starts.
+	pollInterval = 20 * time.Millisecond
+	// controlTimeout bounds one call to a stand-in's admin interface.
+	controlTimeout = 10 * time.Second
+)
+
+// Entry is one entry process.
+type Entry struct {
+	*Process
+	Domain    string
+	Callers   string
+	Operators string
+	Internal  string
+	Metrics   string
+	// PlatformLink is the name of the link to the platform.
+	PlatformLink string
+}
+
+// Agent is one agent process and the backend server beside it.
+type Agent struct {
+	*Process
+	Domain   string
+	Internal string
+	Local    string
+	Metrics  string
+	Backend  *Backend
+	// PlatformLink and BackendLink are the names of the links to the platform
+	// and to the backend server.
+	PlatformLink string
+	BackendLink  string
+}
+
+// Backend is one stand-in for a backend server.
+type Backend struct {
+	*Process
+	Domain  string
+	Address string
+	Ledger  string
+}
+
+// Cluster is a running system.
+type Cluster struct {
+	Spec     Spec
+	Platform *Process
+	Links    *Process
+	Entries  []*Entry
+	Agents   []*Agent
+
+	platformAddress string
+	linkAdmin       string
+	linkSpecs       []link.Spec
+	client          *http.Client
+}
+
+// New lays out a system and writes its settings. Nothing is started.
+func New(spec Spec) (*Cluster, error) {
+	c := &Cluster{
+		Spec:   spec.withDefaults(),
+		client: &http.Client{Timeout: controlTimeout},
+	}
+	var err error
+	if c.platformAddress, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	if c.linkAdmin, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	c.Platform = c.bench("platform", "platform", "--listen", c.platformAddress)
+	for i := range c.Spec.Entries {
+		if err := c.addEntry(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range c.Spec.Agents {
+		if err := c.addAgent(i); err != nil {
+			return nil, err
+		}
+	}
+	c.layLinks()
+	return c, nil
+}
+
+// path returns the path of a file of this run.
+func (c *Cluster) path(name string) string { return filepath.Join(c.Spec.Dir, name) }
+
+// bench returns a process of a foxbench subcommand.
+func (c *Cluster) bench(name string, args ...string) *Process {
+	return newProcess(name, c.path(name+".log"), c.Spec.Bench, args...)
+}
+
+// daemon returns a process of foxtaildockd.
+func (c *Cluster) daemon(role, name, settings string) *Process {
+	return newProcess(name, c.path(name+".log"), c.Spec.Daemon, role, "--settings", settings)
+}
+
+// addLink adds a link to the target and returns its address.
+func (c *Cluster) addLink(name, target string) (string, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return "", err
+	}
+	c.linkSpecs = append(c.linkSpecs, link.Spec{Name: name, Listen: address, Target: target})
+	return address, nil
+}
+
+func (c *Cluster) layLinks() {
+	args := []string{"link", "--admin", c.linkAdmin}
+	for _, spec := range c.linkSpecs {
+		args = append(args, spec.String())
+	}
+	c.Links = c.bench("links", args...)
+}
+
+func freeAddresses(to ...*string) error {
+	for _, address := range to {
+		var err error
+		if *address, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) addEntry(i int) error {
+	name := "entry-" + strconv.Itoa(i+1)
+	e := &Entry{Domain: c.Spec.domain(i), PlatformLink: "platform-" + name}
+	if err := freeAddresses(&e.Callers, &e.Operators, &e.Internal, &e.Metrics); err != nil {
+		return err
+	}
+	platform, err := c.addLink(e.PlatformLink, c.platformAddress)
+	if err != nil {
+		return err
+	}
+	settings := c.path(name + ".toml")
+	e.Process = c.daemon("entry", name, settings)
+	c.Entries = append(c.Entries, e)
+	return writeSettings(settings, entryTemplate, entrySettings{
+		Domain:          e.Domain,
+		Cell:            c.Spec.Cell,
+		Callers:         e.Callers,
+		Operators:       e.Operators,
+		Internal:        e.Internal,
+		Metrics:         e.Metrics,
+		Platform:        platform,
+		PlatformTimeout: c.Spec.PlatformTimeout.String(),
+		Grace:           c.Spec.Grace.String(),
+		Level:           c.Spec.LogLevel,
+	})
+}
+
+func (c *Cluster) addAgent(i int) error {
+	name := "agent-" + strconv.Itoa(i+1)
+	a := &Agent{
+		Domain:       c.Spec.domain(i),
+		PlatformLink: "platform-" + name,
+		BackendLink:  "backend-" + name,
+	}
+	if err := freeAddresses(&a.Internal, &a.Local, &a.Metrics); err != nil {
+		return err
+	}
+	platform, err := c.addLink(a.PlatformLink, c.platformAddress)
+	if err != nil {
+		return err
+	}
+	if err := c.addBackend(i, a); err != nil {
+		return err
+	}
+	settings := c.path(name + ".toml")
+	a.Process = c.daemon("agent", name, settings)
+	c.Agents = append(c.Agents, a)
+	return writeSettings(settings, agentTemplate, agentSettings{
+		Domain:          a.Domain,
+		Cell:            c.Spec.Cell,
+		Internal:        a.Internal,
+		Local:           a.Local,
+		Metrics:         a.Metrics,
+		Platform:        platform,
+		PlatformTimeout: c.Spec.PlatformTimeout.String(),
+		Grace:           c.Spec.Grace.String(),
+		Level:           c.Spec.LogLevel,
+	})
+}
+
+// addBackend lays out the backend server of an agent, behind its link.
+func (c *Cluster) addBackend(i int, a *Agent) error {
+	name := "backend-" + strconv.Itoa(i+1)
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	linked, err := c.addLink(a.BackendLink, address)
+	if err != nil {
+		return err
+	}
+	ledger := c.path(name + ".ledger")
+	args := []string{"backend",
+		"--listen", address,
+		"--announce", linked,
+		"--agent", a.Local,
+		"--name", name,
+		"--domain", a.Domain,
+		"--slots", strconv.Itoa(c.Spec.Slots),
+		"--connections", strconv.Itoa(c.Spec.Connections),
+		"--ledger", ledger,
+		"--services",
+	}
+	args = append(args, c.Spec.Services...)
+	a.Backend = &Backend{
+		Process: c.bench(name, args...),
+		Domain:  a.Domain,
+		Address: address,
+		Ledger:  ledger,
+	}
+	return nil
+}
+
+// processes returns all processes in the order in which they start.
+func (c *Cluster) processes() []*Process {
+	all := []*Process{c.Platform, c.Links}
+	for _, e := range c.Entries {
+		all = append(all, e.Process)
+	}
+	for _, a := range c.Agents {
+		all = append(all, a.Backend.Process, a.Process)
+	}
+	return all
+}
+
+// Start starts the stand-ins and the daemons, and waits until every daemon is
+// ready.
+func (c *Cluster) Start(ctx context.Context) error {
+	for _, p := range c.processes() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+		if p == c.Platform || p == c.Links {
+			if err := c.waitOpen(ctx, p); err != nil {
+				return err
+			}
+		}
+	}
+	return c.WaitReady(ctx)
+}
+
+// waitOpen waits until a stand-in answers on its admin interface.
+func (c *Cluster) waitOpen(ctx context.Context, p *Process) error {
+	url := "http://" + c.platformAddress + platformd.PathStats
+	if p == c.Links {
+		url = "http://" + c.linkAdmin + link.PathLink + "none"
+	}
+	return poll(ctx, p, func() error {
+		err := httpjson.Call(ctx, c.client, http.MethodGet, url, nil, nil)
+		var status *httpjson.StatusError
+		if errors.As(err, &status) {
+			return nil
+		}
+		return err
+	})
+}
+
+// WaitReady waits until every running daemon says that it is ready.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	for _, e := range c.Entries {
+		if err := c.WaitProcessReady(ctx, e.Process, e.Metrics); err != nil {
+			return err
+		}
+	}
+	for _, a := range c.Agents {
+		if err := c.WaitProcessReady(ctx, a.Process, a.Metrics); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitProcessReady waits until one daemon says that it is ready.
+func (c *Cluster) WaitProcessReady(ctx context.Context, p *Process, metrics string) error {
+	url := "http://" + metrics + "/readyz"
+	return poll(ctx, p, func() error {
+		return httpjson.Call(ctx, c.client, http.MethodGet, url, nil, nil)
+	})
+}
+
+// poll repeats the check until it succeeds, the process ends or the context
+// ends.
+func poll(ctx context.Context, p *Process, check func() error) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		if !p.Running() {
+			return fmt.Errorf("%s ended while it started; see %s", p.Name, p.LogPath)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready: %w; see %s", p.Name, err, p.LogPath)
+		}
+	}
+}
+
+// Close kills every process. Paused ones end as well.
+func (c *Cluster) Close() {
+	all := c.processes()
+	for i := len(all) - 1; i >= 0; i-- {
+		_ = all[i].Kill()
+	}
+	c.client.CloseIdleConnections()
+}
+
+// SetPlatformFaults replaces the faults of the platform.
+func (c *Cluster) SetPlatformFaults(ctx context.Context, f platformd.Faults) error {
+	url := "http://" + c.platformAddress + platformd.PathFaults
+	return httpjson.Call(ctx, c.client, http.MethodPut, url, f, nil)
+}
+
+// PlatformStats returns the counts of the platform.
+func (c *Cluster) PlatformStats(ctx context.Context) (platformd.Stats, error) {
+	var stats platformd.Stats
+	url := "http://" + c.platformAddress + platformd.PathStats
+	err := httpjson.Call(ctx, c.client, http.MethodGet, url, nil, &stats)
+	return stats, err
+}
+
+// SetBackendFaults replaces the faults of one backend server.
+func (c *Cluster) SetBackendFaults(ctx context.Context, b *Backend, f backend.Faults) error {
+	url := "http://" + b.Address + backend.PathFaults
+	return httpjson.Call(ctx, c.client, http.MethodPut, url, f, nil)
+}
+
+// BackendStarts returns the counts of one backend server.
+func (c *Cluster) BackendStarts(ctx context.Context, b *Backend) (backend.Starts, error) {
+	var starts backend.Starts
+	url := "http://" + b.Address + backend.PathStarts
+	err := httpjson.Call(ctx, c.client, http.MethodGet, url, nil, &starts)
+	return starts, err
+}
+
+// SetLink replaces the state of a link.
+func (c *Cluster) SetLink(ctx context.Context, name string, state link.State) error {
+	url := "http://" + c.linkAdmin + link.PathLink + name
+	return httpjson.Call(ctx, c.client, http.MethodPut, url, state, nil)
+}
+
+// SilenceLink makes the open connections of a link silent and returns their
+// number.
+func (c *Cluster) SilenceLink(ctx context.Context, name string) (int, error) {
+	var out link.Silenced
+	url := "http://" + c.linkAdmin + link.PathSilence + name
+	err := httpjson.Call(ctx, c.client, http.MethodPost, url, nil, &out)
+	return out.Connections, err
+}
+
+// Starts reads the ledgers of all backend servers, in the order of agents.
+func (c *Cluster) Starts() ([]backend.Start, error) {
+	var all []backend.Start
+	for _, a := range c.Agents {
+		starts, err := backend.ReadLedger(a.Backend.Ledger)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, starts...)
+	}
+	return all, nil
+}
+
+// CallerAddresses returns the callers' addresses of the entries.
+func (c *Cluster) CallerAddresses() []string {
+	var out []string
+	for _, e := range c.Entries {
+		out = append(out, e.Callers)
+	}
+	return out
+}
+
+// LogPaths lists the logs of the run in one line each.
+func (c *Cluster) LogPaths() string {
+	var out strings.Builder
+	for _, p := range c.processes() {
+		out.WriteString(p.LogPath + "\n")
+	}
+	return out.String()
+}
--- /dev/null
+++ b/bench/cluster/spec.go
@@ -0,0 +1,72 @@
+package cluster
+
+import "time"
+
+// Spec describes a system to start.
+type Spec struct {
+	// Daemon is the path of foxtaildockd.
+	Daemon string
+	// Bench is the path of foxbench, which runs the stand-ins.
+	Bench string
+	// Dir takes settings, logs and ledgers. It must exist.
+	Dir string
+	// Cell is the name of the cell.
+	Cell string
+	// Domains names the failure domains. Entries and agents are spread over
+	// them in turn.
+	Domains []string
+	Entries int
+	Agents  int
+	// Services are announced by every backend server.
+	Services    []string
+	Slots       int
+	Connections int
+	// Grace is the time a daemon has to end after SIGTERM.
+	Grace time.Duration
+	// PlatformTimeout bounds one call to the platform.
+	PlatformTimeout time.Duration
+	// LogLevel of the daemons.
+	LogLevel string
+}
+
+// Defaults of Spec.
+const (
+	defaultCell            = "north-1"
+	defaultService         = "serial"
+	defaultSlots           = 8
+	defaultConnections     = 64
+	defaultGrace           = 30 * time.Second
+	defaultPlatformTimeout = time.Second
+	defaultLogLevel        = "info"
+)
+
+// withDefaults fills in what was left empty.
+func (s Spec) withDefaults() Spec {
+	if s.Cell == "" {
+		s.Cell = defaultCell
+	}
+	if len(s.Domains) == 0 {
+		s.Domains = []string{"lulea", "umea", "sundsvall"}
+	}
+	if len(s.Services) == 0 {
+		s.Services = []string{defaultService}
+	}
+	if s.Slots == 0 {
+		s.Slots = defaultSlots
+	}
+	if s.Connections == 0 {
+		s.Connections = defaultConnections
+	}
+	if s.Grace == 0 {
+		s.Grace = defaultGrace
+	}
+	if s.PlatformTimeout == 0 {
+		s.PlatformTimeout = defaultPlatformTimeout
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = defaultLogLevel
+	}
+	return s
+}
+
+func (s Spec) domain(i int) string { return s.Domains[i%len(s.Domains)] }
--- /dev/null
+++ b/bench/load/caller.go
@@ -0,0 +1,272 @@
+// Package load drives callers against the entries of a running system and checks
+// what they get.
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"foxtaildock.example/dock/api"
+)
+
+const (
+	// maxAnswerBytes bounds the body of one answer.
+	maxAnswerBytes = 64 << 20
+	// firstBackoff and lastBackoff bound the pause before an attempt that
+	// follows a lost answer.
+	firstBackoff = 20 * time.Millisecond
+	lastBackoff  = time.Second
+	// maxConnsPerEntry bounds idle connections to one entry.
+	maxConnsPerEntry = 512
+	// detailBytes bounds what is kept of an answer that is not understood.
+	detailBytes = 200
+)
+
+// Caller submits jobs and resubmits them under the same key until it has a final
+// answer.
+type Caller struct {
+	// Entries are the callers' addresses. Each attempt goes to the next one.
+	Entries []string
+	Token   string
+	// Patience is how long one attempt waits before the caller gives the
+	// connection up and resubmits.
+	Patience time.Duration
+	// GiveUp is how long the caller tries after the deadline of the job.
+	GiveUp time.Duration
+	// RetryRefused resubmits a refused job when the refusal says when to come
+	// back, as long as its deadline allows.
+	RetryRefused bool
+	// DuplicateShare is the share of jobs that are sent a second time, to the
+	// next entry, while the first sending is under way.
+	DuplicateShare float64
+
+	client *http.Client
+}
+
+// Open prepares the caller's connections.
+func (c *Caller) Open() {
+	c.client = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxConnsPerEntry,
+	}}
+}
+
+// Close drops the caller's connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// attempt is the state of one job's submission.
+type attempt struct {
+	job     Job
+	request api.JobRequest
+	first   time.Time
+	entry   int
+	result  Result
+	backoff time.Duration
+	// sent is when the attempt under way was sent.
+	sent time.Time
+	// duplicate yields the time of a refused duplicate, or nothing.
+	duplicate chan time.Time
+}
+
+// Run submits the job and returns its final result. The entry with the given
+// number is tried first.
+func (c *Caller) Run(ctx context.Context, job Job, firstEntry int) Result {
+	request, err := job.Request()
+	if err != nil {
+		return Result{Job: job, Outcome: Rejected, Detail: err.Error()}
+	}
+	a := &attempt{
+		job:     job,
+		request: request,
+		first:   time.Now(),
+		entry:   firstEntry,
+		result:  Result{Job: job},
+		backoff: firstBackoff,
+	}
+	a.request.FirstAttemptAt = a.first
+	ctx, cancel := context.WithDeadline(ctx, a.first.Add(job.Deadline+c.GiveUp))
+	defer cancel()
+	for ctx.Err() == nil {
+		if c.try(ctx, a) {
+			return a.finish()
+		}
+		a.entry++
+	}
+	a.result.Outcome = Unanswered
+	return a.finish()
+}
+
+// finish returns the result, with what became of the duplicate.
+func (a *attempt) finish() Result {
+	a.result.Took = time.Since(a.first)
+	if a.duplicate == nil {
+		return a.result
+	}
+	if refused, ok := <-a.duplicate; ok {
+		a.result.Refusals = append(a.result.Refusals, refused)
+	}
+	return a.result
+}
+
+// try makes one attempt. It returns true if the answer is final.
+func (c *Caller) try(ctx context.Context, a *attempt) bool {
+	a.result.Attempts++
+	a.sent = time.Now()
+	answer, err := c.send(ctx, a)
+	if err != nil {
+		a.result.Detail = err.Error()
+		pause(ctx, a.backoff)
+		a.backoff = min(2*a.backoff, lastBackoff)
+		return false
+	}
+	a.backoff = firstBackoff
+	a.result.Reason = answer.Reason
+	a.result.Detail = answer.Detail
+	return c.judge(ctx, a, answer)
+}
+
+// judge reads an answer. It returns true if it is final.
+func (c *Caller) judge(ctx context.Context, a *attempt, answer api.JobAnswer) bool {
+	switch answer.Outcome {
+	case api.OutcomeComplete:
+		a.result.Outcome = Complete
+		if err := c.checkComplete(a.job, answer); err != nil {
+			a.result.Wrong = err.Error()
+		}
+		return true
+	case api.OutcomeFailed:
+		a.result.Outcome = Failed
+		return true
+	case api.OutcomeRefused:
+		return c.judgeRefusal(ctx, a, answer)
+	case api.OutcomeRunning:
+		pause(ctx, a.backoff)
+		return false
+	}
+	a.result.Outcome = Rejected
+	return true
+}
+
+func (c *Caller) checkComplete(job Job, answer api.JobAnswer) error {
+	if answer.Team != job.Team || answer.Key != job.Key {
+		return fmt.Errorf("answer is for %s/%s", answer.Team, answer.Key)
+	}
+	return job.CheckAnswer(answer.Results)
+}
+
+func (c *Caller) judgeRefusal(ctx context.Context, a *attempt, answer api.JobAnswer) bool {
+	at := time.Now()
+	if a.result.Duplicated {
+		at = a.sent
+	}
+	a.result.Refusals = append(a.result.Refusals, at)
+	a.result.Outcome = Refused
+	retry := time.Duration(answer.RetryAfterMS) * time.Millisecond
+	left := a.job.Deadline - time.Since(a.first)
+	if !c.RetryRefused || retry <= 0 || retry >= left {
+		return true
+	}
+	pause(ctx, retry+rand.N(retry/2+1))
+	return false
+}
+
+// send makes one attempt over HTTP: a submission, or a look-up when the deadline
+// of the job has passed.
+func (c *Caller) send(ctx context.Context, a *attempt) (api.JobAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Patience)
+	defer cancel()
+	left := a.job.Deadline - time.Since(a.first)
+	if left < time.Millisecond {
+		return c.lookUp(ctx, a)
+	}
+	request := a.request
+	request.DeadlineMS = left.Milliseconds()
+	request.FirstAttempt = a.result.Attempts == 1
+	body, err := json.Marshal(request)
+	if err != nil {
+		return api.JobAnswer{}, err
+	}
+	if request.FirstAttempt && rand.Float64() < c.DuplicateShare {
+		c.sendDuplicate(ctx, a, request)
+	}
+	return c.exchange(ctx, http.MethodPost, c.url(a.entry, api.PathJobs), body)
+}
+
+// sendDuplicate submits the job once more to the next entry. Of its answer only a
+// refusal is kept.
+func (c *Caller) sendDuplicate(ctx context.Context, a *attempt, request api.JobRequest) {
+	request.FirstAttempt = false
+	body, err := json.Marshal(request)
+	if err != nil {
+		return
+	}
+	target := c.url(a.entry+1, api.PathJobs)
+	a.result.Duplicated = true
+	a.duplicate = make(chan time.Time, 1)
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.Patience)
+	go func(refused chan<- time.Time) {
+		defer cancel()
+		defer close(refused)
+		answer, err := c.exchange(ctx, http.MethodPost, target, body)
+		if err == nil && answer.Outcome == api.OutcomeRefused {
+			refused <- sent
+		}
+	}(a.duplicate)
+}
+
+func (c *Caller) lookUp(ctx context.Context, a *attempt) (api.JobAnswer, error) {
+	path := strings.NewReplacer(
+		"{team}", url.PathEscape(a.job.Team),
+		"{key}", url.PathEscape(a.job.Key),
+	).Replace(api.PathJob)
+	return c.exchange(ctx, http.MethodGet, c.url(a.entry, path)+"?wait=1", nil)
+}
+
+func (c *Caller) url(entry int, path string) string {
+	return "http://" + c.Entries[entry%len(c.Entries)] + path
+}
+
+// exchange sends one request. An answer without an outcome, such as that of a
+// malformed request, comes back with its status and text as detail.
+func (c *Caller) exchange(ctx context.Context, method, target string, body []byte) (api.JobAnswer, error) {
+	var answer api.JobAnswer
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return answer, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if c.Token != "" {
+		req.Header.Set(api.TokenHeader, "Bearer "+c.Token)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return answer, err
+	}
+	if err := json.Unmarshal(data, &answer); err != nil || answer.Outcome == "" {
+		text := string(data[:min(len(data), detailBytes)])
+		return api.JobAnswer{Detail: fmt.Sprintf("status %d: %s", resp.StatusCode, text)}, nil
+	}
+	return answer, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
