Add the demo and the registry of proofs on real processes

Ruled out: harm at fixed times; it starts once jobs flow, and a proof ends once jobs sent after a settling time are complete again. No proof has been run against daemons; those that need the operators' interface say 'not run'.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,11 @@
 	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
 	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc -I proto --go_out=. --go_opt=module=foxtaildock.example/dock \
 	  --connect-go_out=. --connect-go_opt=module=foxtaildock.example/dock proto/dock/v1/dock.proto
+
+# demo starts a small system on loopback and reports; exit 0 only if all held.
+demo: build
+	$(BIN)/foxbench demo
+
+# prove runs every failure proof on real processes, one line each.
+prove: build
+	$(BIN)/foxbench prove
--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"time"
 
 	"foxtaildock.example/bench/backend"
@@ -236,14 +235,23 @@
 	return nil
 }
 
-// processes returns all processes in the order in which they start.
-func (c *Cluster) processes() []*Process {
+// standIns returns the stand-ins in the order in which they start.
+func (c *Cluster) standIns() []*Process {
 	all := []*Process{c.Platform, c.Links}
+	for _, a := range c.Agents {
+		all = append(all, a.Backend.Process)
+	}
+	return all
+}
+
+// daemons returns the processes of the system itself.
+func (c *Cluster) daemons() []*Process {
+	var all []*Process
 	for _, e := range c.Entries {
 		all = append(all, e.Process)
 	}
 	for _, a := range c.Agents {
-		all = append(all, a.Backend.Process, a.Process)
+		all = append(all, a.Process)
 	}
 	return all
 }
@@ -251,17 +259,34 @@
 // Start starts the stand-ins and the daemons, and waits until every daemon is
 // ready.
 func (c *Cluster) Start(ctx context.Context) error {
-	for _, p := range c.processes() {
+	if err := c.StartStandIns(ctx); err != nil {
+		return err
+	}
+	if err := startAll(c.daemons()); err != nil {
+		return err
+	}
+	return c.WaitReady(ctx)
+}
+
+// StartStandIns starts the stand-ins only, and waits until the platform and the
+// links are open.
+func (c *Cluster) StartStandIns(ctx context.Context) error {
+	if err := startAll(c.standIns()); err != nil {
+		return err
+	}
+	if err := c.waitOpen(ctx, c.Platform); err != nil {
+		return err
+	}
+	return c.waitOpen(ctx, c.Links)
+}
+
+func startAll(processes []*Process) error {
+	for _, p := range processes {
 		if err := p.Start(); err != nil {
 			return err
 		}
-		if p == c.Platform || p == c.Links {
-			if err := c.waitOpen(ctx, p); err != nil {
-				return err
-			}
-		}
 	}
-	return c.WaitReady(ctx)
+	return nil
 }
 
 // waitOpen waits until a stand-in answers on its admin interface.
@@ -326,9 +351,8 @@
 
 // Close kills every process. Paused ones end as well.
 func (c *Cluster) Close() {
-	all := c.processes()
-	for i := len(all) - 1; i >= 0; i-- {
-		_ = all[i].Kill()
+	for _, p := range append(c.daemons(), c.standIns()...) {
+		_ = p.Kill()
 	}
 	c.client.CloseIdleConnections()
 }
@@ -397,12 +421,3 @@
 	}
 	return out
 }
-
-// LogPaths lists the logs of the run in one line each.
-func (c *Cluster) LogPaths() string {
-	var out strings.Builder
-	for _, p := range c.processes() {
-		out.WriteString(p.LogPath + "\n")
-	}
-	return out.String()
-}
--- /dev/null
+++ b/bench/cmd/foxbench/prove.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"foxtaildock.example/bench/proof"
+)
+
+type proveCommand struct {
+	Only   string `arg:"--only" help:"run only proofs whose name contains this"`
+	List   bool   `arg:"--list" help:"list the proofs and run none"`
+	Seed   uint64 `arg:"--seed" default:"1" help:"seed of the load"`
+	Daemon string `arg:"--daemon" help:"path of foxtaildockd [default: beside foxbench]"`
+	Dir    string `arg:"--dir" help:"directory for settings, logs and ledgers [default: a new one]"`
+}
+
+func (c *proveCommand) run(ctx context.Context) error {
+	proofs := proof.Select(proof.All(), c.Only)
+	if c.List {
+		for _, p := range proofs {
+			fmt.Printf("%-32s %s | %s\n", p.Name, p.Promise, p.Scenario)
+		}
+		return nil
+	}
+	if len(proofs) == 0 {
+		return fmt.Errorf("no proof has %q in its name; see --list", c.Only)
+	}
+	opts, err := proofOptions(c.Daemon, c.Dir, c.Seed)
+	if err != nil {
+		return err
+	}
+	counts := make(map[proof.Verdict]int)
+	for _, p := range proofs {
+		report := proof.Execute(ctx, opts, p)
+		fmt.Println(report.Text())
+		counts[report.Verdict]++
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	fmt.Printf("%d proofs: %d held, %d fell short, %d not run\n",
+		len(proofs), counts[proof.Held], counts[proof.FellShort], counts[proof.NotRun])
+	if counts[proof.Held] < len(proofs) {
+		return errFellShort
+	}
+	return nil
+}
+
+// proofOptions finds the binaries and the directory.
+func proofOptions(daemon, dir string, seed uint64) (proof.Options, error) {
+	bench, err := os.Executable()
+	if err != nil {
+		return proof.Options{}, err
+	}
+	if daemon == "" {
+		daemon = filepath.Join(filepath.Dir(bench), "foxtaildockd")
+	}
+	if _, err := os.Stat(daemon); err != nil {
+		return proof.Options{}, errors.New("foxtaildockd is not beside foxbench; build it, or say --daemon PATH")
+	}
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "foxbench-"); err != nil {
+			return proof.Options{}, err
+		}
+	}
+	return proof.Options{
+		Daemon:    daemon,
+		Bench:     bench,
+		Dir:       dir,
+		Seed:      seed,
+		Operators: proof.NewOperators,
+	}, nil
+}
--- a/bench/httpjson/httpjson.go
+++ b/bench/httpjson/httpjson.go
@@ -50,8 +50,8 @@
 // Error names the status and the start of the body.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
 
-// Call sends in as JSON, if it is not nil, and decodes a 200 answer into out, if
-// that is not nil.
+// Call sends in as JSON, if it is not nil, and decodes a successful answer into
+// out, if that is not nil.
 func Call(ctx context.Context, client *http.Client, method, url string, in, out any) error {
 	var body io.Reader
 	if in != nil {
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
+	if resp.StatusCode/100 != 2 {
 		return &StatusError{Status: resp.StatusCode, Body: string(data[:min(len(data), maxErrorBytes)])}
 	}
 	if out == nil {
--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -6,9 +6,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -85,11 +87,11 @@
 	a := &attempt{
 		job:     job,
 		request: request,
-		first:   time.Now(),
 		entry:   firstEntry,
-		result:  Result{Job: job},
+		result:  Result{Job: job, FirstSent: time.Now()},
 		backoff: firstBackoff,
 	}
+	a.first = a.result.FirstSent
 	a.request.FirstAttemptAt = a.first
 	ctx, cancel := context.WithDeadline(ctx, a.first.Add(job.Deadline+c.GiveUp))
 	defer cancel()
@@ -122,6 +124,9 @@
 	answer, err := c.send(ctx, a)
 	if err != nil {
 		a.result.Detail = err.Error()
+		if isCut(err) {
+			a.result.Cut++
+		}
 		pause(ctx, a.backoff)
 		a.backoff = min(2*a.backoff, lastBackoff)
 		return false
@@ -262,6 +267,16 @@
 	return answer, nil
 }
 
+// isCut reports whether a connection broke, rather than could not be made or was
+// given up by the caller.
+func isCut(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return false
+	}
+	return !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/bench/load/result.go
+++ b/bench/load/result.go
@@ -30,8 +30,13 @@
 	Wrong string
 	// Attempts is the number of times that the job was sent or looked up.
 	Attempts int
+	// FirstSent is the time of the first sending.
+	FirstSent time.Time
 	// Took is the time from the first sending to the final answer.
 	Took time.Duration
+	// Cut is the number of attempts whose connection broke after it was made,
+	// without an answer.
+	Cut int
 	// Duplicated means that the job was sent a second time while the first
 	// sending was under way.
 	Duplicated bool
--- /dev/null
+++ b/bench/proof/leave.go
@@ -0,0 +1,149 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"foxtaildock.example/bench/backend"
+	"foxtaildock.example/bench/cluster"
+)
+
+const (
+	// stopTimeout bounds a graceful stop under load.
+	stopTimeout = 30 * time.Second
+	// forceLimit is how long after its acceptance a change may still be
+	// unknown to a gate.
+	forceLimit = 3 * time.Second
+	// outTime is how long a domain or a backend server is out.
+	outTime = 8 * time.Second
+)
+
+func leaveProofs() []Proof {
+	return []Proof{
+		{
+			Name:     "stop-agent",
+			Promise:  promiseGraceful,
+			Scenario: "SIGTERM to an agent under load, then back",
+			Shape:    usual(),
+			Run:      stopAgent,
+		},
+		{
+			Name:     "stop-entry",
+			Promise:  promiseGraceful,
+			Scenario: "SIGTERM to an entry under load, then back",
+			Shape:    usual(),
+			Run:      stopEntry,
+		},
+		{
+			Name:     "rolling-restart",
+			Promise:  promiseGraceful,
+			Scenario: "every agent and entry stopped and started in turn",
+			Shape:    usual(),
+			Run:      rollingRestart,
+		},
+		{
+			Name:     "drain-backend",
+			Promise:  promiseDrain,
+			Scenario: "backend server drained for 8 s under load",
+			Shape:    usual(),
+			Run:      drainBackend,
+		},
+	}
+}
+
+// restartAgent stops an agent gracefully and starts it again.
+func (b *Bed) restartAgent(ctx context.Context, a *cluster.Agent) error {
+	if err := a.Stop(stopTimeout); err != nil {
+		return err
+	}
+	if err := a.Start(); err != nil {
+		return err
+	}
+	return b.Cluster.WaitProcessReady(ctx, a.Process, a.Metrics)
+}
+
+// restartEntry stops an entry gracefully and starts it again.
+func (b *Bed) restartEntry(ctx context.Context, e *cluster.Entry) error {
+	if err := e.Stop(stopTimeout); err != nil {
+		return err
+	}
+	if err := e.Start(); err != nil {
+		return err
+	}
+	return b.Cluster.WaitProcessReady(ctx, e.Process, e.Metrics)
+}
+
+func stopAgent(ctx context.Context, b *Bed) error {
+	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		return b.restartAgent(ctx, b.Cluster.Agents[1])
+	})
+	return errors.Join(err, b.AllComplete(), b.NoneCut())
+}
+
+func stopEntry(ctx context.Context, b *Bed) error {
+	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		return b.restartEntry(ctx, b.Cluster.Entries[0])
+	})
+	return errors.Join(err, b.AllComplete(), b.NoneCut())
+}
+
+func rollingRestart(ctx context.Context, b *Bed) error {
+	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		for _, a := range b.Cluster.Agents {
+			if err := b.restartAgent(ctx, a); err != nil {
+				return err
+			}
+		}
+		for _, e := range b.Cluster.Entries {
+			if err := b.restartEntry(ctx, e); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return errors.Join(err, b.AllComplete(), b.NoneCut())
+}
+
+func drainBackend(ctx context.Context, b *Bed) error {
+	agent := b.Cluster.Agents[1]
+	var out window
+	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		accepted, err := b.Operators.Drain(ctx, agent, true)
+		if err != nil {
+			return err
+		}
+		hold(ctx, outTime)
+		out = window{from: accepted.Add(forceLimit), to: time.Now()}
+		_, err = b.Operators.Drain(ctx, agent, false)
+		return err
+	})
+	return errors.Join(err, b.AllComplete(), b.noStarts(out, func(s backend.Start) bool {
+		return s.Server == agent.Backend.Name
+	}))
+}
+
+// window is a span of time.
+type window struct{ from, to time.Time }
+
+// noStarts returns an error if a start that matches lies in the window.
+func (b *Bed) noStarts(w window, match func(backend.Start) bool) error {
+	starts, err := b.Cluster.Starts()
+	if err != nil {
+		return err
+	}
+	count := 0
+	var last time.Time
+	for _, s := range starts {
+		at := time.UnixMilli(s.AtUnixMS)
+		if match(s) && at.After(w.from) && at.Before(w.to) {
+			count++
+			last = at
+		}
+	}
+	if count == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d starts out of service, the last %v after the limit", count, last.Sub(w.from).Round(time.Millisecond))
+}
--- /dev/null
+++ b/bench/proof/links.go
@@ -0,0 +1,81 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"foxtaildock.example/bench/link"
+)
+
+// cutTime is how long a link is cut.
+const cutTime = 8 * time.Second
+
+func linkProofs() []Proof {
+	return []Proof{
+		{
+			Name:     "silent-backend",
+			Promise:  promiseOnce,
+			Scenario: "open connections to a backend server silent for good",
+			Shape:    usual(),
+			Run:      silentBackend,
+		},
+		{
+			Name:     "silent-platform",
+			Promise:  promiseOutage,
+			Scenario: "open connections to the platform silent for good",
+			Shape:    usual(),
+			Run:      silentPlatform,
+		},
+		{
+			Name:     "cut-entry-platform",
+			Promise:  promiseOutage,
+			Scenario: "one entry cut from the platform for 8 s",
+			Shape:    usual(),
+			Run:      cutEntryFromPlatform,
+		},
+	}
+}
+
+func silentBackend(ctx context.Context, b *Bed) error {
+	agent := b.Cluster.Agents[0]
+	// Tasks on a silent connection end with the deadline of their job.
+	b.Load.Workload.Deadline = settleTime
+	return b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		n, err := b.Cluster.SilenceLink(ctx, agent.BackendLink)
+		if err == nil && n == 0 {
+			err = fmt.Errorf("no open connection to silence on %s", agent.BackendLink)
+		}
+		return err
+	})
+}
+
+func silentPlatform(ctx context.Context, b *Bed) error {
+	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		for _, e := range b.Cluster.Entries {
+			if _, err := b.Cluster.SilenceLink(ctx, e.PlatformLink); err != nil {
+				return err
+			}
+		}
+		for _, a := range b.Cluster.Agents {
+			if _, err := b.Cluster.SilenceLink(ctx, a.PlatformLink); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return errors.Join(err, b.AllComplete())
+}
+
+func cutEntryFromPlatform(ctx context.Context, b *Bed) error {
+	name := b.Cluster.Entries[0].PlatformLink
+	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		if err := b.Cluster.SetLink(ctx, name, link.State{Cut: true}); err != nil {
+			return err
+		}
+		hold(ctx, cutTime)
+		return b.Cluster.SetLink(ctx, name, link.State{})
+	})
+	return errors.Join(err, b.AllComplete())
+}
--- /dev/null
+++ b/bench/proof/platform.go
@@ -0,0 +1,97 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"foxtaildock.example/bench/platformd"
+)
+
+const (
+	// outageTime is how long the platform is away: many leases.
+	outageTime = 15 * time.Second
+	// slowLatencyMS is beyond the time that a daemon waits for the platform.
+	slowLatencyMS = 3000
+	// laggingLatencyMS is within that time, but beyond the usual.
+	laggingLatencyMS = 400
+)
+
+func platformProofs() []Proof {
+	return []Proof{
+		platformProof("platform-down", "platform down for 15 s", platformd.Faults{Down: true}),
+		platformProof("platform-silent", "platform silent for 15 s", platformd.Faults{Silent: true}),
+		platformProof("platform-slow", "platform answers after 3 s, for 15 s", platformd.Faults{LatencyMS: slowLatencyMS}),
+		platformProof("platform-lagging", "platform answers after 400 ms, for 15 s", platformd.Faults{LatencyMS: laggingLatencyMS}),
+		platformProof("platform-lost-answers", "all answers to writes lost for 15 s", platformd.Faults{LoseEvery: 1}),
+		{
+			Name:     "platform-down-kill-agent",
+			Promise:  promiseOnce,
+			Scenario: "agent killed and back while the platform is down",
+			Shape:    usual(),
+			Run:      killAgentInOutage,
+		},
+		{
+			Name:     "platform-lost-answers-kill-agent",
+			Promise:  promiseOnce,
+			Scenario: "agent killed and back while answers to writes are lost",
+			Shape:    usual(),
+			Run:      killAgentWithLostAnswers,
+		},
+	}
+}
+
+// platformProof lets the platform fail in one way; no job may be harmed by it.
+func platformProof(name, scenario string, faults platformd.Faults) Proof {
+	return Proof{
+		Name:     name,
+		Promise:  promiseOutage,
+		Scenario: scenario,
+		Shape:    usual(),
+		Run: func(ctx context.Context, b *Bed) error {
+			err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
+				return b.duringPlatformFaults(ctx, faults, func(ctx context.Context) error {
+					hold(ctx, outageTime)
+					return nil
+				})
+			})
+			return errors.Join(err, b.AllComplete())
+		},
+	}
+}
+
+// duringPlatformFaults runs the step while the platform has faults.
+func (b *Bed) duringPlatformFaults(ctx context.Context, faults platformd.Faults, step func(context.Context) error) error {
+	if err := b.Cluster.SetPlatformFaults(ctx, faults); err != nil {
+		return err
+	}
+	err := step(ctx)
+	return errors.Join(err, b.Cluster.SetPlatformFaults(ctx, platformd.Faults{}))
+}
+
+func killAgentInOutage(ctx context.Context, b *Bed) error {
+	return killAgentDuring(ctx, b, platformd.Faults{Down: true})
+}
+
+func killAgentWithLostAnswers(ctx context.Context, b *Bed) error {
+	return killAgentDuring(ctx, b, platformd.Faults{LoseEvery: 2})
+}
+
+func killAgentDuring(ctx context.Context, b *Bed, faults platformd.Faults) error {
+	agent := b.Cluster.Agents[2]
+	return b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		err := b.duringPlatformFaults(ctx, faults, func(ctx context.Context) error {
+			if err := errors.Join(agent.Kill(), agent.Backend.Kill()); err != nil {
+				return err
+			}
+			hold(ctx, downTime)
+			err := errors.Join(agent.Backend.Start(), agent.Start())
+			hold(ctx, downTime)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		return b.Cluster.WaitProcessReady(ctx, agent.Process, agent.Metrics)
+	})
+}
--- /dev/null
+++ b/bench/proof/process.go
@@ -0,0 +1,146 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// pauseTime is how long a process is paused: longer than a permit lasts and than
+// silence is tolerated.
+const pauseTime = 8 * time.Second
+
+func processProofs() []Proof {
+	return []Proof{
+		{
+			Name:     "kill-agent",
+			Promise:  promiseOnce,
+			Scenario: "agent and its backend server killed, back after 3 s",
+			Shape:    usual(),
+			Run:      killAgent,
+		},
+		{
+			Name:     "kill-agent-only",
+			Promise:  promiseOnce,
+			Scenario: "agent killed and started again, backend server stays",
+			Shape:    usual(),
+			Run:      killAgentOnly,
+		},
+		{
+			Name:     "kill-entry",
+			Promise:  promiseWhole,
+			Scenario: "entry killed, back after 3 s",
+			Shape:    usual(),
+			Run:      killEntry,
+		},
+		{
+			Name:     "pause-agent",
+			Promise:  promiseOnce,
+			Scenario: "agent paused for 8 s",
+			Shape:    usual(),
+			Run:      pauseAgent,
+		},
+		{
+			Name:     "pause-entry",
+			Promise:  promiseWhole,
+			Scenario: "entry paused for 8 s",
+			Shape:    usual(),
+			Run:      pauseEntry,
+		},
+		{
+			Name:     "kill-two",
+			Promise:  promiseOnce,
+			Scenario: "entry killed while an agent is paused",
+			Shape:    usual(),
+			Run:      killEntryPauseAgent,
+		},
+	}
+}
+
+// downTime is how long a killed process stays away.
+const downTime = 3 * time.Second
+
+func killAgent(ctx context.Context, b *Bed) error {
+	agent := b.Cluster.Agents[1]
+	return b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		if err := errors.Join(agent.Kill(), agent.Backend.Kill()); err != nil {
+			return err
+		}
+		hold(ctx, downTime)
+		if err := errors.Join(agent.Backend.Start(), agent.Start()); err != nil {
+			return err
+		}
+		return b.Cluster.WaitProcessReady(ctx, agent.Process, agent.Metrics)
+	})
+}
+
+func killAgentOnly(ctx context.Context, b *Bed) error {
+	agent := b.Cluster.Agents[1]
+	return b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		if err := agent.Kill(); err != nil {
+			return err
+		}
+		if err := agent.Start(); err != nil {
+			return err
+		}
+		return b.Cluster.WaitProcessReady(ctx, agent.Process, agent.Metrics)
+	})
+}
+
+func killEntry(ctx context.Context, b *Bed) error {
+	entry := b.Cluster.Entries[0]
+	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		if err := entry.Kill(); err != nil {
+			return err
+		}
+		hold(ctx, downTime)
+		if err := entry.Start(); err != nil {
+			return err
+		}
+		return b.Cluster.WaitProcessReady(ctx, entry.Process, entry.Metrics)
+	})
+	return errors.Join(err, b.AllComplete())
+}
+
+func pauseAgent(ctx context.Context, b *Bed) error {
+	agent := b.Cluster.Agents[1]
+	return b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		if err := agent.Pause(); err != nil {
+			return err
+		}
+		hold(ctx, pauseTime)
+		return agent.Resume()
+	})
+}
+
+func pauseEntry(ctx context.Context, b *Bed) error {
+	entry := b.Cluster.Entries[0]
+	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		if err := entry.Pause(); err != nil {
+			return err
+		}
+		hold(ctx, pauseTime)
+		return entry.Resume()
+	})
+	return errors.Join(err, b.AllComplete())
+}
+
+func killEntryPauseAgent(ctx context.Context, b *Bed) error {
+	entry, agent := b.Cluster.Entries[1], b.Cluster.Agents[0]
+	return b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		if err := agent.Pause(); err != nil {
+			return err
+		}
+		if err := entry.Kill(); err != nil {
+			return err
+		}
+		hold(ctx, pauseTime)
+		if err := agent.Resume(); err != nil {
+			return err
+		}
+		if err := entry.Start(); err != nil {
+			return err
+		}
+		return b.Cluster.WaitProcessReady(ctx, entry.Process, entry.Metrics)
+	})
+}
--- /dev/null
+++ b/bench/proof/proof_test.go
@@ -0,0 +1,63 @@
+package proof
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"foxtaildock.example/bench/backend"
+	"foxtaildock.example/bench/cluster"
+)
+
+func TestNamesAreUnique(t *testing.T) {
+	seen := make(map[string]bool)
+	for _, p := range All() {
+		if p.Name == "" || seen[p.Name] || p.Promise == "" || p.Scenario == "" || p.Run == nil {
+			t.Errorf("proof %+v is incomplete or doubled", p.Name)
+		}
+		seen[p.Name] = true
+	}
+	if got := Select(All(), "kill-entry"); len(got) != 1 {
+		t.Errorf("select: %d proofs", len(got))
+	}
+}
+
+func TestReportSaysWhy(t *testing.T) {
+	r := Report{Proof: All()[0], Seed: 7, Verdict: FellShort, Err: errors.Join(
+		errors.New("one"), errors.New("two"), errors.New("three"), errors.New("four"), errors.New("five")), Dir: "d"}
+	text := r.Text()
+	for _, want := range []string{"FELL SHORT", "seed 7", "one", "and 1 more", "logs: d"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("report lacks %q:\n%s", want, text)
+		}
+	}
+}
+
+func TestNoStartsFindsStartsInTheWindow(t *testing.T) {
+	dir := t.TempDir()
+	c, err := cluster.New(cluster.Spec{Dir: dir, Agents: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ledger, err := os.Create(filepath.Join(dir, "backend-1.ledger"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ledger.Close() }()
+	start := backend.Start{AtUnixMS: 5000, Domain: "lulea"}
+	if err := backend.NewLedger(ledger).Add(start); err != nil {
+		t.Fatal(err)
+	}
+	b := &Bed{Cluster: c}
+	covers := window{from: time.UnixMilli(4000), to: time.UnixMilli(6000)}
+	later := window{from: time.UnixMilli(5500), to: time.UnixMilli(6000)}
+	if b.noStarts(covers, inDomain("lulea")) == nil {
+		t.Error("a start in the window passed")
+	}
+	if err := errors.Join(b.noStarts(later, inDomain("lulea")), b.noStarts(covers, inDomain("umea"))); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/bench/proof/registry.go
@@ -0,0 +1,130 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"foxtaildock.example/bench/cluster"
+	"foxtaildock.example/bench/load"
+)
+
+// Proof is one scenario that puts a promise to the test.
+type Proof struct {
+	Name string
+	// Promise is the point under "What must always hold" that is at stake. In
+	// every proof, starts, answers and refusals are checked as well.
+	Promise  string
+	Scenario string
+	// Shape says what system is needed.
+	Shape cluster.Spec
+	// Run does the harm and checks what followed.
+	Run func(ctx context.Context, b *Bed) error
+}
+
+// The promises of the proofs.
+const (
+	promiseOnce     = "starts at most once"
+	promiseWhole    = "own whole answer"
+	promiseRefusal  = "refusal is true"
+	promiseGraceful = "planned stop cuts nothing"
+	promiseDomain   = "no start in withdrawn domain"
+	promiseDrain    = "leaving server gets no work"
+	promiseConfig   = "accepted change never reverts"
+	promiseOutage   = "platform outage harms no job"
+)
+
+// Verdict is the end of one proof.
+type Verdict string
+
+// The verdicts.
+const (
+	Held      Verdict = "held"
+	FellShort Verdict = "FELL SHORT"
+	NotRun    Verdict = "not run"
+)
+
+// Report is the result of one proof.
+type Report struct {
+	Proof   Proof
+	Seed    uint64
+	Verdict Verdict
+	Err     error
+	Took    time.Duration
+	Summary *load.Summary
+	// Dir has the settings, logs and ledgers of the run.
+	Dir string
+}
+
+// maxErrorLines bounds what is shown of an error.
+const maxErrorLines = 4
+
+// Text is one line, and, unless the proof held, a few more that say why.
+func (r Report) Text() string {
+	line := fmt.Sprintf("%-10s %s | %s | seed %d | %s%s",
+		r.Verdict, r.Proof.Promise, r.Proof.Scenario, r.Seed, r.Took.Round(time.Second), r.counts())
+	if r.Verdict == Held {
+		return line
+	}
+	lines := strings.Split(r.Err.Error(), "\n")
+	shown := lines[:min(len(lines), maxErrorLines)]
+	for _, l := range shown {
+		line += "\n  " + l
+	}
+	if rest := len(lines) - len(shown); rest > 0 {
+		line += fmt.Sprintf("\n  and %d more", rest)
+	}
+	return line + "\n  logs: " + r.Dir
+}
+
+func (r Report) counts() string {
+	if r.Summary == nil {
+		return ""
+	}
+	s := r.Summary
+	return fmt.Sprintf(", jobs %d, failed %d, refused %d", s.Jobs, s.Counts[load.Failed], s.Counts[load.Refused])
+}
+
+// All returns every proof in the order in which they run.
+func All() []Proof {
+	return slices.Concat(processProofs(), linkProofs(), platformProofs(), backendProofs(), leaveProofs(), domainProofs())
+}
+
+// Select returns the proofs whose name contains the text.
+func Select(proofs []Proof, text string) []Proof {
+	return slices.DeleteFunc(slices.Clone(proofs), func(p Proof) bool {
+		return !strings.Contains(p.Name, text)
+	})
+}
+
+// Execute runs one proof on a system of its own. The directory of a proof that
+// held is removed.
+func Execute(ctx context.Context, opts Options, p Proof) Report {
+	began := time.Now()
+	report := Report{Proof: p, Seed: opts.Seed, Verdict: Held, Dir: filepath.Join(opts.Dir, p.Name)}
+	bed, err := NewBed(ctx, opts, p.Name, p.Shape)
+	if err == nil {
+		err = p.Run(ctx, bed)
+		bed.Close()
+		report.Summary = load.Summarize(bed.Results(), p.Shape.Agents*bed.Cluster.Spec.Slots)
+	}
+	report.Took = time.Since(began)
+	switch {
+	case err == nil:
+		_ = os.RemoveAll(report.Dir)
+	case errors.Is(err, ErrNotRun):
+		report.Verdict = NotRun
+	default:
+		report.Verdict = FellShort
+	}
+	report.Err = err
+	return report
+}
+
+// usual is the system that most proofs run on.
+func usual() cluster.Spec { return cluster.Spec{Entries: 2, Agents: 3} }
