Add proofs under bursts, cancellation waves and resubmission storms

Change: callers know their jobs in flight and can cancel them; three more proofs run a burst beside the usual load.

--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -9,11 +9,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"foxtaildock.example/dock/api"
@@ -51,6 +54,9 @@
 	DuplicateShare float64
 
 	client *http.Client
+
+	mu       sync.Mutex
+	inFlight map[string]Job
 }
 
 // Open prepares the caller's connections.
@@ -58,6 +64,9 @@
 	c.client = &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: maxConnsPerEntry,
 	}}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight = make(map[string]Job)
 }
 
 // Close drops the caller's connections.
@@ -95,6 +104,8 @@
 	a.request.FirstAttemptAt = a.first
 	ctx, cancel := context.WithDeadline(ctx, a.first.Add(job.Deadline+c.GiveUp))
 	defer cancel()
+	c.track(job)
+	defer c.untrack(job)
 	for ctx.Err() == nil {
 		if c.try(ctx, a) {
 			return a.finish()
@@ -228,11 +239,45 @@
 }
 
 func (c *Caller) lookUp(ctx context.Context, a *attempt) (api.JobAnswer, error) {
-	path := strings.NewReplacer(
-		"{team}", url.PathEscape(a.job.Team),
-		"{key}", url.PathEscape(a.job.Key),
+	return c.exchange(ctx, http.MethodGet, c.url(a.entry, jobPath(a.job))+"?wait=1", nil)
+}
+
+// Cancel cancels a job through the entry with the given number.
+func (c *Caller) Cancel(ctx context.Context, job Job, entry int) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Patience)
+	defer cancel()
+	_, err := c.exchange(ctx, http.MethodDelete, c.url(entry, jobPath(job)), nil)
+	return err
+}
+
+// InFlight returns the jobs that have no result yet, in the order of their keys.
+func (c *Caller) InFlight() []Job {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Job
+	for _, key := range slices.Sorted(maps.Keys(c.inFlight)) {
+		out = append(out, c.inFlight[key])
+	}
+	return out
+}
+
+func (c *Caller) track(job Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight[job.Key] = job
+}
+
+func (c *Caller) untrack(job Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.inFlight, job.Key)
+}
+
+func jobPath(job Job) string {
+	return strings.NewReplacer(
+		"{team}", url.PathEscape(job.Team),
+		"{key}", url.PathEscape(job.Key),
 	).Replace(api.PathJob)
-	return c.exchange(ctx, http.MethodGet, c.url(a.entry, path)+"?wait=1", nil)
 }
 
 func (c *Caller) url(entry int, path string) string {
--- a/bench/proof/registry.go
+++ b/bench/proof/registry.go
@@ -92,7 +92,7 @@
 
 // All returns every proof in the order in which they run.
 func All() []Proof {
-	return slices.Concat(processProofs(), linkProofs(), platformProofs(), backendProofs(), leaveProofs(), domainProofs())
+	return slices.Concat(processProofs(), linkProofs(), platformProofs(), backendProofs(), leaveProofs(), domainProofs(), loadProofs())
 }
 
 // Select returns the proofs whose name contains the text.
