Add the callers' client

Cause: a lost connection, a silent one and a refusal each need another way on, and a first attempt may be marked only once.

Ruled out: a budget that pays for every retry. When an entry dies, all its jobs need one retry each to find their answers through another entry, so the first retry of a request is free and further ones are paid. Counting silence as a failed attempt: a job that takes longer than the patience would be given up. Dropping the mark after a connection that was never opened: nothing was sent then, and an unmarked job is looked up at former homes for no reason.

--- /dev/null
+++ b/api/client_test.go
@@ -0,0 +1,175 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+)
+
+// fakeEntry answers submissions by a script, one step for each, and keeps them.
+// The last step repeats.
+type fakeEntry struct {
+	*httptest.Server
+	mu    sync.Mutex
+	got   []JobRequest
+	steps []http.HandlerFunc
+}
+
+func newFakeEntry(t *testing.T, steps ...http.HandlerFunc) *fakeEntry {
+	f := &fakeEntry{steps: steps}
+	f.Server = httptest.NewServer(f)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var request JobRequest
+	_ = json.NewDecoder(r.Body).Decode(&request)
+	f.mu.Lock()
+	step := f.steps[min(len(f.got), len(f.steps)-1)]
+	f.got = append(f.got, request)
+	f.mu.Unlock()
+	step(w, r)
+}
+
+// received returns the submissions so far and forgets them.
+func (f *fakeEntry) received() []JobRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	got := f.got
+	f.got = nil
+	return got
+}
+
+func answerWith(status int, a JobAnswer) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _ = writeJSON(w, status, a) }
+}
+
+func cutConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func staySilent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+var completeAnswer = answerWith(200, JobAnswer{Outcome: OutcomeComplete})
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newTestClient(t *testing.T, o ClientOptions) *Client {
+	c, err := NewClient(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func testJob() JobRequest {
+	return JobRequest{Team: "tills", Key: "k", Service: "s", DeadlineMS: 60_000, FirstAttempt: true, Tasks: []TaskRequest{{}}}
+}
+
+func TestSubmitMarksOnlyTheFirstSending(t *testing.T) {
+	refused := answerWith(503, JobAnswer{Outcome: OutcomeRefused, RetryAfterMS: 1})
+	lost := answerWith(502, JobAnswer{})
+	e := newFakeEntry(t, cutConnection, staySilent, lost, refused, completeAnswer)
+	c := newTestClient(t, ClientOptions{Entries: []string{e.URL}, Patience: 100 * time.Millisecond})
+	answer, err := c.Submit(context.Background(), testJob())
+	if err != nil || answer.Outcome != OutcomeComplete {
+		t.Fatalf("%+v, %v", answer, err)
+	}
+	got := e.received()
+	if len(got) < 5 { // a slow machine may run out of patience once more
+		t.Fatalf("sent %d times", len(got))
+	}
+	for i, r := range got {
+		if r.FirstAttempt != (i == 0) || !r.FirstAttemptAt.Equal(got[0].FirstAttemptAt) || r.Key != "k" {
+			t.Errorf("sending %d: %+v", i, r)
+		}
+		if i > 0 && r.DeadlineMS >= got[i-1].DeadlineMS {
+			t.Errorf("sending %d: the deadline did not shrink: %d", i, r.DeadlineMS)
+		}
+	}
+}
+
+func TestSubmitKeepsTheMarkIfNothingWasSent(t *testing.T) {
+	e := newFakeEntry(t, completeAnswer)
+	c := newTestClient(t, ClientOptions{Entries: []string{closedAddress(t), e.URL}})
+	for range 2 { // one of the two starts at the closed address
+		if _, err := c.Submit(context.Background(), testJob()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, r := range e.received() {
+		if !r.FirstAttempt {
+			t.Errorf("sending %d lost its mark", i)
+		}
+	}
+}
+
+func TestSubmitGivesUpWithinItsBounds(t *testing.T) {
+	e := newFakeEntry(t, cutConnection)
+	c := newTestClient(t, ClientOptions{Entries: []string{e.URL}, Attempts: 3})
+	var lost *LostError
+	if _, err := c.Submit(context.Background(), testJob()); !errors.As(err, &lost) || lost.Attempts != 3 {
+		t.Errorf("got %v", err)
+	}
+	short := testJob()
+	short.DeadlineMS = 1
+	e.received()
+	_, err := c.Submit(context.Background(), short)
+	if sent := len(e.received()); !errors.As(err, &lost) || sent != 1 {
+		t.Errorf("got %v after %d sendings", err, sent)
+	}
+}
+
+func TestSubmitReturnsWhatIsFinalAtOnce(t *testing.T) {
+	for _, step := range []http.HandlerFunc{
+		answerWith(409, JobAnswer{Outcome: OutcomeRefused, Reason: "key-reused"}),
+		answerWith(502, JobAnswer{Outcome: OutcomeFailed, RetryAfterMS: 5}),
+		func(w http.ResponseWriter, _ *http.Request) { _ = WriteProblem(w, invalid("key", "is missing")) },
+	} {
+		e := newFakeEntry(t, step)
+		c := newTestClient(t, ClientOptions{Entries: []string{e.URL}})
+		answer, err := c.Submit(context.Background(), testJob())
+		if sent := len(e.received()); sent != 1 || (answer == nil) != isFinal(err) {
+			t.Errorf("%d sendings: %+v, %v", sent, answer, err)
+		}
+	}
+}
+
+func TestWaitGoesOnThroughSilence(t *testing.T) {
+	e := newFakeEntry(t, staySilent, staySilent, staySilent, completeAnswer)
+	c := newTestClient(t, ClientOptions{Entries: []string{e.URL}, Patience: 20 * time.Millisecond, Attempts: 2})
+	answer, err := c.Wait(context.Background(), "tills", "k")
+	if err != nil || answer.Outcome != OutcomeComplete {
+		t.Errorf("%+v, %v", answer, err)
+	}
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := newRetryBudget()
+	spent := 0
+	for b.spend() {
+		spent++
+	}
+	if spent != int(maxRetryTokens) {
+		t.Errorf("spent %d", spent)
+	}
+	for range 5 {
+		b.earn()
+	}
+	if !b.spend() || b.spend() {
+		t.Error("five first sendings earn one retry")
+	}
+}
--- /dev/null
+++ b/api/submit.go
@@ -0,0 +1,83 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// Submit sends a job and returns its outcome. After a lost connection it sends
+// the same key to another entry, which attaches to the job, and after a refusal
+// with a time to come back it waits for that time, both within the deadline.
+//
+// Set FirstAttempt only if the key was never sent before, by any process. Submit
+// leaves it out on every later sending of its own.
+func (c *Client) Submit(ctx context.Context, request JobRequest) (*JobAnswer, error) {
+	received := time.Now()
+	allowed := time.Duration(request.DeadlineMS) * time.Millisecond
+	if request.FirstAttemptAt.IsZero() {
+		request.FirstAttemptAt = received.UTC()
+	}
+	ctx, cancel := context.WithTimeout(ctx, allowed+answerSlack)
+	defer cancel()
+	t := c.newTries(ctx)
+	for {
+		answer, err := c.submitOnce(ctx, t.entry(), &request)
+		if isFinal(err) {
+			return nil, err
+		}
+		if err == nil && !comeBack(answer) {
+			return answer, nil
+		}
+		if mayHaveArrived(err) {
+			request.FirstAttempt = false
+		}
+		pause := retryPause(answer)
+		if allowed-time.Since(received) <= pause || !t.again(err, pause) {
+			return lastAnswer(answer, t.sent, err)
+		}
+		request.DeadlineMS = max((allowed - time.Since(received)).Milliseconds(), 1)
+	}
+}
+
+func (c *Client) submitOnce(ctx context.Context, entry *url.URL, request *JobRequest) (*JobAnswer, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, &RequestError{Err: fmt.Errorf("encoding the job: %w", err)}
+	}
+	return c.send(ctx, entry, exchange{method: http.MethodPost, path: PathJobs, body: body})
+}
+
+// lastAnswer is what the caller gets when there is to be no other attempt.
+func lastAnswer(answer *JobAnswer, attempts int, err error) (*JobAnswer, error) {
+	if err != nil {
+		return nil, &LostError{Attempts: attempts, Err: err}
+	}
+	return answer, nil
+}
+
+// comeBack reports whether the answer asks the caller to send the job again.
+func comeBack(answer *JobAnswer) bool {
+	return answer.Outcome == OutcomeRefused && answer.RetryAfterMS > 0
+}
+
+// retryPause is how long to wait before the next attempt.
+func retryPause(answer *JobAnswer) time.Duration {
+	if answer == nil {
+		return defaultRetryPause
+	}
+	return time.Duration(answer.RetryAfterMS) * time.Millisecond
+}
+
+// mayHaveArrived reports whether an attempt may have reached an entry. Only a
+// connection that was never opened proves that it did not; everything else,
+// refusals included, ends the right to mark a first attempt.
+func mayHaveArrived(err error) bool {
+	var op *net.OpError
+	return !(errors.As(err, &op) && op.Op == "dial")
+}
