--- a/api/client.go
+++ b/api/client.go
@@ -150,7 +150,7 @@
 		if err == nil || isFinal(err) {
 			return answer, err
 		}
-		if !t.again(err, defaultRetryPause) {
+		if !t.again(err, retryPause(nil, err)) {
 			return nil, &LostError{Attempts: t.sent, Err: err}
 		}
 	}
--- a/api/client_test.go
+++ b/api/client_test.go
@@ -148,6 +148,20 @@
 	}
 }
 
+func TestSubmitHonoursRetryAfter(t *testing.T) {
+	turnAway := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "3600")
+		_ = WriteProblem(w, &Problem{Status: http.StatusServiceUnavailable, Message: "the entry is stopping"})
+	}
+	e := newFakeEntry(t, turnAway)
+	c := newTestClient(t, ClientOptions{Entries: []string{e.URL}})
+	var lost *LostError
+	_, err := c.Submit(context.Background(), testJob())
+	if sent := len(e.received()); !errors.As(err, &lost) || sent != 1 {
+		t.Errorf("sent %d times though an hour is beyond the deadline: %v", sent, err)
+	}
+}
+
 func TestWaitGoesOnThroughSilence(t *testing.T) {
 	e := newFakeEntry(t, staySilent, staySilent, staySilent, completeAnswer)
 	c := newTestClient(t, ClientOptions{Entries: []string{e.URL}, Patience: 20 * time.Millisecond, Attempts: 2})
--- a/api/exchange.go
+++ b/api/exchange.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
+	"time"
 )
 
 // maxAnswerBytes bounds the answers that a client reads.
@@ -72,7 +74,7 @@
 		c.http.CloseIdleConnections()
 		return nil, fmt.Errorf("reading the answer: %w", err)
 	}
-	return decodeAnswer(response.StatusCode, body)
+	return decodeAnswer(response, body)
 }
 
 func (c *Client) newRequest(ctx context.Context, entry *url.URL, x exchange) (*http.Request, error) {
@@ -91,16 +93,44 @@
 	return request, nil
 }
 
+// turnedAwayError says that something on the way, an entry or the balancer, did
+// not take the request now.
+type turnedAwayError struct {
+	status  int
+	message string
+	after   time.Duration // when to come back, if it was said
+}
+
+// Error formats the error as one line.
+func (e *turnedAwayError) Error() string {
+	if e.message == "" {
+		return fmt.Sprintf("status %d without an answer about the job", e.status)
+	}
+	return fmt.Sprintf("status %d: %s", e.status, e.message)
+}
+
 // decodeAnswer tells an answer about a job from one about the request, and both
 // from what something between the two ends may have sent.
-func decodeAnswer(status int, body []byte) (*JobAnswer, error) {
+func decodeAnswer(response *http.Response, body []byte) (*JobAnswer, error) {
 	answer := &JobAnswer{}
 	if err := json.Unmarshal(body, answer); err == nil && answer.Outcome != "" {
 		return answer, nil
 	}
+	status := response.StatusCode
 	problem := ErrorAnswer{}
-	if err := json.Unmarshal(body, &problem); err == nil && problem.Error != "" && status < http.StatusInternalServerError {
+	_ = json.Unmarshal(body, &problem) // a body of another kind leaves it empty
+	if problem.Error != "" && status < http.StatusInternalServerError && status != http.StatusTooManyRequests {
 		return nil, &RequestError{Status: status, Field: problem.Field, Err: errors.New(problem.Error)}
 	}
-	return nil, fmt.Errorf("status %d without an answer about the job", status)
+	return nil, &turnedAwayError{status: status, message: problem.Error, after: retryAfter(response.Header)}
+}
+
+// retryAfter reads the header in whole seconds; the form with a date is not
+// used by the system and read as nothing.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
 }
--- a/api/submit.go
+++ b/api/submit.go
@@ -37,7 +37,7 @@
 		if mayHaveArrived(err) {
 			request.FirstAttempt = false
 		}
-		pause := retryPause(answer)
+		pause := retryPause(answer, err)
 		if allowed-time.Since(received) <= pause || !t.again(err, pause) {
 			return lastAnswer(answer, t.sent, err)
 		}
@@ -67,11 +67,15 @@
 }
 
 // retryPause is how long to wait before the next attempt.
-func retryPause(answer *JobAnswer) time.Duration {
-	if answer == nil {
-		return defaultRetryPause
+func retryPause(answer *JobAnswer, err error) time.Duration {
+	if answer != nil {
+		return time.Duration(answer.RetryAfterMS) * time.Millisecond
 	}
-	return time.Duration(answer.RetryAfterMS) * time.Millisecond
+	var away *turnedAwayError
+	if errors.As(err, &away) && away.after > 0 {
+		return away.after
+	}
+	return defaultRetryPause
 }
 
 // mayHaveArrived reports whether an attempt may have reached an entry. Only a
