Add reports for a phone, and pages for callers and operators

The client now sends again after every answer that names a time to come back, failures that could not be looked up included; the same key is always safe.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -53,7 +53,7 @@
 		return http.StatusGatewayTimeout
 	case job.ReasonCancelled, job.ReasonKeyReused:
 		return http.StatusConflict
-	case job.ReasonTooOld:
+	case job.ReasonTooOld, job.ReasonAnswerDropped:
 		return http.StatusGone
 	case job.ReasonUnknownKey:
 		return http.StatusNotFound
--- a/api/submit.go
+++ b/api/submit.go
@@ -12,7 +12,7 @@
 )
 
 // Submit sends a job and returns its outcome. After a lost connection it sends
-// the same key to another entry, which attaches to the job, and after a refusal
+// the same key to another entry, which attaches to the job, and after an answer
 // with a time to come back it waits for that time, both within the deadline.
 //
 // Set FirstAttempt only if the key was never sent before, by any process. Submit
@@ -61,9 +61,10 @@
 	return answer, nil
 }
 
-// comeBack reports whether the answer asks the caller to send the job again.
+// comeBack reports whether the answer asks the caller to send the job again. A
+// failure does so too if the job could not be looked up for now.
 func comeBack(answer *JobAnswer) bool {
-	return answer.Outcome == OutcomeRefused && answer.RetryAfterMS > 0
+	return answer.Outcome != OutcomeComplete && answer.RetryAfterMS > 0
 }
 
 // retryPause is how long to wait before the next attempt.
--- /dev/null
+++ b/report/table.go
@@ -0,0 +1,117 @@
+package report
+
+import (
+	"strings"
+	"unicode/utf8"
+)
+
+// Column is one column of a table.
+type Column struct {
+	Title string
+	// Right aligns the column to the right, for numbers. Such columns are
+	// never shortened.
+	Right bool
+}
+
+// Cell is one value of a table.
+type Cell struct {
+	Text  string
+	Style Style
+}
+
+// Table is a list of rows under titles. Columns that are too wide together are
+// shortened, the widest first.
+type Table struct {
+	Columns []Column
+	rows    [][]Cell
+}
+
+// columnGap is the space between two columns.
+const columnGap = 1
+
+// minTextWidth is the width that a shortened column keeps at least.
+const minTextWidth = 4
+
+// Add appends a row of plain cells.
+func (t *Table) Add(texts ...string) {
+	row := make([]Cell, len(texts))
+	for i, text := range texts {
+		row[i] = Cell{Text: text}
+	}
+	t.AddCells(row...)
+}
+
+// AddCells appends a row.
+func (t *Table) AddCells(cells ...Cell) { t.rows = append(t.rows, cells) }
+
+// Empty reports whether the table has no rows.
+func (t *Table) Empty() bool { return len(t.rows) == 0 }
+
+// Table writes a table.
+func (p *Printer) Table(t *Table) {
+	widths := t.widths(p.width)
+	titles := make([]Cell, len(t.Columns))
+	for i, c := range t.Columns {
+		titles[i] = Cell{Text: c.Title, Style: Faint}
+	}
+	p.row(t, titles, widths)
+	for _, row := range t.rows {
+		p.row(t, row, widths)
+	}
+}
+
+func (p *Printer) row(t *Table, cells []Cell, widths []int) {
+	parts := make([]string, len(cells))
+	for i, c := range cells {
+		text := cut(c.Text, widths[i])
+		if t.Columns[i].Right {
+			text = padLeft(text, widths[i])
+		} else {
+			text = pad(text, widths[i])
+		}
+		parts[i] = p.styled(c.Style, text)
+	}
+	p.writeLine(strings.Join(parts, strings.Repeat(" ", columnGap)))
+}
+
+// widths gives each column what it needs, then shortens the widest text columns
+// until the table fits.
+func (t *Table) widths(total int) []int {
+	widths := make([]int, len(t.Columns))
+	for i, c := range t.Columns {
+		widths[i] = utf8.RuneCountInString(c.Title)
+		for _, row := range t.rows {
+			widths[i] = max(widths[i], utf8.RuneCountInString(row[i].Text))
+		}
+	}
+	for sum(widths)+columnGap*(len(widths)-1) > total {
+		widest := t.widestText(widths)
+		if widest < 0 {
+			break
+		}
+		widths[widest]--
+	}
+	return widths
+}
+
+// widestText returns the widest column that may be shortened, or -1.
+func (t *Table) widestText(widths []int) int {
+	widest := -1
+	for i, c := range t.Columns {
+		if c.Right || widths[i] <= minTextWidth {
+			continue
+		}
+		if widest < 0 || widths[i] > widths[widest] {
+			widest = i
+		}
+	}
+	return widest
+}
+
+func sum(ns []int) int {
+	total := 0
+	for _, n := range ns {
+		total += n
+	}
+	return total
+}
