Settings: take the hash of the bootstrap token of the document

Cause: an empty document has no tokens, so its first section needs one from the settings of the entries.

--- a/settings/entry.go
+++ b/settings/entry.go
@@ -7,12 +7,13 @@
 
 // Entry is the settings of `foxtaildockd entry`.
 type Entry struct {
-	Process  Process
-	Listen   EntryListen
-	Platform Platform
-	Limits   EntryLimits
-	Log      Log
-	Shutdown Shutdown
+	Process   Process
+	Listen    EntryListen
+	Platform  Platform
+	Operators EntryOperators
+	Limits    EntryLimits
+	Log       Log
+	Shutdown  Shutdown
 }
 
 // EntryListen is where an entry listens: section [listen].
@@ -29,6 +30,14 @@
 	Metrics netip.AddrPort
 }
 
+// EntryOperators says who may write an empty document: section [operators].
+type EntryOperators struct {
+	// BootstrapSHA256 is the SHA-256, in hexadecimal, of the token that may
+	// write the first team/operators section. Once that section exists, the
+	// token is good for nothing. Empty means that no such token is taken.
+	BootstrapSHA256 string
+}
+
 // EntryLimits bounds the memory of an entry: section [limits]. What a team may
 // use is set in the operators' document.
 type EntryLimits struct {
@@ -67,6 +76,7 @@
 	f.listener("internal", mustBeOneIP, &e.Listen.Internal)
 	f.listener("metrics", mayBeAnyIP, &e.Listen.Metrics)
 	f.platform(&e.Platform)
+	e.Operators.BootstrapSHA256 = f.hexHash("operators", "bootstrap_sha256")
 	f.entryLimits(&e.Limits)
 	f.log(&e.Log)
 	f.shutdown(&e.Shutdown)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -70,9 +70,9 @@
 
 func TestProblemsNameLineFieldAndRemedy(t *testing.T) {
 	cases := []struct{ name, old, new, line, field, remedy string }{
-		{"unknown key", "max_jobs_in_flight", "max_job_in_flight", "line 31", "limits.max_job_in_flight", "did you mean limits.max_jobs_in_flight?"},
-		{"unknown section", "[log]\n# debug, info, warn or error.\nlevel = \"info\"", "[logs]", "line 37", "logs", "the sections are process, listen"},
-		{"key in wrong section", "body_timeout = \"5s\"", "grace = \"5s\"", "line 35", "limits.grace", "belongs to section [shutdown]"},
+		{"unknown key", "max_jobs_in_flight", "max_job_in_flight", "line 37", "limits.max_job_in_flight", "did you mean limits.max_jobs_in_flight?"},
+		{"unknown section", "[log]\n# debug, info, warn or error.\nlevel = \"info\"", "[logs]", "line 43", "logs", "the sections are process, listen"},
+		{"key in wrong section", "body_timeout = \"5s\"", "grace = \"5s\"", "line 41", "limits.grace", "belongs to section [shutdown]"},
 		{"missing failure domain", "failure_domain = \"lulea\"", "", "line 5", "process.failure_domain", `failure_domain = "lulea"`},
 		{"missing address", "callers = \"10.0.0.5:7000\"", "", "line 13", "listen.callers", "is missing"},
 		{"host name", "10.0.0.2:7090", "platform.example:7090", "line 25", "platform.address", `write it as "10.0.0.5:7100"`},
@@ -82,12 +82,13 @@
 		{"duration without unit", `"1s"`, "1", "line 27", "platform.timeout", `such as "1s"`},
 		{"duration in words", `"1s"`, `"soon"`, "line 27", "platform.timeout", "a number and a unit"},
 		{"duration too long", `"1s"`, `"2h"`, "line 27", "platform.timeout", "choose 10ms to 1m0s"},
-		{"number too large", "4096", "40960000", "line 31", "limits.max_jobs_in_flight", "choose 1 to 1000000"},
-		{"number in quotes", "4096", `"4096"`, "line 31", "limits.max_jobs_in_flight", "without quotes"},
-		{"bad level", `"info"`, `"loud"`, "line 39", "log.level", "debug, info, warn, error"},
+		{"number too large", "4096", "40960000", "line 37", "limits.max_jobs_in_flight", "choose 1 to 1000000"},
+		{"number in quotes", "4096", `"4096"`, "line 37", "limits.max_jobs_in_flight", "without quotes"},
+		{"bad level", `"info"`, `"loud"`, "line 45", "log.level", "debug, info, warn, error"},
 		{"bad name", `"north-1"`, `"North 1"`, "line 10", "process.cell", "lower-case letters"},
-		{"syntax", "[limits]", "[limits", "line 29", "", "not valid TOML"},
-		{"key twice", "[limits]", "timeout = \"2s\"\n[limits]", "line 29", "", "not valid TOML"},
+		{"bad hash", strings.Repeat("0", 64), "abc", "line 33", "operators.bootstrap_sha256", "64 hexadecimal digits"},
+		{"syntax", "[limits]", "[limits", "line 35", "", "not valid TOML"},
+		{"key twice", "[operators]", "timeout = \"2s\"\n[operators]", "line 29", "", "not valid TOML"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/settings/values.go
+++ b/settings/values.go
@@ -16,6 +16,9 @@
 // in table keys, metrics and reports.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
+// hashPattern is a SHA-256 in hexadecimal.
+var hashPattern = regexp.MustCompile(`^[0-9a-fA-F]{64}$`)
+
 // ipRule says which IP numbers an address may have.
 type ipRule int
 
@@ -107,6 +110,18 @@
 	return got.value.text
 }
 
+// hexHash reads an optional SHA-256.
+func (f *file) hexHash(section, key string) string {
+	got, ok := f.find(section, key)
+	if !ok {
+		return ""
+	}
+	if got.value.kind != unstable.String || !hashPattern.MatchString(got.value.text) {
+		f.report(got.line, joinPath(section, key), "must be a string of 64 hexadecimal digits, as sha256sum prints it")
+	}
+	return strings.ToLower(got.value.text)
+}
+
 // integer reads an optional integer.
 func (f *file) integer(section, key string, rule intRule) int64 {
 	got, ok := f.find(section, key)
