--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -208,7 +208,7 @@
 	c := agentlink.DefaultConfig()
 	c.Self = self
 	c.Cell = p.set.Process.Cell
-	c.Table = platform.NewClient(p.set.Platform.Address.String(), p.set.Platform.Timeout)
+	c.Table = platform.NewClient(p.set.Platform.Address.String(), p.set.Platform.Timeout).Table()
 	c.NewClient = rpc.NewClient
 	c.Log = p.log
 	for _, s := range p.set.Entries.Seeds {
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,204 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"foxtaildock.example/dock/control"
+	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/entry"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/placement"
+	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/routing"
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
+	"foxtaildock.example/dock/settings"
+	"foxtaildock.example/dock/telemetry"
+)
+
+// balancerPause is how long a stopping entry goes on answering "not ready" before
+// it closes its listeners, so that the balancer has seen it.
+const balancerPause = 500 * time.Millisecond
+
+// errNoState is why an entry that has just started isn't ready.
+var errNoState = errors.New("no document version and placement is known yet")
+
+// entryProcess is the process of an entry.
+type entryProcess struct {
+	set     *settings.Entry
+	log     *telemetry.Logger
+	self    ident.Incarnation
+	entry   *entry.Entry
+	keeper  *entry.DocumentGatekeeper
+	control *control.Duty
+}
+
+// RunEntry runs an entry until the context ends, then stops gracefully.
+func RunEntry(ctx context.Context, set *settings.Entry, log *telemetry.Logger) error {
+	self := newIncarnation()
+	p := &entryProcess{set: set, log: log.With(telemetry.Incarnation(self), telemetry.Domain(set.Process.FailureDomain)), self: self}
+	metrics, err := telemetry.NewMetrics(telemetry.RoleEntry, set.Process.FailureDomain, self)
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	if err := p.build(metrics); err != nil {
+		return err
+	}
+	listeners, err := p.listen(metrics)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, listeners)
+}
+
+func (p *entryProcess) build(m *telemetry.Metrics) error {
+	jobs, err := telemetry.NewJobMetrics(m.Meter())
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	p.keeper = entry.NewDocumentGatekeeper(entry.Unlimited{})
+	p.entry = entry.New(entry.Config{
+		Self:       p.self,
+		Domain:     p.set.Process.FailureDomain,
+		Routing:    routing.DefaultConfig(),
+		Limits:     p.limits(),
+		Gatekeeper: p.keeper,
+		Log:        p.log,
+		Record:     jobs.Record,
+	})
+	p.control, err = control.New(p.controlConfig(), p)
+	if err != nil {
+		return fmt.Errorf("control duty: %w", err)
+	}
+	return nil
+}
+
+func (p *entryProcess) limits() entry.Limits {
+	return entry.Limits{
+		JobsInFlight:  int64(p.set.Limits.MaxJobsInFlight),
+		BytesInFlight: p.set.Limits.MaxBytesInFlight,
+		BodyTimeout:   p.set.Limits.BodyTimeout,
+	}
+}
+
+func (p *entryProcess) controlConfig() control.Config {
+	client := platform.NewClient(p.set.Platform.Address.String(), p.set.Platform.Timeout)
+	c := control.DefaultConfig()
+	c.Self = p.self
+	c.Cell = p.set.Process.Cell
+	c.Address = p.set.Listen.Internal.String()
+	c.Domain = p.set.Process.FailureDomain
+	c.Table = client.Table()
+	c.Objects = client.Objects()
+	c.Client = rpc.NewClient()
+	c.Log = p.log
+	return c
+}
+
+func (p *entryProcess) listen(m *telemetry.Metrics) ([]*listener, error) {
+	mux := http.NewServeMux()
+	mux.Handle(dockpbconnect.NewEntryServiceHandler(p.control.Service()))
+	internal, err := listenWith("internal", p.set.Listen.Internal, rpc.NewServer(mux))
+	if err != nil {
+		return nil, err
+	}
+	callers, err := listen("callers", p.set.Listen.Callers, p.entry.Handler())
+	if err != nil {
+		return nil, err
+	}
+	operators, err := listen("operators", p.set.Listen.Operators, p.operators())
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := listen("metrics", p.set.Listen.Metrics, telemetry.NewHandler(m, p.ready))
+	if err != nil {
+		return nil, err
+	}
+	return []*listener{internal, callers, operators, metrics}, nil
+}
+
+// operators serves the operators' interface.
+func (p *entryProcess) operators() http.Handler { return http.NotFoundHandler() }
+
+// ready returns nil if the entry takes work.
+func (p *entryProcess) ready() error {
+	if !p.control.Ready() {
+		return errNoState
+	}
+	return p.entry.Ready()
+}
+
+// run serves until the context ends or a listener fails.
+func (p *entryProcess) run(ctx context.Context, listeners []*listener) error {
+	duties, stop := context.WithCancel(context.Background())
+	ended := p.start(duties)
+	failed := make(chan error, len(listeners))
+	for _, l := range listeners {
+		go l.serve(failed)
+	}
+	p.log.Info("entry started")
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	p.shutdown(listeners)
+	stop()
+	<-ended
+	p.log.Info("entry ended")
+	return err
+}
+
+// start runs the duties and returns a channel that is closed once they ended.
+func (p *entryProcess) start(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	controlled := make(chan struct{})
+	go func() {
+		defer close(controlled)
+		p.control.Run(ctx)
+	}()
+	go func() {
+		defer close(ended)
+		p.entry.Run(ctx)
+		<-controlled
+	}()
+	return ended
+}
+
+// shutdown tells the balancer, serves on until it has seen that, stops accepting,
+// and finishes the requests in flight within the grace period.
+func (p *entryProcess) shutdown(listeners []*listener) {
+	p.entry.Unready()
+	for _, l := range listeners {
+		l.server.SetKeepAlivesEnabled(false)
+	}
+	time.Sleep(balancerPause)
+	p.entry.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), p.set.Shutdown.Grace)
+	defer cancel()
+	for i := len(listeners) - 1; i >= 0; i-- {
+		listeners[i].shutdown(ctx)
+	}
+}
+
+// The methods below are what the control duty tells the entry.
+
+// SetView hands over a newer document.
+func (p *entryProcess) SetView(v *document.View) { p.keeper.SetView(v) }
+
+// SetPlacement hands over a newer placement.
+func (p *entryProcess) SetPlacement(pl *placement.Placement) { p.entry.SetPlacement(pl) }
+
+// SetAgents hands over the state of agents. Routing goes by the placement alone.
+func (p *entryProcess) SetAgents([]membership.Agent) {}
+
+// SetDemand hands over the demand at another entry.
+func (p *entryProcess) SetDemand(ident.Incarnation, []control.Demand) {}
+
+// Demand returns the demand at this entry.
+func (p *entryProcess) Demand() []control.Demand { return nil }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,6 +68,7 @@
 	lastID   atomic.Uint64
 	inFlight atomic.Int64
 	bytes    atomic.Int64
+	unready  atomic.Bool
 	stopping atomic.Bool
 	placed   atomic.Bool
 
@@ -105,6 +106,9 @@
 	e.box.Put(routing.SetPlacement{Placement: p})
 }
 
+// Unready makes the entry tell the balancer that it takes no more work.
+func (e *Entry) Unready() { e.unready.Store(true) }
+
 // Stop makes the entry turn new submissions away; those in flight go on.
 func (e *Entry) Stop() { e.stopping.Store(true) }
 
@@ -114,7 +118,7 @@
 // Ready returns nil if the entry takes work, else the reason why not.
 func (e *Entry) Ready() error {
 	switch {
-	case e.stopping.Load():
+	case e.unready.Load():
 		return errStopping
 	case !e.placed.Load():
 		return errNoPlacement
