--- a/cmd/foxtaildockd/main.go
+++ b/cmd/foxtaildockd/main.go
@@ -25,13 +25,13 @@
 
 // roleArgs are the arguments of a role.
 type roleArgs struct {
-	Settings string `arg:"positional,required" help:"the TOML settings file; docs/examples has one for each role"`
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"the TOML settings file; docs/examples has one for each role"`
 }
 
 // checkArgs are the arguments of check-settings.
 type checkArgs struct {
 	Role     string `arg:"positional,required" help:"entry or agent"`
-	Settings string `arg:"positional,required" help:"the TOML settings file"`
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"the TOML settings file"`
 }
 
 type arguments struct {
@@ -48,8 +48,8 @@
 // Epilogue is shown by --help.
 func (arguments) Epilogue() string {
 	return `Examples:
-  foxtaildockd check-settings agent /etc/foxtaildock/agent.toml
-  foxtaildockd agent /etc/foxtaildock/agent.toml
+  foxtaildockd check-settings agent --settings /etc/foxtaildock/agent.toml
+  foxtaildockd agent --settings /etc/foxtaildock/agent.toml
 
 SIGTERM or SIGINT is a graceful stop: work in flight is finished first.
 Logs are JSON lines on standard error.
