home: wait for the permit after a change of the epoch, ask again when it moves

Cause: between learning a new epoch and getting a permit that names it, up to one heartbeat, every fresh job was refused; and a job that was being resolved while the placement skipped an epoch did not ask the home of the epoch in between. Change: resolving jobs wait for the permit within ResolveLimit and repeat the questions for each new placement. Ruled out: accepting under the old epoch's permit, which is what the rule of one live epoch forbids.

--- a/home/home.go
+++ b/home/home.go
@@ -185,6 +185,7 @@
 		h.setPlacement(now, e.Placement)
 	case SetPermit:
 		h.permit = e.Permit
+		h.settleAll(now)
 	case Leave:
 		h.leaving = true
 	case HandedOver:
@@ -208,6 +209,12 @@
 	if m, ok := p.Member(h.cfg.Self); ok && m.Left != 0 {
 		h.leaving = true
 	}
+	for _, r := range h.active {
+		if r.phase == phaseResolving {
+			h.openAsks(now, r)
+		}
+	}
+	h.settleAll(now)
 }
 
 // tick lets time pass.
--- a/home/resolve.go
+++ b/home/resolve.go
@@ -58,7 +58,7 @@
 
 // submitUnknown takes a key without an active record. An old record is a seal.
 func (h *Home) submitUnknown(now time.Duration, e Submit, old *record) {
-	if r, detail := h.closed(now); r != "" {
+	if r, detail := h.closed(); r != "" {
 		h.reply(e.Request, h.turnAway(e.Fresh, r, detail))
 		return
 	}
@@ -84,22 +84,25 @@
 	return h.signed(job.Fail(job.ReasonTooOld, 0, "the first attempt is older than the accept window and there is no record"))
 }
 
-// closed returns why this home accepts no unknown key now. Invariant: a key is
-// accepted only under a live permit that names the newest epoch known here.
-func (h *Home) closed(now time.Duration) (job.Reason, string) {
+// closed returns why this home takes no unknown key at all.
+func (h *Home) closed() (job.Reason, string) {
 	switch {
 	case h.leaving:
 		return job.ReasonStopping, "the agent is leaving"
 	case h.placement == nil:
 		return job.ReasonNoHome, "the agent knows no placement yet"
-	case !h.permit.Live(now):
-		return job.ReasonNoPermit, "the agent has no live permit"
-	case h.permit.Epoch != h.placement.Epoch:
-		return job.ReasonNoPermit, "the agent's permit names another epoch"
 	}
 	return "", ""
 }
 
+// permitted reports whether a key may be accepted now. Invariant: a key is
+// accepted only under a live permit that names the newest epoch known here.
+// After a change of the epoch the permit follows within a heartbeat, so a job
+// waits for it for a while.
+func (h *Home) permitted(now time.Duration) bool {
+	return h.permit.Live(now) && h.permit.Epoch == h.placement.Epoch
+}
+
 func (h *Home) ownsKey(key ident.JobKey) bool {
 	if h.placement == nil {
 		return false
@@ -133,8 +136,11 @@
 	h.settle(now, r)
 }
 
-// openAsks determines whom to ask.
+// openAsks determines whom to ask and asks those that were not asked yet. It is
+// repeated when the placement moves, since a home of an epoch in between may
+// have accepted the key.
 func (h *Home) openAsks(now time.Duration, r *record) {
+	asked := len(r.asks)
 	from, until := h.oldestLapsing(now)
 	r.startable = until
 	if r.fresh && until <= now {
@@ -149,7 +155,7 @@
 	if m, ok := h.placement.Member(r.sealedTo); ok {
 		h.addAsk(r, m)
 	}
-	for i := range r.asks {
+	for i := asked; i < len(r.asks); i++ {
 		h.ask(r, &r.asks[i])
 	}
 }
@@ -257,6 +263,13 @@
 	}
 }
 
+// settleAll looks at every resolving job again.
+func (h *Home) settleAll(now time.Duration) {
+	for _, r := range slices.Clone(h.active) {
+		h.settle(now, r)
+	}
+}
+
 // settle starts or ends a resolving job as soon as the answers allow it.
 func (h *Home) settle(now time.Duration, r *record) {
 	if r.phase != phaseResolving {
@@ -264,6 +277,8 @@
 	}
 	open, vanished := r.openAsks()
 	switch {
+	case !h.leaving && !h.permitted(now):
+		// Wait for the permit, or for the time to give up.
 	case open == 0 && vanished == 0:
 		h.begin(now, r)
 	case r.fresh && now >= r.startable:
@@ -293,7 +308,7 @@
 		return
 	}
 	if now >= r.giveUp && !(r.fresh && r.startable > now) {
-		h.discard(now, r, h.turnAway(r.fresh, job.ReasonUnresolved, "a former home of the job does not answer"))
+		h.giveUp(now, r)
 		return
 	}
 	for i := range r.asks {
@@ -304,6 +319,15 @@
 	}
 }
 
+// giveUp ends a job that could not be resolved in time.
+func (h *Home) giveUp(now time.Duration, r *record) {
+	if !h.permitted(now) {
+		h.discard(now, r, h.turnAway(r.fresh, job.ReasonNoPermit, "the agent has no permit for the newest epoch"))
+		return
+	}
+	h.discard(now, r, h.turnAway(r.fresh, job.ReasonUnresolved, "a former home of the job does not answer"))
+}
+
 // sealAsked answers a newer home. Invariant: once Sealed is answered, this home
 // accepts the key only after the asking home has sealed it in turn.
 func (h *Home) sealAsked(now time.Duration, e SealAsked) {
--- a/home/run.go
+++ b/home/run.go
@@ -13,7 +13,7 @@
 
 // begin accepts a resolved job: its tasks join the queue.
 func (h *Home) begin(now time.Duration, r *record) {
-	if reason, detail := h.closed(now); reason != "" {
+	if reason, detail := h.closed(); reason != "" {
 		h.discard(now, r, h.signed(job.Refuse(reason, h.cfg.RetryAfter, detail)))
 		return
 	}
