--- /dev/null
+++ b/cmd/foxtaildock/console.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"foxtaildock.example/dock/report"
+)
+
+// console is where a command reads and writes.
+type console struct {
+	in     io.Reader
+	out    io.Writer
+	err    io.Writer
+	getenv func(string) string
+	// outColour and errTerminal say what kind of files out and err are.
+	outColour   bool
+	errTerminal bool
+	// json is set if a program reads the output.
+	json bool
+}
+
+// systemConsole is the console of the process.
+func systemConsole() *console {
+	return &console{
+		in:          os.Stdin,
+		out:         os.Stdout,
+		err:         os.Stderr,
+		getenv:      os.Getenv,
+		outColour:   report.WantColour(os.Stdout, os.Getenv),
+		errTerminal: report.WantColour(os.Stderr, os.Getenv),
+	}
+}
+
+// printer returns a printer on the standard output.
+func (c *console) printer() *report.Printer {
+	return report.NewPrinter(c.out, report.WidthFrom(c.getenv), c.outColour)
+}
+
+// progress returns the progress of long work on the standard error.
+func (c *console) progress(unit string, total int) *report.Progress {
+	return report.NewProgress(c.err, c.errTerminal, unit, total)
+}
+
+// note tells a person something beside the output.
+func (c *console) note(format string, args ...any) {
+	_, _ = fmt.Fprintf(c.err, format+"\n", args...)
+}
+
+// printJSON writes a document for a program.
+func (c *console) printJSON(document any) error {
+	e := json.NewEncoder(c.out)
+	e.SetIndent("", "  ")
+	if err := e.Encode(document); err != nil {
+		return fmt.Errorf("writing JSON: %w", err)
+	}
+	return nil
+}
