--- a/cmd/foxtaildock/main_test.go
+++ b/cmd/foxtaildock/main_test.go
@@ -106,9 +106,9 @@
 		{"load refused", "", "load --service refuse --jobs 2 --tasks 2", exitRefused, "2 jobs, 4 tasks", ""},
 		{"bad range", "", "load --service echo --tasks 3-1", exitUsage, "", "not a number of tasks"},
 		{"help", "", "submit --help", exitDone, "Examples:", ""},
-		{"check settings", "", "check-settings --role entry ../../docs/examples/entry.toml", exitDone, "fine", ""},
-		{"bad settings", "", "check-settings --role agent ../../docs/examples/entry.toml", exitUsage, "listen.callers", ""},
-		{"no settings", "", "check-settings --role agent nowhere.toml", exitBroken, "", "nowhere.toml"},
+		{"check settings", "", "check-settings entry ../../docs/examples/entry.toml", exitDone, "fine", ""},
+		{"bad settings", "", "check-settings agent ../../docs/examples/entry.toml", exitUsage, "listen.callers", ""},
+		{"no settings", "", "check-settings agent nowhere.toml", exitBroken, "", "nowhere.toml"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/cmd/foxtaildock/settings.go
+++ b/cmd/foxtaildock/settings.go
@@ -10,13 +10,13 @@
 
 // checkSettingsCommand checks settings files.
 type checkSettingsCommand struct {
-	Role  string   `arg:"--role,required" help:"entry or agent"`
+	Role  string   `arg:"positional,required" help:"entry or agent"`
 	Files []string `arg:"positional,required" placeholder:"FILE"`
 }
 
 func (*checkSettingsCommand) examples() string {
 	return `
-  foxtaildock check-settings --role entry docs/examples/entry.toml`
+  foxtaildock check-settings entry docs/examples/entry.toml`
 }
 
 func (k *checkSettingsCommand) run(_ context.Context, _ *shared, c *console) (exitCode, error) {
