--- /dev/null
+++ b/bench/measure/cost.go
@@ -0,0 +1,151 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"foxtaildock.example/bench/proof"
+)
+
+// costStep is one row of the table of costs.
+type costStep struct {
+	tasks int
+	jobs  int
+}
+
+// costSteps go from one task a job to the largest job.
+func costSteps() []costStep {
+	return []costStep{{1, 4000}, {10, 2000}, {100, 400}, {1000, 60}}
+}
+
+// costConcurrency is the number of jobs under way while costs are taken.
+const costConcurrency = 16
+
+// goalEntryRate is the number of task starts a second that one core of an entry
+// should carry in jobs of 1,000 tasks.
+const goalEntryRate = 50_000
+
+// Cost measures the processor time of the entry and of the agents for each task
+// start, from one to 1,000 tasks in a job.
+func Cost(ctx context.Context, opts proof.Options, out io.Writer) error {
+	b, err := proof.NewBed(ctx, opts, "cost", shape(1))
+	if err != nil {
+		return err
+	}
+	defer b.Cluster.Close()
+	drive(ctx, b, workload(opts.Seed, "warm", 500, 10, 0), costConcurrency, 0)
+	fmt.Fprintln(out, "processor time per task start (tasks run 0 ms)")
+	fmt.Fprintln(out, "tasks/job  entry us  agents us  starts/s per entry core")
+	for _, step := range costSteps() {
+		if err := costRow(ctx, b, opts.Seed, step, out); err != nil {
+			return err
+		}
+	}
+	return memory(b, out)
+}
+
+func costRow(ctx context.Context, b *proof.Bed, seed uint64, step costStep, out io.Writer) error {
+	before, err := readBed(b)
+	if err != nil {
+		return err
+	}
+	results := drive(ctx, b, workload(seed, fmt.Sprintf("cost%d", step.tasks), step.jobs, step.tasks, 0), costConcurrency, 0)
+	if err := allComplete(results); err != nil {
+		return err
+	}
+	after, err := readBed(b)
+	if err != nil {
+		return err
+	}
+	starts := float64(step.jobs * step.tasks)
+	entry := micros(after.entries-before.entries) / starts
+	agent := micros(after.agents-before.agents) / starts
+	note := ""
+	if step.tasks == 1000 {
+		note = fmt.Sprintf("  (goal %d, %s)", goalEntryRate, reached(1e6/entry >= goalEntryRate))
+	}
+	fmt.Fprintf(out, "%9d  %8.1f  %9.1f  %8.0f%s\n", step.tasks, entry, agent, 1e6/entry, note)
+	return nil
+}
+
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+// bedUsage is the processor time of all entries and of all agents.
+type bedUsage struct{ entries, agents time.Duration }
+
+func readBed(b *proof.Bed) (bedUsage, error) {
+	var u bedUsage
+	for _, e := range b.Cluster.Entries {
+		one, err := readUsage(e.PID())
+		if err != nil {
+			return u, err
+		}
+		u.entries += one.cpu
+	}
+	for _, a := range b.Cluster.Agents {
+		one, err := readUsage(a.PID())
+		if err != nil {
+			return u, err
+		}
+		u.agents += one.cpu
+	}
+	return u, nil
+}
+
+// memory prints the memory of the processes after the load.
+func memory(b *proof.Bed, out io.Writer) error {
+	entry, err := readUsage(b.Cluster.Entries[0].PID())
+	if err != nil {
+		return err
+	}
+	largest := int64(0)
+	for _, a := range b.Cluster.Agents {
+		u, err := readUsage(a.PID())
+		if err != nil {
+			return err
+		}
+		largest = max(largest, u.resident)
+	}
+	fmt.Fprintf(out, "resident memory: entry %d MB, largest agent %d MB\n", entry.resident>>20, largest>>20)
+	return nil
+}
+
+// idleTime is how long the idle cost is taken.
+const idleTime = 10 * time.Second
+
+// goalControlCPU is the share of a core that control may cost one daemon.
+const goalControlCPU = 1.3
+
+// Idle measures the processor time of daemons that have no work, which is the
+// cost of control.
+func Idle(ctx context.Context, opts proof.Options, out io.Writer) error {
+	b, err := proof.NewBed(ctx, opts, "idle", shape(2))
+	if err != nil {
+		return err
+	}
+	defer b.Cluster.Close()
+	before, err := readBed(b)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-time.After(idleTime):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	after, err := readBed(b)
+	if err != nil {
+		return err
+	}
+	share := func(d time.Duration, processes int) float64 {
+		return 100 * d.Seconds() / idleTime.Seconds() / float64(processes)
+	}
+	entry := share(after.entries-before.entries, 2)
+	agent := share(after.agents-before.agents, agents)
+	fmt.Fprintf(out, "control cost without work, %d agents, 2 entries, %% of a core per daemon\n", agents)
+	fmt.Fprintf(out, "  entry %.2f (goal %.1f, %s)\n", entry, goalControlCPU, reached(entry <= goalControlCPU))
+	fmt.Fprintf(out, "  agent %.2f (goal %.1f, %s)\n", agent, goalControlCPU, reached(agent <= goalControlCPU))
+	return nil
+}
