Let the proofs write the first document

Cause: entries take jobs only with a team's token, and the operators' interface is not served yet. Change: proofs write the operators', the team's and the service's section and, until the interface is there, changes of domains and drains as rows.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -413,6 +413,9 @@
 	return all, nil
 }
 
+// PlatformAddress returns the address of the platform without a link.
+func (c *Cluster) PlatformAddress() string { return c.platformAddress }
+
 // CallerAddresses returns the callers' addresses of the entries.
 func (c *Cluster) CallerAddresses() []string {
 	var out []string
--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -250,6 +250,21 @@
 	return err
 }
 
+// probeKey is the key of a job that nobody submits.
+const probeKey = "bench-probe"
+
+// Authorized returns nil if the entry with the given number takes the token.
+func (c *Caller) Authorized(ctx context.Context, team string, entry int) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Patience)
+	defer cancel()
+	target := c.url(entry, jobPath(Job{Team: team, Key: probeKey}))
+	answer, err := c.exchange(ctx, http.MethodGet, target, nil)
+	if err == nil && answer.Outcome == "" {
+		return errors.New(answer.Detail)
+	}
+	return err
+}
+
 // InFlight returns the jobs that have no result yet, in the order of their keys.
 func (c *Caller) InFlight() []Job {
 	c.mu.Lock()
--- a/bench/proof/bed.go
+++ b/bench/proof/bed.go
@@ -33,6 +33,8 @@
 	recoveredJobs = 30
 	// recoveryTimeout bounds the wait for them.
 	recoveryTimeout = 60 * time.Second
+	// probePatience bounds one look whether the first document is in force.
+	probePatience = time.Second
 	// pollInterval is the time between two looks at the results.
 	pollInterval = 20 * time.Millisecond
 )
@@ -98,6 +100,26 @@
 		return fmt.Errorf("first document: %w", err)
 	}
 	b.Token = token
+	return b.waitAuthorized(ctx)
+}
+
+// waitAuthorized waits until every entry knows the first document.
+func (b *Bed) waitAuthorized(ctx context.Context) error {
+	probe := &load.Caller{Entries: b.Cluster.CallerAddresses(), Token: b.Token, Patience: probePatience}
+	probe.Open()
+	defer probe.Close()
+	for i := range b.Cluster.Entries {
+		for {
+			err := probe.Authorized(ctx, team, i)
+			if err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("the first document is not in force at %s: %w", b.Cluster.Entries[i].Name, err)
+			}
+			hold(ctx, pollInterval)
+		}
+	}
 	return nil
 }
 
--- a/bench/proof/operators.go
+++ b/bench/proof/operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"foxtaildock.example/bench/cluster"
@@ -26,22 +25,4 @@
 }
 
 // NewOperators returns the client for the operators' interface.
-func NewOperators() Operators { return missingOperators{} }
-
-// missingOperators stands in until the operators' interface is served.
-type missingOperators struct{}
-
-// noToken is sent while the entries check no tokens.
-const noToken = "none"
-
-func (missingOperators) Prepare(context.Context, *cluster.Cluster, string, string) (string, error) {
-	return noToken, nil
-}
-
-func (missingOperators) SetDomain(context.Context, string, bool) (time.Time, error) {
-	return time.Time{}, fmt.Errorf("%w: the operators' interface is missing", ErrNotRun)
-}
-
-func (missingOperators) Drain(context.Context, *cluster.Agent, bool) (time.Time, error) {
-	return time.Time{}, fmt.Errorf("%w: the operators' interface is missing", ErrNotRun)
-}
+func NewOperators() Operators { return &rowOperators{} }
