Let the second in rank accept fresh jobs while the home can't be reached

Cause: after a kill of one of three agents the demo had 23 of 200 jobs refused as no-home, all of those whose home was dead until the epoch moved (10 s). Ruled out: a shorter detection alone, which trades these refusals for removing paused agents. Change: a fresh job that was sent nowhere goes to the second in rank; every other job is looked up at both ranks of every retained epoch before it starts. GoneAfter is 5 s, since removal now hands records over.

--- a/home/resolve.go
+++ b/home/resolve.go
@@ -62,7 +62,8 @@
 		h.reply(e.Request, h.turnAway(e.Fresh, r, detail))
 		return
 	}
-	if m, ok := h.placement.Home(e.Spec.Key); !ok || m.Incarnation != h.cfg.Self {
+	if !h.mayAccept(e.Spec.Key, e.Fresh) {
+		m, _ := h.placement.Home(e.Spec.Key)
 		h.redirectTo(e.Request, m.Incarnation, e.Fresh)
 		return
 	}
@@ -111,9 +112,20 @@
 	return ok && m.Incarnation == h.cfg.Self
 }
 
-// resolve makes a record and asks the former homes that could have started the
+// mayAccept reports whether the newest epoch lets this agent accept the key: as
+// its home, or as the second in rank if the job is fresh. Every other job is
+// looked up at both ranks before it starts, so the two never start the same one.
+func (h *Home) mayAccept(key ident.JobKey, fresh bool) bool {
+	if h.ownsKey(key) {
+		return true
+	}
+	ranked := h.placement.Ranked(key)
+	return fresh && len(ranked) > 1 && ranked[1].Incarnation == h.cfg.Self
+}
+
+// resolve makes a record and asks the other places that could have started the
 // job. A job that is fresh has been nowhere else; it only has to be kept from
-// starting at a former home whose permit for an earlier epoch may still be live.
+// starting at a place whose permit for an earlier epoch may still be live.
 func (h *Home) resolve(now time.Duration, e Submit, old *record) {
 	r := &record{
 		key:      e.Spec.Key,
@@ -146,10 +158,13 @@
 	if r.fresh && until <= now {
 		return
 	}
-	if !r.fresh {
+	to := h.placement.Epoch
+	if r.fresh {
+		to--
+	} else {
 		from = 0
 	}
-	for _, m := range h.placement.FormerHomes(r.key, from) {
+	for _, m := range h.placement.Places(r.key, from, to) {
 		h.addAsk(r, m)
 	}
 	if m, ok := h.placement.Member(r.sealedTo); ok {
@@ -339,7 +354,7 @@
 		h.seal(now, r, e)
 	case r.phase == phaseSealed:
 		h.seal(now, r, e)
-	case r.phase == phaseResolving && h.placement.Epoch < e.Epoch:
+	case r.phase == phaseResolving && h.yields(r, e):
 		h.passOn(now, r, e.From)
 		h.records[e.Key] = r
 		h.seal(now, r, e)
@@ -348,6 +363,16 @@
 	}
 }
 
+// yields reports whether a job that is being resolved here goes to the asking
+// home: one of a newer epoch, or the first in rank of the same epoch.
+func (h *Home) yields(r *record, e SealAsked) bool {
+	if h.placement.Epoch != e.Epoch {
+		return h.placement.Epoch < e.Epoch
+	}
+	m, ok := h.placement.Home(r.key)
+	return ok && m.Incarnation == e.From
+}
+
 func (h *Home) seal(now time.Duration, r *record, e SealAsked) {
 	h.stats.Sealed++
 	r.phase = phaseSealed
--- a/home/run.go
+++ b/home/run.go
@@ -17,7 +17,7 @@
 		h.discard(now, r, h.signed(job.Refuse(reason, h.cfg.RetryAfter, detail)))
 		return
 	}
-	if !h.ownsKey(r.key) {
+	if !h.mayAccept(r.key, r.fresh) {
 		m, _ := h.placement.Home(r.key)
 		h.passOn(now, r, m.Incarnation)
 		return
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -86,7 +86,7 @@
 func DefaultConfig() Config {
 	return Config{
 		SuspectAfter: 2 * time.Second,
-		GoneAfter:    8 * time.Second,
+		GoneAfter:    5 * time.Second,
 		ForgetAfter:  time.Minute,
 		EpochGap:     time.Second,
 		RankDelay:    500 * time.Millisecond,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -4,7 +4,7 @@
 // member carries the epoch in which it joined and, once it has gone, the epoch
 // in which it left, so that one row answers for every epoch of the retention
 // window. The home of a key is the top of a rendezvous hash over the members of
-// an epoch.
+// an epoch; the second in rank stands in for it when it can't be reached.
 package placement
 
 import (
@@ -57,10 +57,13 @@
 }
 
 // hashAt builds the rendezvous hash over the members of epoch e.
-func (p *Placement) hashAt(e ident.Epoch) *rendezvous.Rendezvous {
+func (p *Placement) hashAt(e ident.Epoch) *rendezvous.Rendezvous { return p.hashWithout(e, "") }
+
+// hashWithout builds the rendezvous hash over the members of epoch e but one.
+func (p *Placement) hashWithout(e ident.Epoch, without ident.Incarnation) *rendezvous.Rendezvous {
 	var ids []string
 	for i := range p.Members {
-		if p.Members[i].in(e) {
+		if p.Members[i].in(e) && p.Members[i].Incarnation != without {
 			ids = append(ids, string(p.Members[i].Incarnation))
 		}
 	}
@@ -92,23 +95,41 @@
 	return p.Members[p.byID[ident.Incarnation(id)]], true
 }
 
-// FormerHomes returns the distinct homes of the key in the retained epochs from
-// the given one up to the one before the newest, without the newest home.
-func (p *Placement) FormerHomes(key ident.JobKey, from ident.Epoch) []Member {
-	current, _ := p.Home(key)
-	var homes []Member
-	seen := map[ident.Incarnation]bool{current.Incarnation: true}
+// Ranked returns the home of the key and the member that stands in for it when
+// it can't be reached, in this order; fewer if the epoch lists fewer.
+func (p *Placement) Ranked(key ident.JobKey) []Member {
+	return p.rankedAt(p.Epoch, key)
+}
+
+func (p *Placement) rankedAt(e ident.Epoch, key ident.JobKey) []Member {
+	first, ok := p.HomeAt(e, key)
+	if !ok {
+		return nil
+	}
+	second, ok := p.lookup(p.hashWithout(e, first.Incarnation), key)
+	if !ok {
+		return []Member{first}
+	}
+	return []Member{first, second}
+}
+
+// Places returns the distinct members that may have accepted the key in the
+// retained epochs from one to another, both included.
+func (p *Placement) Places(key ident.JobKey, from, to ident.Epoch) []Member {
+	var places []Member
+	seen := make(map[ident.Incarnation]bool)
 	for _, e := range append(p.changes(), from) {
-		if e == 0 || e < from || e >= p.Epoch {
+		if e == 0 || e < from || e > to {
 			continue
 		}
-		m, ok := p.HomeAt(e, key)
-		if ok && !seen[m.Incarnation] {
-			seen[m.Incarnation] = true
-			homes = append(homes, m)
+		for _, m := range p.rankedAt(e, key) {
+			if !seen[m.Incarnation] {
+				seen[m.Incarnation] = true
+				places = append(places, m)
+			}
 		}
 	}
-	return homes
+	return places
 }
 
 // changes returns the retained epochs at which membership changed, ascending.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -155,7 +155,6 @@
 		f.target = to
 		f.toTarget = 0
 		f.maybeSent = false
-		f.troubled = -1
 	}
 	f.calls++
 	f.toTarget++
@@ -201,7 +200,7 @@
 		return false
 	}
 	f.tried = append(f.tried, f.target.Incarnation)
-	for _, m := range r.placement.FormerHomes(f.req.Key, 0) {
+	for _, m := range r.placement.Places(f.req.Key, 0, r.placement.Epoch) {
 		if !slices.Contains(f.tried, m.Incarnation) {
 			r.call(f, m)
 			return true
@@ -249,6 +248,7 @@
 		r.wait(now, f)
 		return
 	}
+	f.troubled = -1
 	r.call(f, e.To)
 }
 
@@ -265,9 +265,26 @@
 		r.targetGone(now, f)
 		return
 	}
+	if second, ok := r.second(f); ok && !e.Sent {
+		r.call(f, second)
+		return
+	}
 	r.wait(now, f)
 }
 
+// second returns the member that stands in for an unreachable home, if the job
+// is fresh and was sent nowhere.
+func (r *Routing) second(f *flight) (placement.Member, bool) {
+	if !f.fresh || f.maybeSent || r.placement == nil {
+		return placement.Member{}, false
+	}
+	ranked := r.placement.Ranked(f.req.Key)
+	if len(ranked) < 2 || ranked[0].Incarnation != f.target.Incarnation {
+		return placement.Member{}, false
+	}
+	return ranked[1], true
+}
+
 // targetGone ends or redirects a request whose target is gone for good.
 func (r *Routing) targetGone(now time.Duration, f *flight) {
 	if f.maybeSent && f.req.Op == OpSubmit {
@@ -340,9 +357,7 @@
 		r.wait(now, f)
 		return
 	}
-	trouble := f.troubled
 	r.call(f, m)
-	f.troubled = trouble
 }
 
 // unsettled is the outcome of a request that got no answer from any home.
