--- a/home/resolve.go
+++ b/home/resolve.go
@@ -58,11 +58,12 @@
 
 // submitUnknown takes a key without an active record. An old record is a seal.
 func (h *Home) submitUnknown(now time.Duration, e Submit, old *record) {
-	if r, detail := h.closed(now); r != "" {
+	if r, detail := h.closed(); r != "" {
 		h.reply(e.Request, h.turnAway(e.Fresh, r, detail))
 		return
 	}
-	if m, ok := h.placement.Home(e.Spec.Key); !ok || m.Incarnation != h.cfg.Self {
+	if !h.mayAccept(e.Spec.Key, e.Fresh) {
+		m, _ := h.placement.Home(e.Spec.Key)
 		h.redirectTo(e.Request, m.Incarnation, e.Fresh)
 		return
 	}
@@ -84,22 +85,25 @@
 	return h.signed(job.Fail(job.ReasonTooOld, 0, "the first attempt is older than the accept window and there is no record"))
 }
 
-// closed returns why this home accepts no unknown key now. Invariant: a key is
-// accepted only under a live permit that names the newest epoch known here.
-func (h *Home) closed(now time.Duration) (job.Reason, string) {
+// closed returns why this home takes no unknown key at all.
+func (h *Home) closed() (job.Reason, string) {
 	switch {
 	case h.leaving:
 		return job.ReasonStopping, "the agent is leaving"
 	case h.placement == nil:
 		return job.ReasonNoHome, "the agent knows no placement yet"
-	case !h.permit.Live(now):
-		return job.ReasonNoPermit, "the agent has no live permit"
-	case h.permit.Epoch != h.placement.Epoch:
-		return job.ReasonNoPermit, "the agent's permit names another epoch"
 	}
 	return "", ""
 }
 
+// permitted reports whether a key may be accepted now. Invariant: a key is
+// accepted only under a live permit that names the newest epoch known here.
+// After a change of the epoch the permit follows within a heartbeat, so a job
+// waits for it for a while.
+func (h *Home) permitted(now time.Duration) bool {
+	return h.permit.Live(now) && h.permit.Epoch == h.placement.Epoch
+}
+
 func (h *Home) ownsKey(key ident.JobKey) bool {
 	if h.placement == nil {
 		return false
@@ -108,9 +112,20 @@
 	return ok && m.Incarnation == h.cfg.Self
 }
 
-// resolve makes a record and asks the former homes that could have started the
+// mayAccept reports whether the newest epoch lets this agent accept the key: as
+// its home, or as the second in rank if the job is fresh. Every other job is
+// looked up at both ranks before it starts, so the two never start the same one.
+func (h *Home) mayAccept(key ident.JobKey, fresh bool) bool {
+	if h.ownsKey(key) {
+		return true
+	}
+	ranked := h.placement.Ranked(key)
+	return fresh && len(ranked) > 1 && ranked[1].Incarnation == h.cfg.Self
+}
+
+// resolve makes a record and asks the other places that could have started the
 // job. A job that is fresh has been nowhere else; it only has to be kept from
-// starting at a former home whose permit for an earlier epoch may still be live.
+// starting at a place whose permit for an earlier epoch may still be live.
 func (h *Home) resolve(now time.Duration, e Submit, old *record) {
 	r := &record{
 		key:      e.Spec.Key,
@@ -133,23 +148,29 @@
 	h.settle(now, r)
 }
 
-// openAsks determines whom to ask.
+// openAsks determines whom to ask and asks those that were not asked yet. It is
+// repeated when the placement moves, since a home of an epoch in between may
+// have accepted the key.
 func (h *Home) openAsks(now time.Duration, r *record) {
+	asked := len(r.asks)
 	from, until := h.oldestLapsing(now)
 	r.startable = until
 	if r.fresh && until <= now {
 		return
 	}
-	if !r.fresh {
+	to := h.placement.Epoch
+	if r.fresh {
+		to--
+	} else {
 		from = 0
 	}
-	for _, m := range h.placement.FormerHomes(r.key, from) {
+	for _, m := range h.placement.Places(r.key, from, to) {
 		h.addAsk(r, m)
 	}
 	if m, ok := h.placement.Member(r.sealedTo); ok {
 		h.addAsk(r, m)
 	}
-	for i := range r.asks {
+	for i := asked; i < len(r.asks); i++ {
 		h.ask(r, &r.asks[i])
 	}
 }
@@ -257,6 +278,13 @@
 	}
 }
 
+// settleAll looks at every resolving job again.
+func (h *Home) settleAll(now time.Duration) {
+	for _, r := range slices.Clone(h.active) {
+		h.settle(now, r)
+	}
+}
+
 // settle starts or ends a resolving job as soon as the answers allow it.
 func (h *Home) settle(now time.Duration, r *record) {
 	if r.phase != phaseResolving {
@@ -264,6 +292,8 @@
 	}
 	open, vanished := r.openAsks()
 	switch {
+	case !h.leaving && !h.permitted(now):
+		// Wait for the permit, or for the time to give up.
 	case open == 0 && vanished == 0:
 		h.begin(now, r)
 	case r.fresh && now >= r.startable:
@@ -293,7 +323,7 @@
 		return
 	}
 	if now >= r.giveUp && !(r.fresh && r.startable > now) {
-		h.discard(now, r, h.turnAway(r.fresh, job.ReasonUnresolved, "a former home of the job does not answer"))
+		h.giveUp(now, r)
 		return
 	}
 	for i := range r.asks {
@@ -304,6 +334,15 @@
 	}
 }
 
+// giveUp ends a job that could not be resolved in time.
+func (h *Home) giveUp(now time.Duration, r *record) {
+	if !h.permitted(now) {
+		h.discard(now, r, h.turnAway(r.fresh, job.ReasonNoPermit, "the agent has no permit for the newest epoch"))
+		return
+	}
+	h.discard(now, r, h.turnAway(r.fresh, job.ReasonUnresolved, "a former home of the job does not answer"))
+}
+
 // sealAsked answers a newer home. Invariant: once Sealed is answered, this home
 // accepts the key only after the asking home has sealed it in turn.
 func (h *Home) sealAsked(now time.Duration, e SealAsked) {
@@ -315,7 +354,7 @@
 		h.seal(now, r, e)
 	case r.phase == phaseSealed:
 		h.seal(now, r, e)
-	case r.phase == phaseResolving && h.placement.Epoch < e.Epoch:
+	case r.phase == phaseResolving && h.yields(r, e):
 		h.passOn(now, r, e.From)
 		h.records[e.Key] = r
 		h.seal(now, r, e)
@@ -324,6 +363,16 @@
 	}
 }
 
+// yields reports whether a job that is being resolved here goes to the asking
+// home: one of a newer epoch, or the first in rank of the same epoch.
+func (h *Home) yields(r *record, e SealAsked) bool {
+	if h.placement.Epoch != e.Epoch {
+		return h.placement.Epoch < e.Epoch
+	}
+	m, ok := h.placement.Home(r.key)
+	return ok && m.Incarnation == e.From
+}
+
 func (h *Home) seal(now time.Duration, r *record, e SealAsked) {
 	h.stats.Sealed++
 	r.phase = phaseSealed
