Add the operators' interface of entries

Cause: operators need to show, check and change the document, to withdraw and drain, and to read status, audit trail and a short report, with credentials.

Ruled out: answering strangers with 404 for paths that do not exist, which would tell them which do.

--- a/control/audit.go
+++ b/control/audit.go
@@ -19,7 +19,7 @@
 // caller's context: a caller that hangs up leaves a row as well.
 func (s *Store) auditRefusal(c document.Change, forced bool, cause error) {
 	row := s.row(c, forced)
-	row.Outcome = outcomeOf(cause)
+	row.Outcome = OutcomeOf(cause)
 	row.Detail = cause.Error()
 	var conflict *document.ConflictError
 	if errors.As(cause, &conflict) {
@@ -40,8 +40,8 @@
 	}
 }
 
-// outcomeOf names the outcome of a refused change.
-func outcomeOf(err error) audit.Outcome {
+// OutcomeOf names the outcome of a refused change.
+func OutcomeOf(err error) audit.Outcome {
 	var conflict *document.ConflictError
 	var faults *document.CheckError
 	switch {
--- a/document/change.go
+++ b/document/change.go
@@ -61,6 +61,9 @@
 		Name: c.Section, Version: d.Version + 1, Text: c.Text, By: c.By.String(),
 		AtUnix: at.Unix(), ChangeID: c.ID, Deleted: c.Delete,
 	}
+	if c.Delete && (last.Version == 0 || last.Deleted) {
+		return nil, nil, Section{}, &CheckError{Problems: []Problem{{Section: c.Section, Message: "there is no such section"}}}
+	}
 	if c.Delete {
 		next.Text = ""
 		next.Owner = last.Owner
--- a/document/check.go
+++ b/document/check.go
@@ -30,7 +30,7 @@
 	for i := range c.Tokens {
 		t := &c.Tokens[i]
 		field := fmt.Sprintf("tokens[%d]", i)
-		k.failIf(!tokenID(t.ID), field+".id", "id %q must be of letters a to z, digits, _ and -", t.ID)
+		k.failIf(!tokenID(t.ID), field+".id", "id %q must be of letters, digits, _, ~ and -", t.ID)
 		k.failIf(seen[t.ID], field+".id", "id %q is used twice", t.ID)
 		k.failIf(t.Role != RoleCaller && t.Role != RoleOperator, field+".role", "role must be %q or %q", RoleCaller, RoleOperator)
 		k.failIf(!isHex(t.Salt, saltBytes), field+".salt", "salt must be %d bytes in hexadecimal", saltBytes)
--- /dev/null
+++ b/document/edit.go
@@ -0,0 +1,41 @@
+package document
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// DomainText returns the text of a domain/ section with another state and
+// reason. Everything else that the owner wrote is kept; an empty text becomes a
+// new section.
+func DomainText(text string, state DomainState, reason string) string {
+	if strings.TrimSpace(text) == "" {
+		text = setField("", "owner", string(OperatorsTeam))
+	}
+	text = setField(text, "state", string(state))
+	return setField(text, "reason", reason)
+}
+
+// DrainText returns the text of a drain/ section.
+func DrainText(reason string) string {
+	return setField(setField("", "owner", string(OperatorsTeam)), "reason", reason)
+}
+
+// setField replaces or adds a string field of a text without tables. The strings
+// of JSON are strings of TOML as well.
+func setField(text, field, value string) string {
+	quoted, err := json.Marshal(value)
+	if err != nil {
+		quoted = []byte(`""`)
+	}
+	line := fmt.Sprintf("%s = %s", field, quoted)
+	ls := lines(text)
+	if n := lineOf(text, field); n > 0 {
+		ls[n-1] = line
+	} else {
+		ls = slices.Concat(ls, []string{line})
+	}
+	return strings.Join(ls, "\n") + "\n"
+}
--- /dev/null
+++ b/entry/operators.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"foxtaildock.example/dock/api"
+	"foxtaildock.example/dock/audit"
+	"foxtaildock.example/dock/control"
+	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/ident"
+)
+
+// Times and bounds of the operators' interface.
+const (
+	// operatorTimeout bounds one request.
+	operatorTimeout = 10 * time.Second
+	// maxChangeBytes bounds the body of a change; JSON escapes may double the
+	// text.
+	maxChangeBytes = 4*document.MaxSectionBytes + 4096
+	// refusalInterval is the time over which refused tokens are gathered into
+	// one audit row.
+	refusalInterval = 10 * time.Second
+)
+
+// errNoDocument means that the entry has not learned the document yet.
+var errNoDocument = errors.New("the entry has no document yet; try another one")
+
+// OperatorsConfig is what the operators' interface needs.
+type OperatorsConfig struct {
+	Self ident.Incarnation
+	// Control is the entry's control duty.
+	Control *control.Duty
+	// BootstrapSHA256 is the hash of the token that may write the first
+	// operators' section. Empty means that there is none.
+	BootstrapSHA256 string
+	// Tallies returns the counts of answers to callers; it may be nil.
+	Tallies func() []api.JobTally
+}
+
+// Operators serves the operators' interface.
+type Operators struct {
+	cfg   OperatorsConfig
+	store *control.Store
+	mux   *http.ServeMux
+	// origin is the zero of the times of refusals.
+	origin   time.Time
+	mu       sync.Mutex
+	refusals *audit.Refusals
+}
+
+// operation is a handler that knows who asks.
+type operation func(w http.ResponseWriter, r *http.Request, by document.Identity)
+
+// NewOperators returns the handler of the operators' interface.
+func NewOperators(cfg OperatorsConfig) *Operators {
+	o := &Operators{
+		cfg:      cfg,
+		store:    cfg.Control.Store(),
+		mux:      http.NewServeMux(),
+		origin:   time.Now(),
+		refusals: audit.NewRefusals(refusalInterval),
+	}
+	o.handle("GET "+api.PathDocument, o.document)
+	o.handle("GET "+api.PathSection, o.section)
+	o.handle("PUT "+api.PathSection, o.put)
+	o.handle("DELETE "+api.PathSection, o.remove)
+	o.handle("GET "+api.PathHistory, o.history)
+	o.handle("POST "+api.PathCheck, o.check)
+	o.handle("POST "+api.PathWithdraw, o.withdraw)
+	o.handle("POST "+api.PathRestore, o.restore)
+	o.handle("POST "+api.PathDrain, o.drain)
+	o.handle("POST "+api.PathUndrain, o.undrain)
+	o.handle("GET "+api.PathAudit, o.audit)
+	o.handle("GET "+api.PathStatus, o.status)
+	o.handle("GET "+api.PathReport, o.report)
+	o.handle("POST "+api.PathForcePlacement, o.forcePlacement)
+	return o
+}
+
+// ServeHTTP serves one request. Whoever has no token learns nothing, not even
+// which paths there are.
+func (o *Operators) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, status := o.identify(r); status != http.StatusOK {
+		o.turnAway(w, r, status)
+		return
+	}
+	o.mux.ServeHTTP(w, r)
+}
+
+func (o *Operators) handle(pattern string, op operation) {
+	o.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		ctx, stop := context.WithTimeout(r.Context(), operatorTimeout)
+		defer stop()
+		by, status := o.identify(r)
+		if status != http.StatusOK {
+			o.turnAway(w, r, status)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxChangeBytes)
+		op(w, r.WithContext(ctx), by)
+	})
+}
+
+// Run writes the audit rows of refused tokens until the context ends.
+func (o *Operators) Run(ctx context.Context) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			o.flush()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (o *Operators) flush() {
+	o.mu.Lock()
+	rows := o.refusals.Flush(time.Since(o.origin))
+	o.mu.Unlock()
+	for _, r := range rows {
+		o.store.Record(r)
+	}
+}
+
+// identify says who asks, and the status to turn the request away with if it may
+// not.
+func (o *Operators) identify(r *http.Request) (document.Identity, int) {
+	token, ok := strings.CutPrefix(r.Header.Get(api.TokenHeader), "Bearer ")
+	if !ok {
+		return document.Identity{}, http.StatusUnauthorized
+	}
+	view := o.cfg.Control.View()
+	if view == nil {
+		return document.Identity{}, http.StatusServiceUnavailable
+	}
+	if !view.HasTeam(document.OperatorsTeam) && document.EqualBootstrap(token, o.cfg.BootstrapSHA256) {
+		return document.Identity{Team: document.OperatorsTeam, TokenID: "bootstrap", Role: document.RoleOperator}, http.StatusOK
+	}
+	by, err := view.Authenticate(token)
+	switch {
+	case err != nil:
+		return document.Identity{}, http.StatusUnauthorized
+	case by.Role != document.RoleOperator:
+		return by, http.StatusForbidden
+	}
+	return by, http.StatusOK
+}
+
+// turnAway answers a request without a fitting token and notes it for the audit
+// trail.
+func (o *Operators) turnAway(w http.ResponseWriter, r *http.Request, status int) {
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+		refuse(w, status, audit.Unavailable, errNoDocument.Error())
+		return
+	}
+	o.noteRefusal(r, status)
+	if status == http.StatusForbidden {
+		refuse(w, status, audit.Forbidden, "this token is not for operators")
+		return
+	}
+	w.Header().Set("WWW-Authenticate", "Bearer")
+	refuse(w, status, audit.Unauthorized, document.ErrToken.Error())
+}
+
+func (o *Operators) noteRefusal(r *http.Request, status int) {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = "unknown"
+	}
+	outcome := audit.Unauthorized
+	if status == http.StatusForbidden {
+		outcome = audit.Forbidden
+	}
+	row := audit.Row{
+		ID: control.NewID(), UnixMS: time.Now().UnixMilli(), Entry: o.cfg.Self, By: host,
+		Action: audit.Present, Outcome: outcome, Detail: "token refused at the operators' interface",
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refusals.Add(time.Since(o.origin), row)
+}
--- /dev/null
+++ b/entry/operators_document.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"foxtaildock.example/dock/api"
+	"foxtaildock.example/dock/audit"
+	"foxtaildock.example/dock/control"
+	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/platform"
+)
+
+// defaultHistory is the number of states that a history shows if no limit is
+// given.
+const defaultHistory = 20
+
+// document answers with the whole document.
+func (o *Operators) document(w http.ResponseWriter, r *http.Request, _ document.Identity) {
+	doc, err := o.store.Current(r.Context())
+	if err != nil {
+		refuseError(w, "", err)
+		return
+	}
+	w.Header().Set("ETag", etag(doc.Version))
+	answer(w, api.DocumentAnswer{Version: doc.Version, Sections: doc.Sections()})
+}
+
+// section answers with one section.
+func (o *Operators) section(w http.ResponseWriter, r *http.Request, _ document.Identity) {
+	doc, err := o.store.Current(r.Context())
+	if err != nil {
+		refuseError(w, "", err)
+		return
+	}
+	s, ok := doc.Section(sectionName(r))
+	if !ok {
+		refuse(w, http.StatusNotFound, audit.Invalid, "there is no section "+string(sectionName(r)))
+		return
+	}
+	w.Header().Set("ETag", etag(s.Version))
+	answer(w, s)
+}
+
+func etag(v ident.DocVersion) string { return `"` + strconv.FormatUint(uint64(v), 10) + `"` }
+
+func sectionName(r *http.Request) document.Name {
+	return document.NameOf(document.Kind(r.PathValue("kind")), r.PathValue("subject"))
+}
+
+// history answers with the newest states of one section.
+func (o *Operators) history(w http.ResponseWriter, r *http.Request, _ document.Identity) {
+	limit := defaultHistory
+	if n, err := strconv.Atoi(r.URL.Query().Get("limit")); err == nil && n > 0 {
+		limit = n
+	}
+	sections, err := o.store.History(r.Context(), sectionName(r), limit)
+	if err != nil {
+		refuseError(w, "", err)
+		return
+	}
+	answer(w, api.HistoryAnswer{Sections: sections})
+}
+
+// put changes or creates one section.
+func (o *Operators) put(w http.ResponseWriter, r *http.Request, by document.Identity) {
+	o.change(w, r, by, func(req *api.ChangeRequest, c *document.Change, _ document.Section) error {
+		if req.Expect == nil {
+			return errNoExpect
+		}
+		return nil
+	})
+}
+
+// remove deletes one section.
+func (o *Operators) remove(w http.ResponseWriter, r *http.Request, by document.Identity) {
+	o.change(w, r, by, func(req *api.ChangeRequest, c *document.Change, _ document.Section) error {
+		c.Delete = true
+		c.Text = ""
+		if req.Expect == nil {
+			return errNoExpect
+		}
+		return nil
+	})
+}
+
+var errNoExpect = errors.New("expect is missing: name the version that the change was made from, or 0 for a new section")
+
+// withdraw takes a failure domain out of service.
+func (o *Operators) withdraw(w http.ResponseWriter, r *http.Request, by document.Identity) {
+	o.setDomain(w, r, by, document.DomainWithdrawn)
+}
+
+// restore returns a failure domain to service.
+func (o *Operators) restore(w http.ResponseWriter, r *http.Request, by document.Identity) {
+	o.setDomain(w, r, by, document.DomainInService)
+}
+
+func (o *Operators) setDomain(w http.ResponseWriter, r *http.Request, by document.Identity, state document.DomainState) {
+	o.change(w, r, by, func(req *api.ChangeRequest, c *document.Change, now document.Section) error {
+		c.Section = document.NameOf(document.KindDomain, r.PathValue("domain"))
+		c.Text = document.DomainText(now.Text, state, req.Reason)
+		return nil
+	})
+}
+
+// drain takes one backend server out of service.
+func (o *Operators) drain(w http.ResponseWriter, r *http.Request, by document.Identity) {
+	o.change(w, r, by, func(req *api.ChangeRequest, c *document.Change, _ document.Section) error {
+		c.Section = document.NameOf(document.KindDrain, r.PathValue("server"))
+		c.Text = document.DrainText(req.Reason)
+		return nil
+	})
+}
+
+// undrain returns one backend server to service.
+func (o *Operators) undrain(w http.ResponseWriter, r *http.Request, by document.Identity) {
+	o.change(w, r, by, func(_ *api.ChangeRequest, c *document.Change, _ document.Section) error {
+		c.Section = document.NameOf(document.KindDrain, r.PathValue("server"))
+		c.Delete = true
+		return nil
+	})
+}
+
+// fill completes a change from its request and the section as it is.
+type fill func(req *api.ChangeRequest, c *document.Change, now document.Section) error
+
+// change carries out one change and answers it.
+func (o *Operators) change(w http.ResponseWriter, r *http.Request, by document.Identity, f fill) {
+	req, c, ok := o.prepare(w, r, sectionOf(r), by, f)
+	if !ok {
+		return
+	}
+	done, err := o.store.Apply(r.Context(), c, req.Force)
+	if err != nil {
+		refuseError(w, c.ID, err)
+		return
+	}
+	w.Header().Set("ETag", etag(done.Version))
+	answer(w, api.ChangeAnswer{ChangeID: done.ChangeID, Section: done.Section, Version: done.Version, Repeated: done.Repeated})
+}
+
+// sectionOf names the section that a path is about.
+func sectionOf(r *http.Request) document.Name {
+	if d := r.PathValue("domain"); d != "" {
+		return document.NameOf(document.KindDomain, d)
+	}
+	if s := r.PathValue("server"); s != "" {
+		return document.NameOf(document.KindDrain, s)
+	}
+	return sectionName(r)
+}
+
+// prepare reads a change request. If it can't be carried out, it is answered and
+// false is returned.
+func (o *Operators) prepare(w http.ResponseWriter, r *http.Request, n document.Name, by document.Identity, f fill) (api.ChangeRequest, document.Change, bool) {
+	var req api.ChangeRequest
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&req); err != nil {
+		refuse(w, http.StatusBadRequest, audit.Invalid, "malformed request: "+err.Error())
+		return req, document.Change{}, false
+	}
+	c := document.Change{ID: req.ChangeID, Section: n, Text: req.Text, By: by, Reason: req.Reason}
+	var now document.Section
+	if req.Expect != nil {
+		c.Expect = *req.Expect
+	}
+	if req.Expect == nil || n.Kind() == document.KindDomain {
+		doc, err := o.store.Current(r.Context())
+		if err != nil {
+			refuseError(w, c.ID, err)
+			return req, c, false
+		}
+		now, _ = doc.Section(n)
+	}
+	if req.Expect == nil {
+		c.Expect = now.Version
+	}
+	if err := f(&req, &c, now); err != nil {
+		refuse(w, http.StatusBadRequest, audit.Invalid, err.Error())
+		return req, c, false
+	}
+	return req, c, true
+}
+
+// check says what a change would do, and changes nothing.
+func (o *Operators) check(w http.ResponseWriter, r *http.Request, by document.Identity) {
+	n := document.Name(r.URL.Query().Get("section"))
+	_, c, ok := o.prepare(w, r, n, by, func(*api.ChangeRequest, *document.Change, document.Section) error { return nil })
+	if !ok {
+		return
+	}
+	doc, err := o.store.Current(r.Context())
+	if err != nil {
+		refuseError(w, "", err)
+		return
+	}
+	now, _ := doc.Section(n)
+	result := api.CheckAnswer{OK: true, Version: now.Version, Diff: document.Diff(now.Text, c.Text)}
+	if _, _, _, err := document.Decide(doc, c, "", time.Now()); err != nil {
+		_, refusal := refusalOf("", err)
+		result.OK = false
+		result.Refusal = &refusal
+	}
+	answer(w, result)
+}
+
+// refusalOf turns an error of the store into an answer.
+func refusalOf(id string, err error) (int, api.ChangeRefusal) {
+	r := api.ChangeRefusal{ChangeID: id, Outcome: control.OutcomeOf(err), Error: err.Error()}
+	var conflict *document.ConflictError
+	if errors.As(err, &conflict) {
+		r.Winner = &conflict.Winner
+		r.Theirs = document.Changes(conflict.Theirs)
+		r.Yours = document.Changes(conflict.Yours)
+	}
+	var faults *document.CheckError
+	if errors.As(err, &faults) {
+		r.Problems = faults.Problems
+		r.Error = fmt.Sprintf("%d problem(s) in the document", len(faults.Problems))
+	}
+	r.MayBeAccepted = errors.Is(err, platform.ErrUnknown)
+	return statusOf(r.Outcome), r
+}
+
+// statusOf is the HTTP status of an outcome.
+func statusOf(o audit.Outcome) int {
+	switch o {
+	case audit.Accepted:
+		return http.StatusOK
+	case audit.Conflict:
+		return http.StatusConflict
+	case audit.Invalid:
+		return http.StatusUnprocessableEntity
+	case audit.Forbidden:
+		return http.StatusForbidden
+	case audit.Unauthorized:
+		return http.StatusUnauthorized
+	case audit.Unknown:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+func refuseError(w http.ResponseWriter, id string, err error) {
+	status, r := refusalOf(id, err)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	write(w, status, r)
+}
+
+func refuse(w http.ResponseWriter, status int, outcome audit.Outcome, message string) {
+	write(w, status, api.ChangeRefusal{Outcome: outcome, Error: message})
+}
+
+func answer(w http.ResponseWriter, body any) { write(w, http.StatusOK, body) }
+
+func write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	// An operator who has hung up needs no answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
