--- a/control/agentlink/link.go
+++ b/control/agentlink/link.go
@@ -250,8 +250,9 @@
 	}
 	agents := make([]membership.Agent, 0, len(peers))
 	for _, p := range peers {
-		if p.GetIncarnation() != string(l.cfg.Self) {
-			agents = append(agents, l.peers.add(entry, rpc.PeerFromProto(p)))
+		a, ok := l.peers.add(entry, rpc.PeerFromProto(p))
+		if ok && a.Incarnation != l.cfg.Self {
+			agents = append(agents, a)
 		}
 	}
 	l.agent.SetPeers(agents)
--- a/control/agentlink/peers.go
+++ b/control/agentlink/peers.go
@@ -9,14 +9,24 @@
 // is cut from an agent must not hide it while another entry hears it.
 type peerBook struct {
 	votes map[ident.Incarnation]map[ident.Incarnation]membership.State
+	// last is what was last said of an agent.
+	last map[ident.Incarnation]membership.Agent
 }
 
 func newPeerBook() *peerBook {
-	return &peerBook{votes: make(map[ident.Incarnation]map[ident.Incarnation]membership.State)}
+	return &peerBook{
+		votes: make(map[ident.Incarnation]map[ident.Incarnation]membership.State),
+		last:  make(map[ident.Incarnation]membership.Agent),
+	}
 }
 
-// add takes one entry's word and returns the agent with the joint state.
-func (b *peerBook) add(entry ident.Incarnation, a membership.Agent) membership.Agent {
+// add takes one entry's word and returns the agent with the joint state. News of
+// a load alone is completed by what is known; false means that nothing is.
+func (b *peerBook) add(entry ident.Incarnation, a membership.Agent) (membership.Agent, bool) {
+	a, ok := b.complete(a)
+	if !ok {
+		return a, false
+	}
 	votes, ok := b.votes[a.Incarnation]
 	if !ok {
 		votes = make(map[ident.Incarnation]membership.State)
@@ -24,10 +34,25 @@
 	}
 	votes[entry] = a.State
 	a.State = joint(votes)
+	b.last[a.Incarnation] = a
 	if a.State == membership.Gone {
 		delete(b.votes, a.Incarnation)
+		delete(b.last, a.Incarnation)
+	}
+	return a, true
+}
+
+// complete fills in what news of a load leaves out.
+func (b *peerBook) complete(a membership.Agent) (membership.Agent, bool) {
+	if a.Address != "" {
+		return a, true
 	}
-	return a
+	known, ok := b.last[a.Incarnation]
+	known.Free = a.Free
+	known.Queued = a.Queued
+	known.State = a.State
+	known.OutOfService = a.OutOfService
+	return known, ok
 }
 
 // forget drops the word of an entry that is silent.
@@ -36,6 +61,7 @@
 		delete(votes, entry)
 		if len(votes) == 0 {
 			delete(b.votes, id)
+			delete(b.last, id)
 		}
 	}
 }
--- /dev/null
+++ b/control/bench_test.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"fmt"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/permit"
+	"foxtaildock.example/dock/placement"
+	"foxtaildock.example/dock/platform/memory"
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/dockpb"
+	"foxtaildock.example/dock/telemetry"
+)
+
+// benchDuty is the control duty of an entry that knows n agents, without loops
+// and network.
+func benchDuty(b *testing.B, n int) (*Duty, []*dockpb.HeartbeatRequest) {
+	cfg := DefaultConfig()
+	cfg.Self, cfg.Cell, cfg.Address = "entry-0123456789", "north", "10.0.0.1:7100"
+	cfg.Table = memory.New().Table()
+	cfg.Client = &http.Client{}
+	cfg.Log = telemetry.Discard()
+	d, err := New(cfg, idle{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var members []placement.Member
+	requests := make([]*dockpb.HeartbeatRequest, n)
+	for i := range n {
+		a := membership.Announcement{
+			Incarnation: ident.Incarnation(fmt.Sprintf("agent-0123456789-%05d", i)),
+			Address:     fmt.Sprintf("10.1.%d.%d:7100", i/250, i%250), Domain: domainOf(i),
+			Services: []ident.Service{"serial-issuing"}, Slots: 8, Free: 3, Queued: 2,
+		}
+		members = append(members, placement.Member{Incarnation: a.Incarnation, Address: a.Address, Domain: a.Domain, Joined: 1})
+		requests[i] = &dockpb.HeartbeatRequest{
+			Self: rpc.AnnouncementToProto(&a), Entry: string(cfg.Self), Version: 1, Epoch: 1,
+			Confirmation: &dockpb.Confirmation{Version: 1, Epoch: 1}, Running: 5, Jobs: 40,
+		}
+	}
+	doc := document.New(0, nil)
+	view, err := document.NewView(doc)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &snapshot{document: doc, view: view, placement: placement.New(1, members), fromTable: true}
+	d.install(s)
+	// Two rounds take the news of the joins out of the figures.
+	for range 2 {
+		for _, r := range requests {
+			r.Version = 0
+			r.Confirmation.Version = 0
+			r.Echo = d.beat(r).Echo
+		}
+	}
+	return d, requests
+}
+
+// heartbeatsPerSecond is how often an agent calls each entry.
+const heartbeatsPerSecond = 2
+
+// BenchmarkEntryHeartbeat is what one heartbeat costs an entry: decoding,
+// deciding and encoding. The control cost of the entry is that times the agents
+// of its cell and two per second.
+func BenchmarkEntryHeartbeat(b *testing.B) {
+	for _, outage := range []bool{false, true} {
+		for _, n := range []int{10, 100, 1000} {
+			b.Run(fmt.Sprintf("outage=%v/agents=%d", outage, n), func(b *testing.B) {
+				d, requests := benchDuty(b, n)
+				benchHeartbeats(b, d, requests, outage)
+			})
+		}
+	}
+}
+
+func benchHeartbeats(b *testing.B, d *Duty, requests []*dockpb.HeartbeatRequest, outage bool) {
+	requestBytes, replyBytes := 0, 0
+	state := permit.State{Epoch: 1}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		if !outage {
+			d.granter.ConfirmRead(permit.Confirmation{State: state, ReadAt: d.now()})
+		}
+		r := requests[i%len(requests)]
+		i++
+		in, err := proto.Marshal(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		decoded := &dockpb.HeartbeatRequest{}
+		if err := proto.Unmarshal(in, decoded); err != nil {
+			b.Fatal(err)
+		}
+		reply := d.beat(decoded)
+		out, err := proto.Marshal(reply)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Echo = reply.Echo
+		requestBytes += len(in)
+		replyBytes += len(out)
+	}
+	b.ReportMetric(float64(requestBytes)/float64(i), "request-B")
+	b.ReportMetric(float64(replyBytes)/float64(i), "reply-B")
+	perSecond := float64(len(requests)) * heartbeatsPerSecond
+	b.ReportMetric(float64(b.Elapsed())/float64(i)*perSecond/float64(time.Second)*100, "core-%")
+}
+
+// BenchmarkEntryMemory is the heap that one tracked agent costs an entry.
+func BenchmarkEntryMemory(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			var keep *Duty
+			before := heap()
+			for b.Loop() {
+				keep, _ = benchDuty(b, n)
+			}
+			b.ReportMetric(float64(heap()-before)/float64(n), "B/agent")
+			runtime.KeepAlive(keep)
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/control/cell_scenarios_test.go
+++ b/control/cell_scenarios_test.go
@@ -267,3 +267,49 @@
 		}
 	})
 }
+
+// An agent that is cut from every entry, also across the change, stops within
+// one lease and takes up the newest state when it is back.
+func TestCutAgentStops(t *testing.T) {
+	run(t, 2, 6, func(t *testing.T, c *cell) {
+		lone := c.agents[0]
+		for _, entry := range []string{"10.0.0.0:1", "10.0.0.1:1"} {
+			c.net.setCut(lone.self.Address, entry, true)
+		}
+		done := c.mustApply(0, "domain/lulea", 0, withdrawn)
+		if last := c.watch("lulea", 6*time.Second); last >= permit.Lease {
+			t.Errorf("an agent could start %v after the withdrawal", last)
+		}
+		for _, entry := range []string{"10.0.0.0:1", "10.0.0.1:1"} {
+			c.net.setCut(lone.self.Address, entry, false)
+		}
+		if last := c.watch("lulea", 6*time.Second); last >= 0 {
+			t.Error("an agent could start when it was back, although its domain is withdrawn")
+		}
+		c.mustApply(0, "domain/lulea", done.Version, inService)
+		time.Sleep(2 * time.Second)
+		if got := c.countStarts(); got != 6 {
+			t.Errorf("%d of 6 agents may start after the restore", got)
+		}
+	})
+}
+
+// A state that the entry has committed is learned from it although the platform
+// goes away right after the write.
+func TestOutageRightAfterWithdrawal(t *testing.T) {
+	run(t, 2, 6, func(t *testing.T, c *cell) {
+		c.mustApply(0, "domain/lulea", 0, withdrawn)
+		for _, e := range c.entries {
+			e.table.set(func(f *faulty) { f.down = true })
+		}
+		if last := c.watch("lulea", 10*time.Second); last >= permit.Lease {
+			t.Errorf("an agent could start %v after the withdrawal", last)
+		}
+		if got := c.countStarts(); got != 4 {
+			t.Errorf("%d of the 4 agents elsewhere may start", got)
+		}
+		if v := c.entries[1].View(); v.Version != c.entries[0].View().Version {
+			t.Errorf("the other entry is at version %d", v.Version)
+		}
+	})
+}
--- a/control/duty.go
+++ b/control/duty.go
@@ -46,6 +46,8 @@
 	planner *membership.Planner
 	intents *intentBook
 	entries map[string]*entryState
+	// entriesAt is when the set of live entries last changed.
+	entriesAt time.Duration
 	// planning is set while a proposal is being committed.
 	planning bool
 	// forceNext lets the next epoch do without the members' word.
--- a/control/entries.go
+++ b/control/entries.go
@@ -53,6 +53,7 @@
 		s := d.entries[address]
 		if s.heard && now-s.heardAt >= silentEntry {
 			s.heard = false
+			d.entriesAt = now
 			d.listener.SetDemand(s.incarnation, nil)
 		}
 		if now-max(s.heardAt, s.listedAt) >= forgetEntry {
@@ -151,6 +152,9 @@
 	s.incarnation = ident.Incarnation(self.GetIncarnation())
 	s.domain = ident.FailureDomain(self.GetDomain())
 	s.known = rpc.StateFromProto(self.GetVersion(), self.GetEpoch())
+	if !s.heard {
+		d.entriesAt = now
+	}
 	s.heard = true
 	s.heardAt = now
 	c := e.response.GetConfirmation()
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -23,13 +23,13 @@
 	resp.Settled = d.settledFor(now, r.GetIntent())
 	resp.Permit = d.permitFor(now, &n)
 	resp.Confirmation = d.confirmationAt(now)
-	resp.Entries = d.entryPeers(now)
+	if echo == 0 || echo <= d.entriesAt {
+		resp.Entries = d.entryPeers(now)
+	}
 	if s := d.current.Load(); s != nil && ident.Epoch(r.GetEpoch()) < s.placement.Epoch {
 		resp.Placement = rpc.PlacementToProto(s.placement)
 	}
-	for _, p := range d.tracker.PeersSince(now, echo, n.Incarnation) {
-		resp.Peers = append(resp.Peers, rpc.PeerToProto(&p))
-	}
+	resp.Peers = d.peersFor(now, echo, n.Incarnation)
 	return resp
 }
 
@@ -41,6 +41,19 @@
 	return n
 }
 
+// peersFor tells an agent what is new about its peers.
+func (d *Duty) peersFor(now, echo time.Duration, to ident.Incarnation) []*dockpb.Peer {
+	var peers []*dockpb.Peer
+	for _, p := range d.tracker.PeersSince(now, echo, to) {
+		if p.LoadOnly {
+			peers = append(peers, rpc.LoadToProto(&p.Agent))
+			continue
+		}
+		peers = append(peers, rpc.PeerToProto(&p.Agent))
+	}
+	return peers
+}
+
 // echoAt is the protocol's form of a time of the duty's clock.
 func echoAt(now time.Duration) uint64 { return uint64(now / time.Microsecond) }
 
--- a/entry/operators_test.go
+++ b/entry/operators_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -204,3 +205,44 @@
 		}
 	})
 }
+
+// handlerTransport calls a handler without a network.
+type handlerTransport struct{ http.Handler }
+
+func (h handlerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+func TestOperatorsClient(t *testing.T) {
+	runDesk(t, func(d *desk) {
+		ctx := context.Background()
+		c, err := api.NewOperatorsClient([]string{"10.0.0.1:7002"}, d.tokens["operators"], handlerTransport{d.o})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := api.ChangeRequest{ChangeID: control.NewID(), Reason: "disk"}
+		first, err := c.Drain(ctx, "10.0.1.7:7100", r)
+		if err != nil || first.Section != "drain/10.0.1.7:7100" {
+			t.Fatalf("drain gave %+v, %v", first, err)
+		}
+		again, err := c.Drain(ctx, "10.0.1.7:7100", r)
+		if err != nil || !again.Repeated || again.Version != first.Version {
+			t.Errorf("the same change again gave %+v, %v", again, err)
+		}
+		s, err := c.Section(ctx, first.Section)
+		if err != nil || s.Version != first.Version {
+			t.Errorf("the section is %+v, %v", s, err)
+		}
+		expect := ident.DocVersion(1)
+		_, err = c.Apply(ctx, first.Section, api.ChangeRequest{ChangeID: control.NewID(), Expect: &expect, Text: s.Text})
+		var refused *api.RefusedError
+		if !errors.As(err, &refused) || refused.Refusal.Outcome != audit.Conflict {
+			t.Errorf("a clash gave %v", err)
+		}
+		if doc, err := c.Document(ctx); err != nil || len(doc.Sections) != 4 {
+			t.Errorf("the document is %+v, %v", doc, err)
+		}
+	})
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -93,7 +93,7 @@
 		MaxMembers:   1000,
 		MaxAgents:    4000,
 		Retention:    job.Retention + 2*job.ClockSkew,
-		LoadSample:   16,
+		LoadSample:   8,
 	}
 }
 
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,224 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/placement"
+)
+
+// fleet drives a tracker and a planner in simulated time.
+type fleet struct {
+	t       *Tracker
+	p       *Planner
+	now     time.Duration
+	wall    time.Time
+	current *placement.Placement
+	epochs  int
+}
+
+func newFleet() *fleet {
+	cfg := DefaultConfig()
+	return &fleet{
+		t: NewTracker(cfg), p: NewPlanner(cfg), now: time.Hour,
+		wall: time.Unix(1_800_000_000, 0), current: placement.New(0, nil),
+	}
+}
+
+func agentOf(i int) Announcement {
+	return Announcement{
+		Incarnation: ident.Incarnation(fmt.Sprintf("a%04d", i)), Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250),
+		Domain: "lulea", Services: []ident.Service{"serials"}, Slots: 8, Free: 3,
+	}
+}
+
+// pass lets time pass in steps of 500 ms in which the given agents are heard.
+func (f *fleet) pass(d time.Duration, heard ...Announcement) {
+	for end := f.now + d; f.now < end; {
+		f.now += 500 * time.Millisecond
+		f.wall = f.wall.Add(500 * time.Millisecond)
+		for _, n := range heard {
+			f.t.Step(f.now, Heartbeat{n})
+		}
+		f.t.Step(f.now, Tick{})
+		if prop, ok := f.p.Plan(f.now, f.wall, f.t, f.current, 0); ok {
+			f.current = prop.Next
+			f.epochs++
+			f.t.Step(f.now, Installed{f.current})
+		}
+	}
+}
+
+func (f *fleet) state(i int) State {
+	a, _ := f.t.Agent(agentOf(i).Incarnation)
+	return a.State
+}
+
+func agentsFrom(from, to int) []Announcement {
+	var ns []Announcement
+	for i := from; i < to; i++ {
+		ns = append(ns, agentOf(i))
+	}
+	return ns
+}
+
+func TestJoinsMakeOneEpoch(t *testing.T) {
+	f := newFleet()
+	f.pass(5*time.Second, agentsFrom(0, 11)...)
+	if f.epochs != 1 || len(f.current.Current()) != 11 {
+		t.Errorf("%d epochs for %d members", f.epochs, len(f.current.Current()))
+	}
+}
+
+func TestSilenceOfOne(t *testing.T) {
+	f := newFleet()
+	f.pass(5*time.Second, agentsFrom(0, 11)...)
+	f.pass(3*time.Second, agentsFrom(1, 11)...)
+	if f.state(0) != Suspected || !f.current.Lists("a0000") {
+		t.Errorf("after 3 s of silence the agent is %v", f.state(0))
+	}
+	f.pass(2*time.Second, agentsFrom(0, 11)...)
+	if f.state(0) != Up {
+		t.Errorf("after a heartbeat the agent is %v", f.state(0))
+	}
+	f.pass(12*time.Second, agentsFrom(1, 11)...)
+	if f.state(0) != Gone || f.current.Lists("a0000") {
+		t.Errorf("after 12 s of silence the agent is %v", f.state(0))
+	}
+	acts := f.t.Step(f.now, Heartbeat{agentOf(0)})
+	if len(acts) != 1 || acts[0] != (Removed{"a0000"}) {
+		t.Errorf("a removed agent was answered with %v", acts)
+	}
+}
+
+func TestWholeDomainIsLostButNotTheFleet(t *testing.T) {
+	f := newFleet()
+	f.pass(5*time.Second, agentsFrom(0, 11)...)
+	f.pass(15*time.Second, agentsFrom(4, 11)...)
+	if n := len(f.current.Current()); n != 7 {
+		t.Errorf("%d members after a domain of 4 was lost", n)
+	}
+	f.pass(time.Minute)
+	if n := len(f.current.Current()); n != 7 || f.state(5) != Up {
+		t.Errorf("%d members and state %v after everybody went silent", n, f.state(5))
+	}
+	f.pass(3*time.Second, agentsFrom(4, 11)...)
+	if f.t.OwnFault() || f.state(5) != Up {
+		t.Error("the fault did not end")
+	}
+}
+
+func TestOtherEntriesKeepAnAgent(t *testing.T) {
+	f := newFleet()
+	f.pass(5*time.Second, agentsFrom(0, 5)...)
+	for range 30 {
+		f.t.Step(f.now, Elsewhere{agentsFrom(0, 1)})
+		f.pass(time.Second, agentsFrom(1, 5)...)
+	}
+	if f.state(0) != Suspected || !f.current.Lists("a0000") {
+		t.Errorf("an agent that another entry hears is %v", f.state(0))
+	}
+}
+
+func TestPlannedLeaveAndReturn(t *testing.T) {
+	f := newFleet()
+	f.pass(5*time.Second, agentsFrom(0, 5)...)
+	leaver := agentOf(0)
+	leaver.Leaving = true
+	f.pass(5*time.Second, append(agentsFrom(1, 5), leaver)...)
+	if f.current.Lists("a0000") || f.state(0) != Leaving {
+		t.Errorf("the leaving agent is %v", f.state(0))
+	}
+	back := agentOf(0)
+	back.Incarnation = "a0000b"
+	f.pass(5*time.Second, append(agentsFrom(1, 5), back)...)
+	if !f.current.Lists("a0000b") || len(f.current.Current()) != 5 {
+		t.Error("the agent did not come back")
+	}
+	m, known := f.current.Member("a0000")
+	if !known || m.Left == 0 {
+		t.Error("the earlier incarnation is no longer in the row")
+	}
+	f.wall = f.wall.Add(DefaultConfig().Retention + time.Minute)
+	f.pass(5*time.Second, append(agentsFrom(1, 5), back)...)
+	if _, known := f.current.Member("a0000"); known {
+		t.Error("the earlier incarnation is still in the row after the retention")
+	}
+}
+
+func TestPeersSinceTellsChangesAndAllLoadsInTurn(t *testing.T) {
+	f := newFleet()
+	all := agentsFrom(0, 100)
+	f.pass(5*time.Second, all...)
+	if n := len(f.t.PeersSince(f.now, 0, "a0000")); n != 99 {
+		t.Errorf("the first reply tells of %d of 99 peers", n)
+	}
+	seen := make(map[ident.Incarnation]bool)
+	for range 12 {
+		since := f.now
+		f.pass(500*time.Millisecond, all...)
+		peers := f.t.PeersSince(f.now, since, "a0000")
+		if len(peers) > DefaultConfig().LoadSample {
+			t.Fatalf("%d peers although nothing changed", len(peers))
+		}
+		for _, p := range peers {
+			seen[p.Incarnation] = true
+		}
+	}
+	if len(seen) < 90 {
+		t.Errorf("only %d of 99 loads were told in 6 s", len(seen))
+	}
+}
+
+// Whatever is heard and whoever falls silent: a removed incarnation is never
+// listed again, epochs grow by one, and the row survives its encoding.
+func TestPlacementsGoOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		left := make(map[ident.Incarnation]bool)
+		t.Repeat(map[string]func(*rapid.T){"pass": func(t *rapid.T) {
+			var heard []Announcement
+			for i, in := range rapid.SliceOfN(rapid.Bool(), 6, 6).Draw(t, "heard") {
+				n := agentOf(i)
+				n.Leaving = rapid.IntRange(0, 9).Draw(t, "leaving") == 0
+				if in {
+					heard = append(heard, n)
+				}
+			}
+			before := f.current.Epoch
+			epochs := f.epochs
+			f.pass(time.Duration(rapid.IntRange(1, 12).Draw(t, "s"))*time.Second, heard...)
+			if f.current.Epoch != before+ident.Epoch(f.epochs-epochs) {
+				t.Fatalf("epoch %d after %d and %d proposals", f.current.Epoch, before, f.epochs-epochs)
+			}
+			value, err := EncodePlacement(f.current)
+			if err != nil {
+				t.Fatal(err)
+			}
+			again, err := DecodePlacement(value)
+			if err != nil || len(again.Members) != len(f.current.Members) {
+				t.Fatalf("the row does not survive: %v", err)
+			}
+			for _, m := range f.current.Members {
+				if m.Left == 0 && left[m.Incarnation] {
+					t.Fatalf("%s is listed again", m.Incarnation)
+				}
+				left[m.Incarnation] = m.Left != 0
+			}
+		}})
+	})
+}
+
+func FuzzDecodePlacement(f *testing.F) {
+	f.Add([]byte(`{"epoch":3,"members":[{"incarnation":"a","address":"x","joined":1}]}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		p, err := DecodePlacement(value)
+		if err == nil && p == nil {
+			t.Error("neither placement nor error")
+		}
+	})
+}
--- a/membership/peers.go
+++ b/membership/peers.go
@@ -6,26 +6,47 @@
 	"foxtaildock.example/dock/ident"
 )
 
+// PeerNews is what a heartbeat reply tells of one peer.
+type PeerNews struct {
+	Agent
+	// LoadOnly means that nothing but the load may have changed since the
+	// receiver was last told of the peer.
+	LoadOnly bool
+}
+
 // PeersSince returns what a heartbeat reply tells an agent about its peers:
 // those that changed since the given time, which is that of the last reply the
 // agent got (zero for all), and a sample of LoadSample others for their load.
 // The sample moves on with time and so reaches everyone. The list is an update
 // by incarnation, not the whole.
-func (t *Tracker) PeersSince(now, since time.Duration, to ident.Incarnation) []Agent {
-	var peers []Agent
+func (t *Tracker) PeersSince(now, since time.Duration, to ident.Incarnation) []PeerNews {
+	var peers []PeerNews
 	sampled := t.sampleAt(now)
-	for i, id := range t.order {
-		a := t.agents[id]
-		if id == to || (since == 0 && a.State == Gone) {
+	for _, i := range t.toldSince(since, sampled) {
+		a := t.agents[t.order[i]]
+		if a.Incarnation == to || (since == 0 && a.State == Gone) {
 			continue
 		}
-		if since == 0 || a.ChangedAt >= since || sampled.has(i) {
-			peers = append(peers, *a)
-		}
+		peers = append(peers, PeerNews{Agent: *a, LoadOnly: since != 0 && a.ChangedAt < since})
 	}
 	return peers
 }
 
+// toldSince returns the positions in order of the agents that are told of. In a
+// quiet cell these are the sample alone, whatever the size of the cell.
+func (t *Tracker) toldSince(since time.Duration, sampled window) []int {
+	if since != 0 && t.changedAt < since {
+		return sampled.positions()
+	}
+	var told []int
+	for i, id := range t.order {
+		if since == 0 || t.agents[id].ChangedAt >= since || sampled.has(i) {
+			told = append(told, i)
+		}
+	}
+	return told
+}
+
 // window is a range of positions in a ring.
 type window struct{ start, length, ring int }
 
@@ -36,6 +57,15 @@
 	return (i-w.start+w.ring)%w.ring < w.length
 }
 
+// positions lists the range.
+func (w window) positions() []int {
+	ps := make([]int, w.length)
+	for i := range ps {
+		ps[i] = (w.start + i) % w.ring
+	}
+	return ps
+}
+
 // sampleInterval is the time after which the load sample moves on. It is that
 // of heartbeats, so that an agent gets all samples in turn.
 const sampleInterval = 500 * time.Millisecond
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -79,6 +79,8 @@
 	ownFault bool
 	// told is the position of HeardHere in order.
 	told int
+	// changedAt is the newest ChangedAt of all agents.
+	changedAt time.Duration
 }
 
 // NewTracker returns a tracker that knows nobody.
@@ -121,7 +123,7 @@
 		t.supersede(a)
 	}
 	if !a.announced || !sameDuty(&a.Announcement, &n) {
-		a.ChangedAt = now
+		t.changed(now, a)
 	}
 	a.Announcement = n
 	a.announced = true
@@ -145,7 +147,7 @@
 	for _, id := range t.order {
 		a := t.agents[id]
 		if t.judgeService(a) {
-			a.ChangedAt = now
+			t.changed(now, a)
 			acts = append(acts, Changed{Agent: *a, From: a.State, To: a.State})
 		}
 	}
@@ -205,7 +207,8 @@
 }
 
 func (t *Tracker) add(n Announcement, now time.Duration) *Agent {
-	a := &Agent{Announcement: n, HeardAt: now, ChangedAt: now}
+	a := &Agent{Announcement: n, HeardAt: now}
+	t.changed(now, a)
 	t.agents[n.Incarnation] = a
 	i, _ := slices.BinarySearch(t.order, n.Incarnation)
 	t.order = slices.Insert(t.order, i, n.Incarnation)
@@ -290,6 +293,12 @@
 	return []Action{FaultOwn{Begins: fault}}
 }
 
+// changed notes that peers have to be told of more than the agent's load.
+func (t *Tracker) changed(now time.Duration, a *Agent) {
+	a.ChangedAt = now
+	t.changedAt = now
+}
+
 func (t *Tracker) drop(id ident.Incarnation) {
 	delete(t.agents, id)
 	if i, ok := slices.BinarySearch(t.order, id); ok {
@@ -303,7 +312,7 @@
 	}
 	from := a.State
 	a.State = to
-	a.ChangedAt = now
+	t.changed(now, a)
 	return []Action{Changed{Agent: *a, From: from, To: to}}
 }
 
--- a/permit/granter.go
+++ b/permit/granter.go
@@ -68,7 +68,9 @@
 	// view and members describe base.State.
 	view    View
 	members []ident.Incarnation
-	base    Confirmation
+	// isMember is the set of members.
+	isMember map[ident.Incarnation]bool
+	base     Confirmation
 	// byRead is the start of the newest read of the platform by this process.
 	// It tells Confirmed from Outage and decides nothing.
 	byRead time.Duration
@@ -78,7 +80,9 @@
 	waiting    Confirmation
 	hasWaiting bool
 	known      State
-	heard      map[ident.Incarnation]Heard
+	// askedAt is when the members' word was last counted.
+	askedAt time.Duration
+	heard   map[ident.Incarnation]Heard
 }
 
 // NewGranter returns a granter that grants nothing yet.
@@ -121,7 +125,9 @@
 // forget drops the reports of those who are no longer members.
 func (g *Granter) forget() {
 	current := make(map[ident.Incarnation]Heard, len(g.members))
+	g.isMember = make(map[ident.Incarnation]bool, len(g.members))
 	for _, id := range g.members {
+		g.isMember[id] = true
 		if r, ok := g.heard[id]; ok {
 			current[id] = r
 		}
@@ -167,7 +173,7 @@
 	if ok && old.Echo > h.Echo {
 		return
 	}
-	if slices.Contains(g.members, id) {
+	if g.isMember[id] {
 		g.heard[id] = h
 	}
 }
@@ -178,7 +184,8 @@
 	if g.view == nil {
 		return Fields{}, false
 	}
-	if g.base.Age(now) >= proofAge {
+	if g.base.Age(now) >= proofAge && now-g.askedAt >= askInterval {
+		g.askedAt = now
 		g.askMembers(now)
 	}
 	f := Fields{
@@ -194,6 +201,10 @@
 // while the platform answers.
 const proofAge = Lease / 2
 
+// askInterval bounds how often the members' word is counted, which costs time in
+// proportion to their number, while every heartbeat asks for a grant.
+const askInterval = 50 * time.Millisecond
+
 // askMembers renews base.ReadAt from the word of more than half of the members.
 //
 // Why it is a proof: a change is acknowledged by at least half of the members of
--- a/rpc/members.go
+++ b/rpc/members.go
@@ -15,6 +15,18 @@
 	return p
 }
 
+// LoadToProto converts the load of an agent of which the receiver knows the rest.
+// A peer without an address stands for that.
+func LoadToProto(a *membership.Agent) *dockpb.Peer {
+	return &dockpb.Peer{
+		Incarnation:  string(a.Incarnation),
+		Free:         uint32(max(a.Free, 0)),
+		Queued:       uint32(max(a.Queued, 0)),
+		State:        uint32(a.State),
+		OutOfService: a.OutOfService,
+	}
+}
+
 // AnnouncementToProto converts what an agent says of itself.
 func AnnouncementToProto(n *membership.Announcement) *dockpb.Peer {
 	p := &dockpb.Peer{
