--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -36,6 +36,8 @@
 	entry   *entry.Entry
 	keeper  *entry.DocumentGatekeeper
 	control *control.Duty
+	// desk serves the operators' interface.
+	desk *entry.Operators
 }
 
 // RunEntry runs an entry until the context ends, then stops gracefully.
@@ -75,6 +77,11 @@
 	if err != nil {
 		return fmt.Errorf("control duty: %w", err)
 	}
+	p.desk = entry.NewOperators(entry.OperatorsConfig{
+		Self:            p.self,
+		Control:         p.control,
+		BootstrapSHA256: p.set.Operators.BootstrapSHA256,
+	})
 	return nil
 }
 
@@ -111,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	operators, err := listen("operators", p.set.Listen.Operators, p.operators())
+	operators, err := listen("operators", p.set.Listen.Operators, p.desk)
 	if err != nil {
 		return nil, err
 	}
@@ -122,9 +129,6 @@
 	return []*listener{internal, callers, operators, metrics}, nil
 }
 
-// operators serves the operators' interface.
-func (p *entryProcess) operators() http.Handler { return http.NotFoundHandler() }
-
 // ready returns nil if the entry takes work.
 func (p *entryProcess) ready() error {
 	if !p.control.Ready() {
@@ -162,6 +166,7 @@
 		defer close(controlled)
 		p.control.Run(ctx)
 	}()
+	go p.desk.Run(ctx)
 	go func() {
 		defer close(ended)
 		p.entry.Run(ctx)
