Add the operators' commands of the command line

Cause: operators change and read the system from a phone, and races and lost answers must not surprise them.

A change is reported as in force only when an entry sees it at every process.

Ruled out for the report: asking one entry. Each counts its own answers, so all addresses that are given are asked and added up.

--- a/cmd/foxtaildock/args.go
+++ b/cmd/foxtaildock/args.go
@@ -19,6 +19,14 @@
 	Job           *jobCommand           `arg:"subcommand:job" help:"show a job, or wait for its answer"`
 	Cancel        *cancelCommand        `arg:"subcommand:cancel" help:"start no further task of a job"`
 	Load          *loadCommand          `arg:"subcommand:load" help:"submit many jobs and report what became of them"`
+	Status        *statusCommand        `arg:"subcommand:status" help:"show what is in force where, and who is behind"`
+	Report        *reportCommand        `arg:"subcommand:report" help:"show what was done, what was refused, and why"`
+	Document      *documentCommand      `arg:"subcommand:document" help:"show, check and change the operators' document"`
+	Withdraw      *withdrawCommand      `arg:"subcommand:withdraw" help:"take a failure domain out of service"`
+	Restore       *restoreCommand       `arg:"subcommand:restore" help:"return a failure domain to service"`
+	Drain         *drainCommand         `arg:"subcommand:drain" help:"take one backend server out of service"`
+	Undrain       *undrainCommand       `arg:"subcommand:undrain" help:"return one backend server to service"`
+	Audit         *auditCommand         `arg:"subcommand:audit" help:"show who changed or tried to change what"`
 	CheckSettings *checkSettingsCommand `arg:"subcommand:check-settings" help:"check settings files of the daemons"`
 	shared
 }
@@ -26,6 +34,7 @@
 // shared is the options of several commands.
 type shared struct {
 	Entries   []string `arg:"--entry,separate,env:FOXTAILDOCK_ENTRIES" placeholder:"ADDRESS" help:"callers' address of an entry or the balancer; may be repeated"`
+	Operators []string `arg:"--operators,separate,env:FOXTAILDOCK_OPERATORS" placeholder:"ADDRESS" help:"operators' address of an entry; may be repeated"`
 	Team      string   `arg:"--team,env:FOXTAILDOCK_TEAM" help:"your team"`
 	TokenFile string   `arg:"--token-file" placeholder:"FILE" help:"file with the team's token; else FOXTAILDOCK_TOKEN is used"`
 	JSON      bool     `arg:"--json" help:"write JSON for a program"`
@@ -96,7 +105,10 @@
   export FOXTAILDOCK_TEAM=tills
   export FOXTAILDOCK_TOKEN=...
   foxtaildock submit --service serials --payload '{"book":7}'
-  foxtaildock submit --help`
+  foxtaildock submit --help
+  export FOXTAILDOCK_OPERATORS=10.0.0.5:7001,10.0.0.6:7001
+  foxtaildock status
+  foxtaildock withdraw lulea --reason 'power works'`
 
 // client returns a client of the callers' interface.
 func (s *shared) client(c *console) (*api.Client, error) {
--- a/cmd/foxtaildock/exit.go
+++ b/cmd/foxtaildock/exit.go
@@ -44,11 +44,17 @@
 	var notTaken *api.RequestError
 	var lost *api.LostError
 	var usage *usageError
+	var refused *api.RefusedError
+	var lostChange *lostChangeError
 	switch {
 	case err == nil:
 		return exitDone
 	case errors.As(err, &usage):
 		return exitUsage
+	case errors.As(err, &lostChange):
+		return exitLost
+	case errors.As(err, &refused):
+		return refusalExit(refused)
 	case errors.As(err, &notTaken) && notTaken.Status != 0:
 		return exitNotTaken
 	case errors.As(err, &lost):
--- /dev/null
+++ b/cmd/foxtaildock/short_report.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"foxtaildock.example/dock/api"
+	"foxtaildock.example/dock/audit"
+	"foxtaildock.example/dock/report"
+)
+
+// reportCommand shows the short report.
+type reportCommand struct {
+	Since time.Duration `arg:"--since" default:"24h" help:"how far back changes are shown"`
+}
+
+func (*reportCommand) examples() string {
+	return `
+  What was done, what was refused, and why? Give the
+  operators' addresses of all entries, since each counts
+  its own answers:
+    foxtaildock report --operators 10.0.0.5:7001 \
+      --operators 10.0.0.6:7001`
+}
+
+// shortReport is the report of all entries that were asked.
+type shortReport struct {
+	api.ReportAnswer
+	// Asked and Answered count the entries.
+	Asked    int `json:"entries_asked"`
+	Answered int `json:"entries_answered"`
+}
+
+func (r *reportCommand) run(ctx context.Context, s *shared, c *console) (exitCode, error) {
+	addresses, err := s.operatorAddresses()
+	if err != nil {
+		return 0, err
+	}
+	result, err := r.collect(ctx, s, c, addresses)
+	if err != nil {
+		return 0, err
+	}
+	if c.json {
+		return exitDone, c.printJSON(result)
+	}
+	printReport(c.printer(), result)
+	return exitDone, nil
+}
+
+// collect asks every entry, since each counts its own answers to callers. The
+// changes are the same everywhere. Only if no entry answers there is no report.
+func (r *reportCommand) collect(ctx context.Context, s *shared, c *console, addresses []string) (*shortReport, error) {
+	result := &shortReport{Asked: len(addresses)}
+	since := time.Now().Add(-r.Since)
+	var failures []error
+	for _, address := range addresses {
+		client, err := s.operatorsAt(c, []string{address})
+		if err != nil {
+			return nil, err
+		}
+		answer, err := client.Report(ctx, since)
+		if err != nil {
+			failures = append(failures, fmt.Errorf("%s: %w", address, err))
+			continue
+		}
+		result.Answered++
+		result.SinceUnix = answer.SinceUnix
+		result.Changes = answer.Changes
+		result.Jobs = append(result.Jobs, answer.Jobs...)
+	}
+	if result.Answered == 0 {
+		return nil, errors.Join(failures...)
+	}
+	for _, f := range failures {
+		c.note("foxtaildock: left out: %v", f)
+	}
+	result.Jobs = mergeTallies(result.Jobs)
+	return result, nil
+}
+
+// mergeTallies adds up the counts of several entries.
+func mergeTallies(all []api.JobTally) []api.JobTally {
+	slices.SortFunc(all, compareTallies)
+	var merged []api.JobTally
+	for _, t := range all {
+		if last := len(merged) - 1; last >= 0 && compareTallies(merged[last], t) == 0 {
+			merged[last].Count += t.Count
+			continue
+		}
+		merged = append(merged, t)
+	}
+	return merged
+}
+
+func compareTallies(a, b api.JobTally) int {
+	return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Reason, b.Reason))
+}
+
+func printReport(p *report.Printer, r *shortReport) {
+	p.Heading(fmt.Sprintf("jobs, %d of %d entries", r.Answered, r.Asked))
+	if len(r.Jobs) == 0 {
+		p.Text("none yet")
+	} else {
+		p.Table(tallyTable(r.Jobs))
+	}
+	p.Blank()
+	p.Heading("changes since " + formatUnix(r.SinceUnix))
+	if len(r.Changes) == 0 {
+		p.Text("none")
+	}
+	for _, line := range r.Changes {
+		printChangeLine(p, line)
+	}
+}
+
+func tallyTable(jobs []api.JobTally) *report.Table {
+	t := &report.Table{Columns: []report.Column{{Title: "team"}, {Title: "jobs", Right: true}, {Title: "outcome"}, {Title: "why"}}}
+	for _, j := range jobs {
+		t.AddCells(report.Cell{Text: cmp.Or(j.Team, "(unknown)")},
+			report.Cell{Text: strconv.FormatInt(j.Count, 10)},
+			report.Cell{Text: j.Outcome, Style: outcomeStyle(j.Outcome)},
+			report.Cell{Text: j.Reason})
+	}
+	return t
+}
+
+// printChangeLine writes what one team or failure domain saw of one outcome.
+func printChangeLine(p *report.Printer, l audit.Line) {
+	style := report.Warn
+	if l.Outcome == audit.Accepted {
+		style = report.Good
+	}
+	p.Verdict(style, fmt.Sprintf("%s: %d %s", l.Subject, l.Count, l.Outcome))
+	if l.Why != "" {
+		p.Detail("last: " + l.Why)
+	}
+}
--- /dev/null
+++ b/cmd/foxtaildock/status.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"foxtaildock.example/dock/api"
+	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/report"
+)
+
+// statusCommand shows what is in force where.
+type statusCommand struct {
+	All bool `arg:"--all" help:"list every process, not only those that are behind or in trouble"`
+}
+
+func (*statusCommand) examples() string {
+	return `
+  Is everything as it should be?
+    foxtaildock status
+  Every process with its address and what is in force there:
+    foxtaildock status --all`
+}
+
+func (t *statusCommand) run(ctx context.Context, s *shared, c *console) (exitCode, error) {
+	client, err := s.operators(c)
+	if err != nil {
+		return 0, err
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if c.json {
+		return exitDone, c.printJSON(status)
+	}
+	printStatus(c.printer(), status, t.All)
+	return exitDone, nil
+}
+
+// Values of StatusAnswer.Permits.
+const (
+	permitsConfirmed = "confirmed"
+	permitsOutage    = "outage"
+	permitsIsland    = "island"
+)
+
+func printStatus(p *report.Printer, s *api.StatusAnswer, all bool) {
+	p.Verdict(statusVerdict(s))
+	p.Pair("in force", fmt.Sprintf("document %d, epoch %d", s.Version, s.Epoch))
+	p.Pair("cell", fmt.Sprintf("%s; entries: %d, agents: %d", s.Cell, len(s.Entries), len(s.Agents)))
+	p.Pair("seen by", s.Entry)
+	p.Blank()
+	p.Table(domainTable(s.Domains))
+	for _, d := range s.Domains {
+		if d.State == document.DomainWithdrawn && d.Reason != "" {
+			p.Pair(d.Domain, d.Reason)
+		}
+	}
+	if t := processTable(s, all); !t.Empty() {
+		p.Blank()
+		p.Table(t)
+	}
+}
+
+// statusVerdict sums the status up in one line, the most serious matter first.
+func statusVerdict(s *api.StatusAnswer) (report.Style, string) {
+	switch {
+	case s.Permits == permitsIsland:
+		return report.Bad, "island: neither platform nor most agents confirm; no permits from here"
+	case s.OwnFault:
+		return report.Bad, "most agents are silent to this entry at once"
+	case s.Permits == permitsOutage:
+		return report.Warn, "the platform doesn't answer this entry; work goes on, changes wait"
+	case s.Permits != permitsConfirmed:
+		return report.Bad, "this entry has nothing yet to base permits on"
+	case s.Behind > 0:
+		return report.Warn, fmt.Sprintf("%d processes behind", s.Behind)
+	}
+	return report.Good, "in force everywhere"
+}
+
+func domainTable(domains []api.DomainStatus) *report.Table {
+	t := &report.Table{Columns: []report.Column{
+		{Title: "domain"}, {Title: "state"}, {Title: "agents", Right: true},
+		{Title: "slots", Right: true}, {Title: "free", Right: true}, {Title: "runs", Right: true},
+	}}
+	for _, d := range domains {
+		style := report.Good
+		if d.State != document.DomainInService {
+			style = report.Warn
+		}
+		t.AddCells(report.Cell{Text: d.Domain}, report.Cell{Text: string(d.State), Style: style},
+			report.Cell{Text: strconv.Itoa(d.Agents)}, report.Cell{Text: strconv.Itoa(d.Slots)},
+			report.Cell{Text: strconv.Itoa(d.Free)}, report.Cell{Text: strconv.Itoa(d.Running)})
+	}
+	return t
+}
+
+// processTable lists the processes that an operator has to look at, or all.
+func processTable(s *api.StatusAnswer, all bool) *report.Table {
+	t := &report.Table{Columns: []report.Column{
+		{Title: "process"}, {Title: "domain"}, {Title: "state"}, {Title: "doc", Right: true}, {Title: "epoch", Right: true},
+	}}
+	withdrawn := withdrawnDomains(s)
+	for _, list := range [][]api.ProcessStatus{s.Entries, s.Agents} {
+		for i := range list {
+			state, style := processState(&list[i])
+			planned := state == stateOut && withdrawn[list[i].Domain]
+			if all || (style != report.Plain && !planned) {
+				addProcess(t, &list[i], report.Cell{Text: state, Style: style})
+			}
+		}
+	}
+	return t
+}
+
+// withdrawnDomains is the set of failure domains that are out of service. Their
+// agents are out as planned.
+func withdrawnDomains(s *api.StatusAnswer) map[string]bool {
+	withdrawn := make(map[string]bool)
+	for _, d := range s.Domains {
+		withdrawn[d.Domain] = d.State == document.DomainWithdrawn
+	}
+	return withdrawn
+}
+
+func addProcess(t *report.Table, p *api.ProcessStatus, state report.Cell) {
+	t.AddCells(report.Cell{Text: p.Address}, report.Cell{Text: p.Domain}, state,
+		report.Cell{Text: fmt.Sprint(p.Version)}, report.Cell{Text: fmt.Sprint(p.Epoch)})
+}
+
+// stateUp is the state of an agent that is heard, and stateOut how one is shown
+// that is out of service.
+const (
+	stateUp  = "up"
+	stateOut = "out"
+)
+
+// processState says how a process is; the style is Plain if all is well.
+func processState(p *api.ProcessStatus) (string, report.Style) {
+	switch {
+	case p.Behind:
+		return "behind", report.Warn
+	case p.State != "" && p.State != stateUp:
+		return p.State, report.Bad
+	case p.OutOfService:
+		return stateOut, report.Warn
+	case p.State == "":
+		return "entry", report.Plain
+	case !p.Member:
+		return "joining", report.Plain
+	}
+	return p.State, report.Plain
+}
--- a/report/printer.go
+++ b/report/printer.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// detailIndent is the space before the lines of Detail.
+const detailIndent = "  "
+
+// Detail writes a paragraph that belongs to the line above it.
+func (p *Printer) Detail(text string) {
+	for _, line := range wrap(text, p.width-len(detailIndent)) {
+		p.writeLine(detailIndent + line)
+	}
+}
+
 // Verdict writes one line that says how something ended.
 func (p *Printer) Verdict(s Style, text string) {
 	for _, line := range wrap(text, p.width) {
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -21,6 +21,7 @@
 		p := NewPrinter(&out, width, false)
 		p.Heading(long)
 		p.Text(long)
+		p.Detail(long)
 		p.Verdict(Bad, long)
 		p.Pair(long, long)
 		table := Table{Columns: []Column{{Title: "failure domain"}, {Title: "reason"}, {Title: "jobs", Right: true}}}
