Tell silent processes from those that are behind

Cause: on real processes an entry that had stopped as planned was listed as behind for a minute, and every change waited its 15 s for it. A process that is not heard for longer than a permit lasts can grant or start nothing; it is listed as silent and not waited for.

Tables shorten addresses last: without their ports they are of no use.

--- a/cmd/foxtaildock/in_force.go
+++ b/cmd/foxtaildock/in_force.go
@@ -16,7 +16,7 @@
 )
 
 // waitInForce tells when an accepted change is in force at every process that
-// one entry knows. The change stays accepted, whatever is seen here.
+// one entry hears. The change stays accepted, whatever is seen here.
 func waitInForce(ctx context.Context, c *console, client *api.OperatorsClient, a *api.ChangeAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, inForceLimit)
 	defer cancel()
@@ -28,11 +28,12 @@
 			return // the bootstrap token is good for the change only
 		}
 		if err == nil && s.Version >= a.Version {
-			if s.Behind == 0 {
-				c.printer().Verdict(report.Good, fmt.Sprintf("in force everywhere, seen after %s", time.Since(began).Round(100*time.Millisecond)))
+			n, silent := countBehind(s)
+			if n == 0 {
+				printInForce(c, time.Since(began), silent)
 				return
 			}
-			behind = fmt.Sprint(s.Behind)
+			behind = fmt.Sprint(n)
 		}
 		select {
 		case <-ctx.Done():
@@ -42,3 +43,12 @@
 		}
 	}
 }
+
+func printInForce(c *console, after time.Duration, silent int) {
+	after = after.Round(100 * time.Millisecond)
+	if silent > 0 {
+		c.printer().Verdict(report.Warn, fmt.Sprintf("in force wherever heard after %s; silent processes: %d, see foxtaildock status", after, silent))
+		return
+	}
+	c.printer().Verdict(report.Good, fmt.Sprintf("in force everywhere, seen after %s", after))
+}
--- a/cmd/foxtaildock/job.go
+++ b/cmd/foxtaildock/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 	"unicode"
 	"unicode/utf8"
@@ -149,7 +150,7 @@
 	if !utf8.Valid(body) {
 		return "(not text)"
 	}
-	text := string(body)
+	text := strings.TrimSpace(string(body))
 	for _, r := range text {
 		if !unicode.IsPrint(r) {
 			return strconv.Quote(text)
--- a/cmd/foxtaildock/status.go
+++ b/cmd/foxtaildock/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"time"
 
 	"foxtaildock.example/dock/api"
 	"foxtaildock.example/dock/document"
@@ -75,12 +76,40 @@
 		return report.Warn, "the platform doesn't answer this entry; work goes on, changes wait"
 	case s.Permits != permitsConfirmed:
 		return report.Bad, "this entry has nothing yet to base permits on"
-	case s.Behind > 0:
-		return report.Warn, fmt.Sprintf("%d processes behind", s.Behind)
+	}
+	switch behind, silent := countBehind(s); {
+	case behind > 0:
+		return report.Warn, fmt.Sprintf("processes behind: %d", behind)
+	case silent > 0:
+		return report.Warn, fmt.Sprintf("in force wherever heard; silent processes: %d", silent)
 	}
 	return report.Good, "in force everywhere"
 }
 
+// silentAfter is how long after it was last heard a process counts as silent. It
+// is longer than a permit, so a silent agent starts nothing.
+const silentAfter = 3 * time.Second
+
+func isSilent(p *api.ProcessStatus) bool {
+	return time.Duration(p.HeardAgoMS)*time.Millisecond > silentAfter
+}
+
+// countBehind counts the processes that are behind: those that are heard, and
+// those that are silent, of which nobody knows what they have.
+func countBehind(s *api.StatusAnswer) (behind, silent int) {
+	for _, list := range [][]api.ProcessStatus{s.Entries, s.Agents} {
+		for i := range list {
+			switch {
+			case list[i].Behind && isSilent(&list[i]):
+				silent++
+			case list[i].Behind:
+				behind++
+			}
+		}
+	}
+	return behind, silent
+}
+
 func domainTable(domains []api.DomainStatus) *report.Table {
 	t := &report.Table{Columns: []report.Column{
 		{Title: "domain"}, {Title: "state"}, {Title: "agents", Right: true},
@@ -101,7 +130,7 @@
 // processTable lists the processes that an operator has to look at, or all.
 func processTable(s *api.StatusAnswer, all bool) *report.Table {
 	t := &report.Table{Columns: []report.Column{
-		{Title: "process"}, {Title: "domain"}, {Title: "state"}, {Title: "doc", Right: true}, {Title: "epoch", Right: true},
+		{Title: "process", Keep: true}, {Title: "domain"}, {Title: "state"}, {Title: "doc", Right: true}, {Title: "epoch", Right: true},
 	}}
 	withdrawn := withdrawnDomains(s)
 	for _, list := range [][]api.ProcessStatus{s.Entries, s.Agents} {
@@ -141,6 +170,8 @@
 // processState says how a process is; the style is Plain if all is well.
 func processState(p *api.ProcessStatus) (string, report.Style) {
 	switch {
+	case p.State == "" && isSilent(p):
+		return "silent", report.Warn
 	case p.Behind:
 		return "behind", report.Warn
 	case p.State != "" && p.State != stateUp:
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -38,6 +38,16 @@
 	}
 }
 
+func TestColumnsToKeepAreShortenedLast(t *testing.T) {
+	var out bytes.Buffer
+	table := Table{Columns: []Column{{Title: "process", Keep: true}, {Title: "domain"}}}
+	table.Add("127.0.0.1:19012", strings.Repeat("domain", 10))
+	NewPrinter(&out, 40, false).Table(&table)
+	if !strings.Contains(out.String(), "127.0.0.1:19012 domaindo") {
+		t.Error(out.String())
+	}
+}
+
 func TestTextIsWrappedNotLost(t *testing.T) {
 	text := "a bc " + strings.Repeat("é", 95) + " d"
 	joined := strings.ReplaceAll(strings.Join(wrap(text, 40), ""), " ", "")
--- a/report/table.go
+++ b/report/table.go
@@ -11,6 +11,8 @@
 	// Right aligns the column to the right, for numbers. Such columns are
 	// never shortened.
 	Right bool
+	// Keep shortens the column only if no other is left to shorten.
+	Keep bool
 }
 
 // Cell is one value of a table.
@@ -85,7 +87,10 @@
 		}
 	}
 	for sum(widths)+columnGap*(len(widths)-1) > total {
-		widest := t.widestText(widths)
+		widest := t.widestText(widths, false)
+		if widest < 0 {
+			widest = t.widestText(widths, true)
+		}
 		if widest < 0 {
 			break
 		}
@@ -94,11 +99,12 @@
 	return widths
 }
 
-// widestText returns the widest column that may be shortened, or -1.
-func (t *Table) widestText(widths []int) int {
+// widestText returns the widest column that may be shortened, or -1. It looks
+// only at the columns with the given Keep.
+func (t *Table) widestText(widths []int, keep bool) int {
 	widest := -1
 	for i, c := range t.Columns {
-		if c.Right || widths[i] <= minTextWidth {
+		if c.Right || c.Keep != keep || widths[i] <= minTextWidth {
 			continue
 		}
 		if widest < 0 || widths[i] > widths[widest] {
