--- a/bench/cluster/spec.go
+++ b/bench/cluster/spec.go
@@ -21,6 +21,9 @@
 	Services    []string
 	Slots       int
 	Connections int
+	// DirectBackends leaves out the links to the backend servers, so that a
+	// killed one refuses connections. A link accepts and then closes them.
+	DirectBackends bool
 	// Grace is the time a daemon has to end after SIGTERM.
 	Grace time.Duration
 	// PlatformTimeout bounds one call to the platform.
--- a/bench/proof/backends.go
+++ b/bench/proof/backends.go
@@ -33,7 +33,7 @@
 			Name:     "backend-killed",
 			Promise:  promiseOnce,
 			Scenario: "backend server killed, its agent stays, back after 3 s",
-			Shape:    usual(),
+			Shape:    cluster.Spec{Entries: 2, Agents: 3, DirectBackends: true},
 			Run:      killBackend,
 		},
 	}
