entry: let the operators' test wait until its document is in force

Cause: the test used a token right after the change that made it was accepted, while the promise is that it is in force within 2 s. Ruled out: a fault of the token check (the same token is known one read later).

--- a/entry/operators_test.go
+++ b/entry/operators_test.go
@@ -82,6 +82,8 @@
 	d.want(200, "bootstrap", "PUT", "/v1/document/team/operators", d.request(0, d.teamText("operators", document.RoleOperator)))
 	d.want(200, "operators", "PUT", "/v1/document/team/norrbrand", d.request(0, d.teamText("norrbrand", document.RoleOperator)))
 	d.want(200, "operators", "PUT", "/v1/document/team/tills", d.request(0, d.teamText("tills", document.RoleCaller)))
+	// A change is in force everywhere 2 s after it was accepted.
+	time.Sleep(2 * time.Second)
 }
 
 func (d *desk) request(expect ident.DocVersion, text string) api.ChangeRequest {
