Count answers to callers for the short report

Cause: the short report of a running entry had no jobs, and no failure domains.

Change: the entry daemon counts each answer for metrics and report; the count has the failure domain of the home that decided. The rule that no made-up team gets a series moves from the reason unauthorized to the caller of Record: that reason is also given to a team that is known and may not use a service.

--- a/api/operators.go
+++ b/api/operators.go
@@ -165,14 +165,18 @@
 	SinceUnix int64 `json:"since_unix"`
 	// Changes sums up the audit trail.
 	Changes []audit.Line `json:"changes"`
-	// Jobs counts the answers to callers at this entry since it started, if
+	// Jobs counts the answers to callers at this entry in the last hour, if
 	// the entry counts them.
 	Jobs []JobTally `json:"jobs,omitempty"`
 }
 
 // JobTally counts answers of one sort to one team.
 type JobTally struct {
-	Team    string `json:"team"`
+	// Team is empty for callers without the right token.
+	Team string `json:"team"`
+	// Domain is the failure domain of the agent that decided the outcome, or
+	// empty if the entry did.
+	Domain  string `json:"failure_domain,omitempty"`
 	Outcome string `json:"outcome"`
 	Reason  string `json:"reason,omitempty"`
 	Count   int64  `json:"count"`
--- a/cmd/foxtaildock/short_report.go
+++ b/cmd/foxtaildock/short_report.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"strconv"
 	"time"
 
@@ -79,32 +78,14 @@
 	for _, f := range failures {
 		c.note("foxtaildock: left out: %v", f)
 	}
-	result.Jobs = mergeTallies(result.Jobs)
+	result.Jobs = report.MergeTallies(result.Jobs)
 	return result, nil
 }
 
-// mergeTallies adds up the counts of several entries.
-func mergeTallies(all []api.JobTally) []api.JobTally {
-	slices.SortFunc(all, compareTallies)
-	var merged []api.JobTally
-	for _, t := range all {
-		if last := len(merged) - 1; last >= 0 && compareTallies(merged[last], t) == 0 {
-			merged[last].Count += t.Count
-			continue
-		}
-		merged = append(merged, t)
-	}
-	return merged
-}
-
-func compareTallies(a, b api.JobTally) int {
-	return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Reason, b.Reason))
-}
-
 func printReport(p *report.Printer, r *shortReport) {
-	p.Heading(fmt.Sprintf("jobs, %d of %d entries", r.Answered, r.Asked))
+	p.Heading(fmt.Sprintf("jobs of the last hour, %d of %d entries", r.Answered, r.Asked))
 	if len(r.Jobs) == 0 {
-		p.Text("none yet")
+		p.Text("none")
 	} else {
 		p.Table(tallyTable(r.Jobs))
 	}
@@ -119,9 +100,12 @@
 }
 
 func tallyTable(jobs []api.JobTally) *report.Table {
-	t := &report.Table{Columns: []report.Column{{Title: "team"}, {Title: "jobs", Right: true}, {Title: "outcome"}, {Title: "why"}}}
+	t := &report.Table{Columns: []report.Column{
+		{Title: "team"}, {Title: "domain"}, {Title: "jobs", Right: true}, {Title: "outcome", Keep: true}, {Title: "why"},
+	}}
 	for _, j := range jobs {
 		t.AddCells(report.Cell{Text: cmp.Or(j.Team, "(unknown)")},
+			report.Cell{Text: cmp.Or(j.Domain, "(entry)")},
 			report.Cell{Text: strconv.FormatInt(j.Count, 10)},
 			report.Cell{Text: j.Outcome, Style: outcomeStyle(j.Outcome)},
 			report.Cell{Text: j.Reason})
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -36,6 +36,7 @@
 	entry   *entry.Entry
 	keeper  *entry.DocumentGatekeeper
 	control *control.Duty
+	answers *answerCounter
 	// desk serves the operators' interface.
 	desk *entry.Operators
 }
@@ -63,6 +64,7 @@
 	if err != nil {
 		return fmt.Errorf("metrics: %w", err)
 	}
+	p.answers = newAnswerCounter(jobs)
 	p.keeper = entry.NewDocumentGatekeeper(entry.Unlimited{})
 	p.entry = entry.New(entry.Config{
 		Self:       p.self,
@@ -71,7 +73,7 @@
 		Limits:     p.limits(),
 		Gatekeeper: p.keeper,
 		Log:        p.log,
-		Record:     jobs.Record,
+		Record:     p.answers.record,
 	})
 	p.control, err = control.New(p.controlConfig(), p)
 	if err != nil {
@@ -81,6 +83,7 @@
 		Self:            p.self,
 		Control:         p.control,
 		BootstrapSHA256: p.set.Operators.BootstrapSHA256,
+		Tallies:         p.answers.tallies,
 	})
 	return nil
 }
@@ -197,7 +200,10 @@
 func (p *entryProcess) SetView(v *document.View) { p.keeper.SetView(v) }
 
 // SetPlacement hands over a newer placement.
-func (p *entryProcess) SetPlacement(pl *placement.Placement) { p.entry.SetPlacement(pl) }
+func (p *entryProcess) SetPlacement(pl *placement.Placement) {
+	p.answers.placement.Store(pl)
+	p.entry.SetPlacement(pl)
+}
 
 // SetAgents hands over the state of agents. Routing goes by the placement alone.
 func (p *entryProcess) SetAgents([]membership.Agent) {}
--- a/telemetry/jobs.go
+++ b/telemetry/jobs.go
@@ -48,11 +48,9 @@
 	return &JobMetrics{answers: answers, duration: duration}, nil
 }
 
-// Record counts one answer and how long it took.
+// Record counts one answer and how long it took. The team must have shown its
+// token, or be empty: anybody can make a name up, and each would be a series.
 func (j *JobMetrics) Record(ctx context.Context, team ident.Team, o *job.Outcome, took time.Duration) {
-	if o.Reason == job.ReasonUnauthorized {
-		team = "" // anybody can make up a team, and each would be a series
-	}
 	option := j.option(answerLabels{team: team, outcome: o.Kind, reason: o.Reason})
 	j.answers.Add(ctx, 1, option)
 	j.duration.Record(ctx, took.Seconds(), option)
