--- a/agent/agent.go
+++ b/agent/agent.go
@@ -77,7 +77,7 @@
 // newPool returns the placement policy of the home.
 func newPool(self ident.Incarnation) dispatch.Pool {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return dispatch.NewCredit(dispatch.Config{Own: self, Random: random})
+	return dispatch.NewShortestQueue(dispatch.Config{Own: self, Random: random})
 }
 
 // Now returns the monotonic time since the agent's origin.
@@ -146,7 +146,8 @@
 		Services:    own.Services,
 		Slots:       own.Slots,
 		Free:        g.Free,
-		Queued:      h.Waiting,
+		Queued:      g.Queued,
+		Pace:        g.Pace,
 		Running:     g.Running,
 		Jobs:        h.Active,
 		Leaving:     a.leaving.Load(),
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -163,40 +163,6 @@
 	})
 }
 
-// want tells a gate how many tasks wait here.
-func (c *caller) want(w home.Want) {
-	if w.Agent == c.agent.cfg.Self {
-		c.agent.gate.box.Offer(gate.Want{Home: w.Agent, Service: w.Service, Count: w.Count, Oldest: w.Oldest})
-		return
-	}
-	c.notice(w.Agent, func(ctx context.Context, cl dockpbconnect.AgentServiceClient) error {
-		_, err := cl.Want(ctx, connect.NewRequest(&dockpb.WantRequest{
-			Home:         string(c.agent.cfg.Self),
-			To:           string(w.Agent),
-			Service:      string(w.Service),
-			Count:        uint32(w.Count),
-			OldestWaitMs: rpc.Millis(w.Oldest),
-		}))
-		return err
-	})
-}
-
-// offer tells a home of slots that are kept for it.
-func (c *caller) offer(o gate.Offer) {
-	if o.Home == c.agent.cfg.Self {
-		c.agent.home.deliver(home.Offered{Agent: o.Home, Slots: o.Slots})
-		return
-	}
-	c.notice(o.Home, func(ctx context.Context, cl dockpbconnect.AgentServiceClient) error {
-		_, err := cl.Offer(ctx, connect.NewRequest(&dockpb.OfferRequest{
-			Agent: string(c.agent.cfg.Self),
-			To:    string(o.Home),
-			Slots: uint32(o.Slots),
-		}))
-		return err
-	})
-}
-
 // notice makes a call whose loss costs nothing but time.
 func (c *caller) notice(to ident.Incarnation, call func(context.Context, dockpbconnect.AgentServiceClient) error) {
 	cl, ok := c.to(to)
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"foxtaildock.example/dock/dispatch"
 	"foxtaildock.example/dock/gate"
 	"foxtaildock.example/dock/home"
 	"foxtaildock.example/dock/ident"
@@ -103,6 +104,7 @@
 		Service:       string(x.spec.Service),
 		CreatedUnixMs: x.made.UnixMilli(),
 		DeadlineMs:    rpc.Millis(x.spec.Deadline - x.caller.agent.Now()),
+		WaitMs:        int32((x.caller.agent.Now() - x.spec.Rank).Milliseconds()),
 	}
 	for _, t := range x.spec.Tasks {
 		if open, ok := x.open[t.Index]; ok {
@@ -127,8 +129,12 @@
 		Body:    m.GetBody(),
 		Reason:  job.Reason(m.GetReason()),
 		Detail:  m.GetDetail(),
-		Credit:  int(m.GetCredit()),
-		Free:    int(m.GetFree()),
+		Load: dispatch.Load{
+			Free:   int(m.GetFree()),
+			Queued: int(m.GetQueued()),
+			Pace:   rpc.Duration(m.GetPaceMs()),
+		},
+		Ran: rpc.Duration(m.GetRanMs()),
 	})
 }
 
--- a/agent/gateduty.go
+++ b/agent/gateduty.go
@@ -57,10 +57,20 @@
 	for _, action := range g.core.Step(g.agent.Now(), e) {
 		g.perform(action)
 	}
+	g.noteLoad(g.core.Load())
+}
+
+// noteLoad keeps the gate's state for others and tells the home in this process
+// of a change. The home can do without, so a full box drops it.
+func (g *gateDuty) noteLoad(l gate.Load) {
 	g.mu.Lock()
-	g.state = g.core.Load()
+	changed := l.Free != g.state.Free || l.Queued != g.state.Queued
+	g.state = l
 	g.stats = g.core.Stats()
 	g.mu.Unlock()
+	if changed {
+		g.agent.home.box.Offer(home.GateLoad{Load: l.Load})
+	}
 }
 
 func (g *gateDuty) noteBackend(e gate.Event) {
@@ -79,8 +89,6 @@
 		go g.backend.run(action)
 	case gate.Answer:
 		g.answer(action)
-	case gate.Offer:
-		g.agent.calls.offer(action)
 	}
 }
 
@@ -99,8 +107,8 @@
 		Body:    a.Body,
 		Reason:  a.Reason,
 		Detail:  a.Detail,
-		Credit:  a.Credit,
-		Free:    a.Free,
+		Load:    a.Load,
+		Ran:     a.Ran,
 	}
 	g.agent.home.deliver(e)
 }
@@ -114,6 +122,7 @@
 		Service:  e.Service,
 		Tasks:    e.Tasks,
 		Deadline: e.Deadline,
+		Rank:     e.Rank,
 	})
 }
 
@@ -132,7 +141,7 @@
 		Domain:      g.agent.cfg.Domain,
 		Services:    slices.Clone(g.known.services),
 		Slots:       g.known.slots,
-		Free:        g.state.Free,
+		Load:        g.state.Load,
 		Accepting:   g.known.slots > 0 && g.inService(),
 	}
 }
--- a/agent/homeduty.go
+++ b/agent/homeduty.go
@@ -94,8 +94,6 @@
 		h.execute(action)
 	case home.Revoke:
 		calls.revoke(action)
-	case home.Want:
-		calls.want(action)
 	case home.Handover:
 		calls.handover(action)
 	}
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -71,8 +71,8 @@
 			Domain:      p.Domain,
 			Services:    p.Services,
 			Slots:       p.Slots,
-			Free:        p.Free,
-			Accepting:   p.State == membership.Up,
+			Load:        dispatch.Load{Free: p.Free, Queued: p.Queued, Pace: p.Pace},
+			Accepting:   p.State == membership.Up && !p.OutOfService,
 		})
 	}
 	slices.SortFunc(out, func(x, y dispatch.Executor) int {
--- a/agent/server.go
+++ b/agent/server.go
@@ -164,6 +164,7 @@
 		Service:  ident.Service(m.GetService()),
 		Tasks:    make([]gate.Task, len(m.GetTasks())),
 		Deadline: s.agent.Now() + rpc.Duration(m.GetDeadlineMs()),
+		Rank:     s.agent.Now() - time.Duration(m.GetWaitMs())*time.Millisecond,
 		Age:      ageOf(m.GetCreatedUnixMs()),
 	}
 	for i, t := range m.GetTasks() {
@@ -195,8 +196,10 @@
 		Body:    a.Body,
 		Reason:  string(a.Reason),
 		Detail:  a.Detail,
-		Credit:  uint32(max(0, a.Credit)),
-		Free:    uint32(max(0, a.Free)),
+		Free:    uint32(a.Load.Free),
+		Queued:  uint32(a.Load.Queued),
+		PaceMs:  rpc.Millis(a.Load.Pace),
+		RanMs:   rpc.Millis(a.Ran),
 	}
 }
 
@@ -213,36 +216,6 @@
 	return connect.NewResponse(&dockpb.RevokeResponse{}), nil
 }
 
-// Want notes how many tasks wait at a home.
-func (s *server) Want(_ context.Context, req *connect.Request[dockpb.WantRequest]) (*connect.Response[dockpb.WantResponse], error) {
-	m := req.Msg
-	if !s.meant(m.GetTo()) {
-		return nil, rpc.Replaced()
-	}
-	e := gate.Want{
-		Home:    ident.Incarnation(m.GetHome()),
-		Service: ident.Service(m.GetService()),
-		Count:   int(m.GetCount()),
-		Oldest:  rpc.Duration(m.GetOldestWaitMs()),
-	}
-	if !s.agent.gate.box.Offer(e) {
-		return nil, rpc.Busy()
-	}
-	return connect.NewResponse(&dockpb.WantResponse{}), nil
-}
-
-// Offer notes slots that a gate keeps for this home.
-func (s *server) Offer(_ context.Context, req *connect.Request[dockpb.OfferRequest]) (*connect.Response[dockpb.OfferResponse], error) {
-	m := req.Msg
-	if !s.meant(m.GetTo()) {
-		return nil, rpc.Replaced()
-	}
-	if !s.agent.home.box.Offer(home.Offered{Agent: ident.Incarnation(m.GetAgent()), Slots: int(m.GetSlots())}) {
-		return nil, rpc.Busy()
-	}
-	return connect.NewResponse(&dockpb.OfferResponse{}), nil
-}
-
 // Handover takes records from a leaving home.
 func (s *server) Handover(_ context.Context, req *connect.Request[dockpb.HandoverRequest]) (*connect.Response[dockpb.HandoverResponse], error) {
 	m := req.Msg
--- /dev/null
+++ b/bench/sim/scenario.go
@@ -0,0 +1,137 @@
+package sim
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Scenario is a named workload with its faults.
+type Scenario struct {
+	Name string
+	Load float64
+	// change completes the workload; nil leaves it.
+	change func(Site, *Workload)
+}
+
+// Times of the scenarios, as shares of the length of the trace.
+const (
+	faultFrom  = 0.2
+	faultUntil = 0.7
+	// badWorker is the worker that has the fault.
+	badWorker = 4
+	// slowness is how many times longer tasks run on a straggler.
+	slowness = 10
+)
+
+// Scenarios returns all scenarios.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "load-50", Load: 0.5},
+		{Name: "load-80", Load: 0.8},
+		{Name: "load-95", Load: 0.95},
+		{Name: "bursts", Load: 0.6, change: bursts},
+		{Name: "cancel-wave", Load: 0.8, change: cancelWave},
+		{Name: "straggler", Load: 0.7, change: fault(Slow, oneWorker)},
+		{Name: "failing", Load: 0.7, change: fault(Failing, oneWorker)},
+		{Name: "all-failing", Load: 0.7, change: fault(Failing, allWorkers)},
+		{Name: "domain-out", Load: 0.5, change: fault(Out, oneDomain)},
+	}
+}
+
+// FindScenario returns the scenario of the name.
+func FindScenario(name string) (Scenario, bool) {
+	all := Scenarios()
+	i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == name })
+	if i < 0 {
+		return Scenario{}, false
+	}
+	return all[i], true
+}
+
+func bursts(_ Site, w *Workload) { w.BurstFactor = 2 }
+
+func cancelWave(_ Site, w *Workload) { w.CancelShare = 0.5 }
+
+func oneWorker(Site) []int { return []int{badWorker} }
+
+func oneDomain(s Site) []int { return s.DomainWorkers(0) }
+
+func allWorkers(s Site) []int {
+	var workers []int
+	for i := range s.Workers {
+		workers = append(workers, i)
+	}
+	return workers
+}
+
+func fault(t Trouble, workers func(Site) []int) func(Site, *Workload) {
+	return func(s Site, w *Workload) {
+		w.Faults = []Fault{{
+			At:      seconds(faultFrom * w.Length.Seconds()),
+			Until:   seconds(faultUntil * w.Length.Seconds()),
+			Trouble: t,
+			Workers: workers(s),
+			Factor:  slowness,
+		}}
+	}
+}
+
+// Trace generates the scenario's trace.
+func (s Scenario) Trace(site Site, seed uint64, length time.Duration) Trace {
+	w := Workload{Seed: seed, Length: length, Load: s.Load, Teams: 10, Deadline: 5 * time.Minute}
+	if s.change != nil {
+		s.change(site, &w)
+	}
+	return Generate(site, w)
+}
+
+// Run runs the scenario once.
+func (s Scenario) Run(site Site, policy Policy, seed uint64, length time.Duration) Report {
+	return Run(Config{
+		Site:   site,
+		Policy: policy,
+		Seed:   seed,
+		Trace:  s.Trace(site, seed, length),
+		WarmUp: length / 10,
+	})
+}
+
+// RunSeeds runs the scenario with the seeds 1 to n, a few at a time, and returns
+// the reports in their order.
+func (s Scenario) RunSeeds(site Site, policy Policy, n int, length time.Duration) []Report {
+	const parallel = 4
+	reports := make([]Report, n)
+	slots := make(chan struct{}, parallel)
+	var running sync.WaitGroup
+	for i := range n {
+		running.Go(func() {
+			slots <- struct{}{}
+			reports[i] = s.Run(site, policy, uint64(i+1), length)
+			<-slots
+		})
+	}
+	running.Wait()
+	return reports
+}
+
+// Spread is a figure over several seeds.
+type Spread struct {
+	Mean, Low, High float64
+}
+
+// SpreadOf takes one figure of each report.
+func SpreadOf(reports []Report, figure func(*Report) float64) Spread {
+	var s Spread
+	for i := range reports {
+		v := figure(&reports[i])
+		if i == 0 || v < s.Low {
+			s.Low = v
+		}
+		if i == 0 || v > s.High {
+			s.High = v
+		}
+		s.Mean += v / float64(len(reports))
+	}
+	return s
+}
--- /dev/null
+++ b/bench/sim/sim_test.go
@@ -0,0 +1,143 @@
+package sim
+
+import (
+	"bytes"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+)
+
+const (
+	testLength = 60 * time.Second
+	testSeeds  = 2
+	// A 99th percentile needs many jobs: with 4 seeds of 3 minutes it differs
+	// more from seed to seed than by the fault.
+	manySeeds  = 8
+	longLength = 400 * time.Second
+)
+
+func mustFind(t *testing.T, name string) Scenario {
+	t.Helper()
+	s, ok := FindScenario(name)
+	if !ok {
+		t.Fatalf("no scenario %q", name)
+	}
+	return s
+}
+
+func mustBe(t *testing.T, what string, got, limit float64) {
+	t.Helper()
+	if got > limit {
+		t.Errorf("%s is %.3f, more than %.3f", what, got, limit)
+	}
+}
+
+func TestResponseAgainstTheIdeal(t *testing.T) {
+	goals := map[string]struct{ mean, p99 float64 }{
+		"load-50": {1.05, 1.2},
+		"load-80": {1.15, 1.2},
+		"load-95": {1.3, 1.3},
+	}
+	for name, goal := range goals {
+		for _, site := range []Site{Norrbrand(), UFCS()} {
+			for _, r := range mustFind(t, name).RunSeeds(site, PolicyShortestQueue, testSeeds, testLength) {
+				mustBe(t, name+" mean", r.MeanRatio(), goal.mean)
+				mustBe(t, name+" p99", r.P99Ratio(), goal.p99)
+				mustBe(t, name+" wasted", r.Messages.Wasted(), 0.05)
+				if r.Failed+r.Refused > 0 {
+					t.Errorf("%s: %d failed, %d refused", name, r.Failed, r.Refused)
+				}
+			}
+		}
+	}
+}
+
+func TestFailingWorkerGetsFewTasksAndComesBack(t *testing.T) {
+	for _, r := range mustFind(t, "failing").RunSeeds(Norrbrand(), PolicyShortestQueue, testSeeds, 3*testLength) {
+		mustBe(t, "share of tasks", float64(r.FaultTasks)/float64(r.FaultAll), 0.01)
+		if r.Back == 0 {
+			t.Error("the worker never came back")
+		}
+	}
+}
+
+func TestStragglerHardlyHurtsSmallJobs(t *testing.T) {
+	calm := mustFind(t, "straggler")
+	calm.change = nil
+	was := calm.RunSeeds(Norrbrand(), PolicyShortestQueue, manySeeds, longLength)
+	is := mustFind(t, "straggler").RunSeeds(Norrbrand(), PolicyShortestQueue, manySeeds, longLength)
+	p99 := func(r *Report) float64 { return r.Small.P99.Seconds() }
+	mustBe(t, "p99 of small jobs", SpreadOf(is, p99).Mean/SpreadOf(was, p99).Mean, 1.1)
+}
+
+func TestServiceStaysOpenWhenAllWorkersFail(t *testing.T) {
+	for _, r := range mustFind(t, "all-failing").RunSeeds(Norrbrand(), PolicyShortestQueue, testSeeds, testLength) {
+		after := int(float64(r.Complete+r.Failed) * 0.45)
+		if r.Refused > 0 || r.Complete < after {
+			t.Errorf("%d complete, %d failed, %d refused", r.Complete, r.Failed, r.Refused)
+		}
+	}
+}
+
+func TestDomainOutAndBackLosesNothing(t *testing.T) {
+	for _, r := range mustFind(t, "domain-out").RunSeeds(UFCS(), PolicyShortestQueue, testSeeds, testLength) {
+		if r.Failed+r.Refused > 0 || r.FaultTasks > 0 {
+			t.Errorf("%d failed, %d refused, %d started in the domain", r.Failed, r.Refused, r.FaultTasks)
+		}
+		if r.Back == 0 {
+			t.Error("the domain never came back")
+		}
+	}
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	s := mustFind(t, "straggler")
+	a := s.Run(Norrbrand(), PolicyShortestQueue, 7, testLength/4)
+	b := s.Run(Norrbrand(), PolicyShortestQueue, 7, testLength/4)
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("%+v\nis not\n%+v", a, b)
+	}
+}
+
+func TestTraceSurvivesRecording(t *testing.T) {
+	want := mustFind(t, "failing").Trace(UFCS(), 1, time.Second)
+	var b bytes.Buffer
+	if err := want.Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	got, err := ReadTrace(&b)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("read back %+v, %v", got, err)
+	}
+}
+
+// TestRecordedTraces replays traces against what must come of them.
+func TestRecordedTraces(t *testing.T) {
+	outcomes := []struct {
+		file                      string
+		complete, failed, refused int
+	}{
+		{"one-large-among-small.jsonl", 21, 0, 0},
+		{"domain-out-under-load.jsonl", 40, 0, 0},
+		{"cancel-wave.jsonl", 10, 20, 0},
+	}
+	for _, want := range outcomes {
+		f, err := os.Open("testdata/" + want.file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		trace, err := ReadTrace(f)
+		_ = f.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := Run(Config{Site: Norrbrand(), Policy: PolicyShortestQueue, Seed: 1, Trace: trace})
+		if r.Complete != want.complete || r.Failed != want.failed || r.Refused != want.refused {
+			t.Errorf("%s: %d complete, %d failed, %d refused", want.file, r.Complete, r.Failed, r.Refused)
+		}
+		if r.Small.Jobs > 0 {
+			mustBe(t, want.file+" small p99 ratio", r.SmallP99Ratio(), 1.2)
+		}
+	}
+}
--- /dev/null
+++ b/bench/sim/workload.go
@@ -0,0 +1,153 @@
+package sim
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"foxtaildock.example/dock/ident"
+)
+
+// Bounds and shape of generated run times: most take 50 ms to a second, a few
+// several seconds.
+const (
+	shortestRun = 50 * time.Millisecond
+	longestRun  = 8 * time.Second
+	medianRun   = 200 * time.Millisecond
+	runSigma    = 0.8
+	longShare   = 0.01
+	longFrom    = 2 * time.Second
+	// declaredSpread is the standard deviation of the logarithm of declared by
+	// true run time; declared times are far off.
+	declaredSpread = 1.2
+)
+
+// Workload describes a trace to generate.
+type Workload struct {
+	Seed   uint64
+	Length time.Duration
+	// Load is the share of the site's slots that the tasks keep busy.
+	Load float64
+	// BurstFactor multiplies the arrival rate in the middle fifth.
+	BurstFactor float64
+	Teams       int
+	Deadline    time.Duration
+	// CancelShare is the share of the jobs that arrive in the middle fifth and
+	// are cancelled by their callers at one moment.
+	CancelShare float64
+	Faults      []Fault
+}
+
+// Generate draws a trace.
+func Generate(site Site, w Workload) Trace {
+	g := generator{random: rand.New(rand.NewPCG(w.Seed, 1)), workload: w}
+	g.rate = w.Load * float64(site.TotalSlots()) / (meanRun() * meanTasks())
+	return g.trace()
+}
+
+type generator struct {
+	random   *rand.Rand
+	workload Workload
+	// rate is jobs per second.
+	rate float64
+}
+
+func (g *generator) trace() Trace {
+	t := Trace{Length: g.workload.Length, Faults: g.workload.Faults}
+	at := time.Duration(0)
+	for {
+		rate := g.rate
+		if g.inMiddle(at) && g.workload.BurstFactor > 0 {
+			rate *= g.workload.BurstFactor
+		}
+		at += seconds(g.random.ExpFloat64() / rate)
+		if at >= t.Length {
+			return t
+		}
+		t.Jobs = append(t.Jobs, g.job(at, len(t.Jobs)))
+	}
+}
+
+func (g *generator) inMiddle(at time.Duration) bool {
+	fifth := g.workload.Length / 5
+	return at >= 2*fifth && at < 3*fifth
+}
+
+func (g *generator) job(at time.Duration, n int) Job {
+	j := Job{
+		At:       at,
+		Key:      ident.JobKey{Team: g.team(), Key: fmt.Sprintf("job-%d", n)},
+		Deadline: g.workload.Deadline,
+	}
+	for range g.tasks() {
+		j.Tasks = append(j.Tasks, g.task())
+	}
+	if g.inMiddle(at) && g.random.Float64() < g.workload.CancelShare {
+		j.CancelAfter = 3*g.workload.Length/5 - at
+	}
+	return j
+}
+
+func (g *generator) team() ident.Team {
+	return ident.Team(fmt.Sprintf("team-%03d", g.random.IntN(max(1, g.workload.Teams))))
+}
+
+// sizeClass is a range of job sizes, drawn with equal chance.
+type sizeClass struct {
+	share      float64
+	least, top int
+}
+
+var sizeClasses = []sizeClass{
+	{0.60, 1, 1},
+	{0.30, 2, 10},
+	{0.09, 11, 50},
+	{0.01, 51, 300},
+}
+
+func meanTasks() float64 {
+	sum := 0.0
+	for _, c := range sizeClasses {
+		sum += c.share * float64(c.least+c.top) / 2
+	}
+	return sum
+}
+
+func (g *generator) tasks() int {
+	u := g.random.Float64()
+	for _, c := range sizeClasses {
+		if u < c.share {
+			return c.least + g.random.IntN(c.top-c.least+1)
+		}
+		u -= c.share
+	}
+	return 1
+}
+
+func (g *generator) task() Task {
+	run := drawRun(g.random)
+	declared := seconds(run.Seconds() * math.Exp(declaredSpread*g.random.NormFloat64()))
+	return Task{Run: run, Declared: declared}
+}
+
+func drawRun(random *rand.Rand) time.Duration {
+	if random.Float64() < longShare {
+		return longFrom + time.Duration(random.Int64N(int64(longestRun-longFrom)))
+	}
+	run := seconds(medianRun.Seconds() * math.Exp(runSigma*random.NormFloat64()))
+	return min(max(run, shortestRun), longestRun)
+}
+
+// meanRun returns the mean of drawRun in seconds, by a fixed sample.
+func meanRun() float64 {
+	const samples = 200_000
+	random := rand.New(rand.NewPCG(7, 7))
+	sum := 0.0
+	for range samples {
+		sum += drawRun(random).Seconds()
+	}
+	return sum / samples
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/dispatch/baseline.go
+++ b/dispatch/baseline.go
@@ -42,61 +42,52 @@
 func (p *Random) Remove(executor ident.Incarnation) { p.executors.remove(executor) }
 
 // Observe implements Pool.
-func (p *Random) Observe(_ time.Duration, executor ident.Incarnation, free int) {
+func (p *Random) Observe(now time.Duration, executor ident.Incarnation, l Load) {
 	if e := p.executors.find(executor); e != nil {
-		e.believed = free
+		e.tell(now, l)
 	}
 }
 
 // Pick implements Pool.
-func (p *Random) Pick(now time.Duration, service ident.Service) (ident.Incarnation, bool) {
-	e := p.draw(service)
+func (p *Random) Pick(now time.Duration, service ident.Service, _ bool) (ident.Incarnation, bool) {
+	e := p.draw(now, service)
 	if e == nil {
 		return "", false
 	}
-	e.take(now)
+	e.take()
 	return e.Incarnation, true
 }
 
 // draw returns any executor of the service, or nil.
-func (p *Random) draw(service ident.Service) *executorState {
-	best := newChoice(p.random)
+func (p *Random) draw(now time.Duration, service ident.Service) *executorState {
+	best := choice{random: p.random}
 	for _, e := range p.executors.list {
-		if e.serves(service) {
-			best.offer(e, 1)
+		if e.serves(now, service) {
+			best.consider(e, 0)
 		}
 	}
 	return best.executor
 }
 
 // Report implements Pool.
-func (p *Random) Report(_ time.Duration, executor ident.Incarnation, r Report) {
+func (p *Random) Report(now time.Duration, executor ident.Incarnation, r Report) {
 	if e := p.executors.find(executor); e != nil {
-		e.inFlight = max(0, e.inFlight-1)
-		e.believed = r.Free
+		e.answered(now, r)
 	}
 }
 
-// Offer implements Pool; nothing waits at the home, so offers mean nothing.
-func (p *Random) Offer(time.Duration, ident.Incarnation, int) {}
-
-// Wants implements Pool; nothing waits at the home.
-func (p *Random) Wants(time.Duration, ident.Service, int, time.Duration) []ident.Incarnation {
-	return nil
-}
-
 // Pick implements Pool.
-func (p *LeastOfTwo) Pick(now time.Duration, service ident.Service) (ident.Incarnation, bool) {
-	e, other := p.draw(service), p.draw(service)
+func (p *LeastOfTwo) Pick(now time.Duration, service ident.Service, _ bool) (ident.Incarnation, bool) {
+	e, other := p.draw(now, service), p.draw(now, service)
 	if e == nil {
 		return "", false
 	}
 	if other.load() < e.load() {
 		e = other
 	}
-	e.take(now)
+	e.take()
 	return e.Incarnation, true
 }
 
-// load is the number of tasks in flight, less the slots believed idle.
-func (e *executorState) load() int { return e.inFlight - e.believed }
+// load is the number of tasks in flight, less the slots thought idle.
+func (e *executorState) load() int { return e.inFlight - e.idle }
--- a/dispatch/executors.go
+++ b/dispatch/executors.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,28 +12,49 @@
 // executorState is what a pool believes about one executor.
 type executorState struct {
 	Executor
-	// believed is the number of slots thought idle, less the tasks sent since.
-	believed int
+	// idle is the number of slots thought idle, less the tasks thought to wait
+	// at the gate, less the tasks sent since. A negative number is a queue.
+	idle int
 	// inFlight is the number of tasks placed here and not yet answered.
 	inFlight int
-	// told is when believed was last learnt from the executor itself.
-	told time.Duration
-	// credits are the idle slots that the executor keeps for this home.
-	credits creditSet
+	// told is when idle was last learnt from the executor itself.
+	told   time.Duration
+	health record
+	// refusedUntil is the end of the pause after a refusal.
+	refusedUntil time.Duration
 }
 
+// refusalPause is how long an executor that refused a task gets no other. It may
+// have lost its permit, and the next heartbeat will tell.
+const refusalPause = 100 * time.Millisecond
+
 // serves reports whether the executor may be given tasks of the service.
-func (e *executorState) serves(service ident.Service) bool {
-	return e.Accepting && slices.Contains(e.Services, service)
+func (e *executorState) serves(now time.Duration, service ident.Service) bool {
+	return e.Accepting && now >= e.refusedUntil && slices.Contains(e.Services, service)
+}
+
+// answered notes the answer to one task.
+func (e *executorState) answered(now time.Duration, r Report) {
+	e.inFlight = max(0, e.inFlight-1)
+	e.tell(now, r.Load)
+	if !r.Started {
+		e.refusedUntil = now + refusalPause
+	}
 }
 
-// take books one task on the executor, on a kept slot if there is one.
-func (e *executorState) take(now time.Duration) {
-	e.credits.use(now)
-	e.believed = max(0, e.believed-1)
+// take books one task on the executor.
+func (e *executorState) take() {
+	e.idle--
 	e.inFlight++
 }
 
+// tell notes the executor's own word about its load.
+func (e *executorState) tell(now time.Duration, l Load) {
+	e.idle = l.idle()
+	e.told = now
+	e.health.pace = l.Pace
+}
+
 // executorSet holds executors sorted by incarnation, so that walking it does
 // not depend on the run.
 type executorSet struct {
@@ -62,16 +84,19 @@
 }
 
 // replace makes the set hold exactly the given executors. Those that stay keep
-// their tasks in flight, credits and health. The listed load is believed only
-// if nothing was heard from the executor itself for the time fresh.
+// their tasks in flight. The listed load is believed only if nothing was heard
+// from the executor itself for the time fresh.
 func (s *executorSet) replace(now, fresh time.Duration, executors []Executor) {
 	next := make([]*executorState, 0, len(executors))
 	for _, x := range executors {
 		e := s.find(x.Incarnation)
-		if e == nil {
-			e = &executorState{believed: x.Free, told: now}
-		} else if now-e.told >= fresh {
-			e.believed = x.Free
+		switch {
+		case e == nil:
+			e = &executorState{}
+			e.tell(now, x.Load)
+		case now-e.told >= fresh:
+			e.idle = x.Load.idle()
+			e.health.pace = x.Load.Pace
 		}
 		e.Executor = x
 		next = append(next, e)
@@ -84,32 +109,25 @@
 	})
 }
 
-// creditSet holds the expiry times of kept slots, soonest first.
-type creditSet struct {
-	until []time.Duration
+// choice keeps the executor with the highest score; equal scores are drawn with
+// equal chance in one pass.
+type choice struct {
+	random   *rand.Rand
+	executor *executorState
+	score    float64
+	ties     int
 }
 
-// add notes n slots kept until the given time.
-func (c *creditSet) add(n int, until time.Duration) {
-	for range n {
-		c.until = append(c.until, until)
+func (c *choice) consider(e *executorState, score float64) {
+	switch {
+	case c.executor == nil || score > c.score:
+		c.executor, c.score, c.ties = e, score, 1
+		return
+	case score < c.score:
+		return
 	}
-	slices.Sort(c.until)
-}
-
-// count drops what has expired and returns the number of slots kept.
-func (c *creditSet) count(now time.Duration) int {
-	i := 0
-	for i < len(c.until) && c.until[i] <= now {
-		i++
-	}
-	c.until = slices.Delete(c.until, 0, i)
-	return len(c.until)
-}
-
-// use spends the slot that expires first, if there is one.
-func (c *creditSet) use(now time.Duration) {
-	if c.count(now) > 0 {
-		c.until = slices.Delete(c.until, 0, 1)
+	c.ties++
+	if c.random != nil && c.random.IntN(c.ties) == 0 {
+		c.executor = e
 	}
 }
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -2,14 +2,22 @@
 
 import (
 	"container/heap"
+	"maps"
+	"slices"
 	"time"
 
 	"foxtaildock.example/dock/ident"
 )
 
-// DefaultTaskWeight is the wait that one task left in a job outweighs. It is
-// about the time in which the eleven executors of a deployment finish a task.
-const DefaultTaskWeight = 5 * time.Millisecond
+// Defaults of NewQueue.
+const (
+	// DefaultTaskWeight is how much earlier a job may have arrived and still
+	// go after one that has one task less.
+	DefaultTaskWeight = time.Second
+	// LongestHandicap bounds how far the size of a job sets it back, so that
+	// the largest jobs start before their deadlines run out.
+	LongestHandicap = time.Minute
+)
 
 // Waiting is one task that waits at its home for an executor.
 type Waiting struct {
@@ -18,26 +26,34 @@
 	// Since is when the task's job began to wait; a task that was refused by
 	// an executor keeps it.
 	Since time.Duration
+	// Size is the number of tasks of the job.
+	Size int
+	// Rank orders tasks, also those of different homes at a gate; the least
+	// goes first. Pop sets it, on the home's clock.
+	Rank time.Duration
 }
 
 // Queue orders the waiting tasks of many jobs. The next task is one of the job
-// with the least sum of arrival time and weight x tasks left, which is shortest
-// remaining job first with linear aging: a job that arrives later by more than
-// the weight of all tasks of an earlier one can't overtake it. Two jobs age
-// alike, so their order changes only when a task leaves, and a heap holds it.
+// with the least rank, which is its arrival time plus a handicap in proportion
+// to its number of tasks: shortest job first with linear aging. All jobs age
+// alike, so their order never changes and a heap holds it. A job that arrives
+// later than another's rank can't overtake it.
 type Queue struct {
 	weight   time.Duration
 	services map[ident.Service]*jobHeap
 	jobs     map[ident.JobKey]*queuedJob
 	sequence uint64
+	tasks    int
 }
 
 // queuedJob is one job with at least one waiting task.
 type queuedJob struct {
-	key      ident.JobKey
-	service  ident.Service
-	since    time.Duration
-	indexes  []int
+	key     ident.JobKey
+	service ident.Service
+	since   time.Duration
+	indexes []int
+	// size is the number of tasks when the job was added.
+	size     int
 	rank     time.Duration
 	sequence uint64
 	position int
@@ -59,49 +75,56 @@
 	}
 }
 
-// Push adds a task. All tasks of a job name the same service.
+// PushJob adds the tasks 0 to tasks-1 of a job that has none in the queue.
+func (q *Queue) PushJob(key ident.JobKey, service ident.Service, since time.Duration, tasks int) {
+	indexes := make([]int, tasks)
+	for i := range indexes {
+		indexes[i] = i
+	}
+	q.addJob(&queuedJob{key: key, service: service, since: since, size: tasks, indexes: indexes})
+}
+
+// Push adds one task of a job of the given size. All tasks of a job name the
+// same service, time and size.
 func (q *Queue) Push(w Waiting) {
 	j, ok := q.jobs[w.Task.Job]
 	if !ok {
-		q.addJob(w)
+		q.addJob(&queuedJob{key: w.Task.Job, service: w.Service, since: w.Since, size: w.Size, indexes: []int{w.Task.Index}})
 		return
 	}
 	j.indexes = append(j.indexes, w.Task.Index)
-	j.since = min(j.since, w.Since)
-	q.rankJob(j)
-	h := q.services[j.service]
-	heap.Fix(h, j.position)
-	h.tasks++
+	q.services[j.service].tasks++
+	q.tasks++
 }
 
-func (q *Queue) addJob(w Waiting) {
+func (q *Queue) addJob(j *queuedJob) {
 	q.sequence++
-	j := &queuedJob{
-		key:      w.Task.Job,
-		service:  w.Service,
-		since:    w.Since,
-		indexes:  []int{w.Task.Index},
-		sequence: q.sequence,
-	}
-	q.rankJob(j)
+	j.sequence = q.sequence
+	j.rank = j.since + min(time.Duration(j.size)*q.weight, LongestHandicap)
 	q.jobs[j.key] = j
-	h, ok := q.services[w.Service]
+	h, ok := q.services[j.service]
 	if !ok {
 		h = &jobHeap{}
-		q.services[w.Service] = h
+		q.services[j.service] = h
 	}
 	heap.Push(h, j)
-	h.tasks++
+	h.tasks += len(j.indexes)
+	q.tasks += len(j.indexes)
 }
 
-func (q *Queue) rankJob(j *queuedJob) {
-	j.rank = j.since + time.Duration(len(j.indexes))*q.weight
+// Peek returns the job of the next task of the service.
+func (q *Queue) Peek(service ident.Service) (ident.JobKey, bool) {
+	h, ok := q.services[service]
+	if !ok {
+		return ident.JobKey{}, false
+	}
+	return h.jobs[0].key, true
 }
 
 // Pop removes and returns the next task of the service.
 func (q *Queue) Pop(service ident.Service) (Waiting, bool) {
 	h, ok := q.services[service]
-	if !ok || h.Len() == 0 {
+	if !ok {
 		return Waiting{}, false
 	}
 	j := h.jobs[0]
@@ -109,15 +132,15 @@
 		Task:    ident.TaskID{Job: j.key, Index: j.indexes[0]},
 		Service: service,
 		Since:   j.since,
+		Size:    j.size,
+		Rank:    j.rank,
 	}
 	j.indexes = j.indexes[1:]
 	h.tasks--
+	q.tasks--
 	if len(j.indexes) == 0 {
 		q.dropJob(h, j)
-		return w, true
 	}
-	q.rankJob(j)
-	heap.Fix(h, 0)
 	return w, true
 }
 
@@ -129,6 +152,7 @@
 	}
 	h := q.services[j.service]
 	h.tasks -= len(j.indexes)
+	q.tasks -= len(j.indexes)
 	q.dropJob(h, j)
 	return j.indexes
 }
@@ -141,25 +165,27 @@
 	}
 }
 
-// Len returns the number of waiting tasks of the service.
-func (q *Queue) Len(service ident.Service) int {
-	h, ok := q.services[service]
-	if !ok {
-		return 0
+// Services returns the services with waiting tasks, in order.
+func (q *Queue) Services() []ident.Service {
+	if len(q.services) == 0 {
+		return nil
 	}
-	return h.tasks
+	return slices.Sorted(maps.Keys(q.services))
 }
 
-// Head returns since when the next task of the service has waited.
-func (q *Queue) Head(service ident.Service) (time.Duration, bool) {
+// Len returns the number of waiting tasks of all services.
+func (q *Queue) Len() int { return q.tasks }
+
+// LenOf returns the number of waiting tasks of one service.
+func (q *Queue) LenOf(service ident.Service) int {
 	h, ok := q.services[service]
 	if !ok {
-		return 0, false
+		return 0
 	}
-	return h.jobs[0].since, true
+	return h.tasks
 }
 
-// jobHeap implements heap.Interface over jobs of one service.
+// jobHeap implements heap.Interface over the jobs of one service.
 type jobHeap struct {
 	jobs  []*queuedJob
 	tasks int
--- a/dispatch/queue_test.go
+++ b/dispatch/queue_test.go
@@ -19,6 +19,7 @@
 	key     ident.JobKey
 	since   time.Duration
 	indexes []int
+	size    int
 }
 
 func (m *modelQueue) next(weight time.Duration) int {
@@ -32,7 +33,7 @@
 }
 
 func (j *modelJob) rank(weight time.Duration) time.Duration {
-	return j.since + time.Duration(len(j.indexes))*weight
+	return j.since + time.Duration(j.size)*weight
 }
 
 func TestQueueMatchesItsDefinition(t *testing.T) {
@@ -49,11 +50,12 @@
 					key:   ident.JobKey{Team: "t", Key: fmt.Sprint(arrived)},
 					since: time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond,
 				}
-				for i := range rapid.IntRange(1, 8).Draw(t, "tasks") {
+				j.size = rapid.IntRange(1, 8).Draw(t, "tasks")
+				for i := range j.size {
 					j.indexes = append(j.indexes, i)
-					q.Push(Waiting{Task: ident.TaskID{Job: j.key, Index: i}, Service: "s", Since: j.since})
-					tasks++
 				}
+				q.PushJob(j.key, "s", j.since, j.size)
+				tasks += j.size
 				m.jobs = append(m.jobs, j)
 			},
 			"pop": func(t *rapid.T) {
@@ -75,6 +77,19 @@
 					m.jobs = append(m.jobs[:i], m.jobs[i+1:]...)
 				}
 			},
+			"refuse": func(t *rapid.T) {
+				w, ok := q.Pop("s")
+				if !ok {
+					return
+				}
+				q.Push(w)
+				i := m.next(weight)
+				j := m.jobs[i]
+				j.indexes = append(j.indexes[1:], w.Task.Index)
+				if len(j.indexes) == 1 {
+					m.jobs = append(append(m.jobs[:i:i], m.jobs[i+1:]...), j)
+				}
+			},
 			"remove": func(t *rapid.T) {
 				if len(m.jobs) == 0 {
 					return
@@ -87,8 +102,8 @@
 				m.jobs = append(m.jobs[:i], m.jobs[i+1:]...)
 			},
 			"": func(t *rapid.T) {
-				if q.Len("s") != tasks {
-					t.Fatalf("holds %d tasks, want %d", q.Len("s"), tasks)
+				if q.LenOf("s") != tasks {
+					t.Fatalf("holds %d tasks, want %d", q.LenOf("s"), tasks)
 				}
 			},
 		})
--- a/gate/events.go
+++ b/gate/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"foxtaildock.example/dock/dispatch"
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/job"
 	"foxtaildock.example/dock/permit"
@@ -29,6 +30,8 @@
 	Tasks   []Task
 	// Deadline is when the job's time is up, on the gate's clock.
 	Deadline time.Duration
+	// Rank orders waiting tasks, the least first, on the gate's clock.
+	Rank time.Duration
 	// Age is the wall-clock time since the home wrote the request. A request
 	// older than the notes may be kept is refused.
 	Age time.Duration
@@ -64,15 +67,6 @@
 	Connections int
 }
 
-// Want says how many tasks wait at a home.
-type Want struct {
-	Home    ident.Incarnation
-	Service ident.Service
-	Count   int
-	// Oldest is how long the first of them has waited.
-	Oldest time.Duration
-}
-
 // Revoke drops the waiting tasks of a job.
 type Revoke struct {
 	Home ident.Incarnation
@@ -82,7 +76,7 @@
 // Leave stops the gate from starting anything.
 type Leave struct{}
 
-// Tick lets time pass: deadlines, expiry of notes and offers.
+// Tick lets time pass: deadlines and expiry of notes.
 type Tick struct{}
 
 func (Execute) isGateEvent()    {}
@@ -91,7 +85,6 @@
 func (NotSent) isGateEvent()    {}
 func (SetPermit) isGateEvent()  {}
 func (SetBackend) isGateEvent() {}
-func (Want) isGateEvent()       {}
 func (Revoke) isGateEvent()     {}
 func (Leave) isGateEvent()      {}
 func (Tick) isGateEvent()       {}
@@ -133,18 +126,10 @@
 	Body    []byte
 	Reason  job.Reason
 	Detail  string
-	// Credit is the number of free slots kept for the home, Free the number
-	// of idle slots in all.
-	Credit int
-	Free   int
-}
-
-// Offer tells a home that slots are kept for it for Config.OfferLease.
-type Offer struct {
-	Home  ident.Incarnation
-	Slots int
+	Load    dispatch.Load
+	// Ran is how long the backend server took; zero for tasks not started.
+	Ran time.Duration
 }
 
 func (Send) isGateAction()   {}
 func (Answer) isGateAction() {}
-func (Offer) isGateAction()  {}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"foxtaildock.example/dock/dispatch"
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/job"
 	"foxtaildock.example/dock/permit"
@@ -21,9 +22,6 @@
 	// QueueLimit is the number of tasks that may wait for a slot. A longer
 	// queue hides load from the homes; a shorter one causes more refusals.
 	QueueLimit int
-	// OfferLease is how long a free slot is kept for a home that was told of
-	// it. Too short wastes the message, too long idles the slot.
-	OfferLease time.Duration
 	// Retention is how long notes are kept. It must be longer than any
 	// request can be delayed and still be accepted (see MaxAge).
 	Retention time.Duration
@@ -41,8 +39,7 @@
 // otherwise.
 func DefaultConfig() Config {
 	return Config{
-		QueueLimit:  16,
-		OfferLease:  20 * time.Millisecond,
+		QueueLimit:  256,
 		Retention:   job.MaxDeadline + 3*job.ClockSkew,
 		MaxAge:      job.MaxDeadline + job.ClockSkew,
 		MaxNotes:    200_000,
@@ -70,6 +67,9 @@
 	attempt  int
 	payload  []byte
 	deadline time.Duration
+	rank     time.Duration
+	started  time.Duration
+	ran      time.Duration
 	verdict  Verdict
 	body     []byte
 	dropped  bool
@@ -97,11 +97,11 @@
 	running  int
 	leaving  bool
 	notes    map[ident.TaskID]*note
-	queue    []ident.TaskID
+	queue    rankQueue
 	order    []aged // notes by time of last change, for expiry
 	results  []ident.TaskID
 	bytes    int
-	offers   offerBook
+	pace     pace
 	stats    Stats
 	out      []Action
 }
@@ -117,9 +117,8 @@
 // nothing until it has both.
 func New(cfg Config) *Gate {
 	return &Gate{
-		cfg:    cfg,
-		notes:  make(map[ident.TaskID]*note),
-		offers: newOfferBook(cfg.OfferLease),
+		cfg:   cfg,
+		notes: make(map[ident.TaskID]*note),
 	}
 }
 
@@ -128,22 +127,27 @@
 
 // Load describes the gate for heartbeats.
 type Load struct {
+	dispatch.Load
 	Slots   int
-	Free    int
-	Queued  int
 	Running int
 	Notes   int
 }
 
 // Load returns the present load.
 func (g *Gate) Load() Load {
-	return Load{Slots: g.slots, Free: g.free(), Queued: len(g.queue), Running: g.running, Notes: len(g.notes)}
+	return Load{Load: g.brief(), Slots: g.slots, Running: g.running, Notes: len(g.notes)}
+}
+
+// brief is what homes need to know.
+func (g *Gate) brief() dispatch.Load {
+	return dispatch.Load{Free: g.free(), Queued: g.queue.Len(), Pace: g.pace.value(g.slots)}
 }
 
 // Step processes one event at the monotonic time now and returns what to do.
 // The returned slice is valid until the next call.
 func (g *Gate) Step(now time.Duration, e Event) []Action {
 	g.out = g.out[:0]
+	g.pace.advance(now, g.running, g.slots)
 	switch e := e.(type) {
 	case Execute:
 		g.execute(now, e)
@@ -158,8 +162,6 @@
 	case SetBackend:
 		g.services = slices.Clone(e.Services)
 		g.slots = e.Slots
-	case Want:
-		g.offers.want(now, e)
 	case Revoke:
 		g.revoke(now, e)
 	case Leave:
@@ -171,9 +173,9 @@
 	return g.out
 }
 
-// free returns the number of idle slots that are not kept for a home.
+// free returns the number of idle slots.
 func (g *Gate) free() int {
-	return max(0, g.slots-g.running-g.offers.kept())
+	return max(0, g.slots-g.running)
 }
 
 // mayStart returns why nothing may start now, or "" if something may. Invariant:
@@ -230,7 +232,7 @@
 	case stateRefused:
 		g.answerRefused(id, n, t.Attempt)
 	case stateFinished:
-		g.answerFinished(id, n, 0)
+		g.answerFinished(id, n)
 	}
 }
 
@@ -248,6 +250,7 @@
 		attempt:  t.Attempt,
 		payload:  t.Payload,
 		deadline: e.Deadline,
+		rank:     e.Rank,
 	}
 	g.notes[id] = n
 	if r := g.refusal(now, e); r != "" {
@@ -255,9 +258,8 @@
 		return
 	}
 	n.state = stateQueued
-	g.offers.use(e.Home)
 	g.touch(now, id, n)
-	g.queue = append(g.queue, id)
+	g.queue.push(id, n.rank)
 }
 
 // refuseUnnoted refuses when there is no room for a note. Without a note the
@@ -281,20 +283,12 @@
 		return job.ReasonDeadline
 	case !slices.Contains(g.services, e.Service):
 		return job.ReasonCannotRun
-	case g.queueFull(e.Home):
+	case g.queue.Len() >= g.free()+g.cfg.QueueLimit:
 		return job.ReasonOverloaded
 	}
 	return ""
 }
 
-// queueFull reports whether the home has neither a slot nor room to wait.
-func (g *Gate) queueFull(home ident.Incarnation) bool {
-	if g.offers.keptFor(home) > 0 {
-		return false
-	}
-	return len(g.queue) >= g.free()+g.cfg.QueueLimit
-}
-
 func (g *Gate) refuse(now time.Duration, id ident.TaskID, n *note, r job.Reason) {
 	g.stats.Refused++
 	n.state = stateRefused
@@ -305,12 +299,13 @@
 }
 
 func (g *Gate) answerRefused(id ident.TaskID, n *note, attempt int) {
-	g.emit(Answer{Request: n.request, Task: id, Attempt: attempt, Verdict: NotStarted, Reason: n.reason, Free: g.free()})
+	g.emit(Answer{Request: n.request, Task: id, Attempt: attempt, Verdict: NotStarted, Reason: n.reason,
+		Load: g.brief()})
 }
 
-func (g *Gate) answerFinished(id ident.TaskID, n *note, credit int) {
+func (g *Gate) answerFinished(id ident.TaskID, n *note) {
 	a := Answer{Request: n.request, Task: id, Attempt: n.attempt, Verdict: n.verdict, Body: n.body,
-		Reason: n.reason, Detail: n.detail, Credit: credit, Free: g.free()}
+		Reason: n.reason, Detail: n.detail, Load: g.brief(), Ran: n.ran}
 	if n.dropped {
 		a.Verdict = Ran
 		a.Reason = job.ReasonWorkerLost
@@ -326,19 +321,17 @@
 		g.refuseQueue(now, r)
 		return
 	}
-	for len(g.queue) > 0 && g.running < g.slots {
-		id := g.queue[0]
-		g.queue = g.queue[1:]
+	for g.queue.Len() > 0 && g.running < g.slots {
+		id := g.queue.pop()
 		g.start(now, id, g.notes[id])
 	}
-	g.offerIdle(now)
 }
 
 func (g *Gate) refuseQueue(now time.Duration, r job.Reason) {
-	for _, id := range g.queue {
+	for g.queue.Len() > 0 {
+		id := g.queue.pop()
 		g.refuse(now, id, g.notes[id], r)
 	}
-	g.queue = nil
 }
 
 func (g *Gate) start(now time.Duration, id ident.TaskID, n *note) {
@@ -349,19 +342,12 @@
 	g.stats.Started++
 	g.running++
 	n.state = stateRunning
+	n.started = now
 	g.touch(now, id, n)
 	g.emit(Send{Task: id, Service: n.service, Payload: n.payload, Deadline: n.deadline})
 	n.payload = nil
 }
 
-// offerIdle tells homes with waiting tasks of slots that are idle.
-func (g *Gate) offerIdle(now time.Duration) {
-	idle := g.free() - len(g.queue)
-	for _, o := range g.offers.give(now, idle) {
-		g.emit(o)
-	}
-}
-
 func (g *Gate) finished(now time.Duration, e Finished) {
 	n := g.notes[e.Task]
 	if n == nil || n.state != stateRunning {
@@ -369,6 +355,8 @@
 	}
 	g.running--
 	g.stats.Finished++
+	g.pace.finished()
+	n.ran = now - n.started
 	n.state = stateFinished
 	n.verdict = Done
 	n.body = e.Body
@@ -381,11 +369,8 @@
 	}
 	g.keepResult(e.Task, n)
 	g.touch(now, e.Task, n)
-	credit := 0
-	if e.OK && g.mayStart(now) == "" && len(g.queue) == 0 && g.running < g.slots {
-		credit = g.offers.creditOnAnswer(now, n.home)
-	}
-	g.answerFinished(e.Task, n, credit)
+	g.advance(now)
+	g.answerFinished(e.Task, n)
 }
 
 // notSent returns a task that the shell could not start. Nothing of it reached
@@ -401,16 +386,12 @@
 }
 
 func (g *Gate) revoke(now time.Duration, e Revoke) {
-	kept := g.queue[:0:0]
-	for _, id := range g.queue {
-		n := g.notes[id]
-		if id.Job == e.Key && n.home == e.Home {
-			g.refuse(now, id, n, job.ReasonCancelled)
-			continue
-		}
-		kept = append(kept, id)
+	removed := g.queue.remove(func(id ident.TaskID) bool {
+		return id.Job == e.Key && g.notes[id].home == e.Home
+	})
+	for _, id := range removed {
+		g.refuse(now, id, g.notes[id], job.ReasonCancelled)
 	}
-	g.queue = kept
 }
 
 // keepResult accounts for a result body and drops the oldest bodies beyond the
@@ -446,7 +427,6 @@
 // expire drops notes that are older than Retention and refuses waiting tasks
 // whose deadline has passed.
 func (g *Gate) expire(now time.Duration) {
-	g.offers.expire(now)
 	for len(g.order) > 0 && now-g.order[0].at >= g.cfg.Retention {
 		g.forget(now, g.order[0])
 		g.order = g.order[1:]
@@ -454,16 +434,10 @@
 	for len(g.results) > 0 && g.notes[g.results[0]] == nil {
 		g.results = g.results[1:]
 	}
-	kept := g.queue[:0:0]
-	for _, id := range g.queue {
-		n := g.notes[id]
-		if now >= n.deadline {
-			g.refuse(now, id, n, job.ReasonDeadline)
-			continue
-		}
-		kept = append(kept, id)
+	removed := g.queue.remove(func(id ident.TaskID) bool { return now >= g.notes[id].deadline })
+	for _, id := range removed {
+		g.refuse(now, id, g.notes[id], job.ReasonDeadline)
 	}
-	g.queue = kept
 }
 
 // forget drops the note if it has not changed since the entry was made. A
--- a/home/events.go
+++ b/home/events.go
@@ -84,8 +84,9 @@
 	Body    []byte
 	Reason  job.Reason
 	Detail  string
-	Credit  int
-	Free    int
+	Load    dispatch.Load
+	// Ran is how long the backend server took.
+	Ran time.Duration
 }
 
 // NotSent says that a task never left this process, so it may go elsewhere.
@@ -98,11 +99,8 @@
 // AgentGone says that an incarnation is gone for good.
 type AgentGone struct{ Agent ident.Incarnation }
 
-// Offered says that a gate keeps idle slots for this home.
-type Offered struct {
-	Agent ident.Incarnation
-	Slots int
-}
+// GateLoad is the load of the gate in the same process as it is now.
+type GateLoad struct{ Load dispatch.Load }
 
 // SetExecutors replaces the view of the agents that can run tasks.
 type SetExecutors struct{ Executors []dispatch.Executor }
@@ -136,7 +134,7 @@
 func (Answered) isHomeEvent()     {}
 func (NotSent) isHomeEvent()      {}
 func (AgentGone) isHomeEvent()    {}
-func (Offered) isHomeEvent()      {}
+func (GateLoad) isHomeEvent()     {}
 func (SetExecutors) isHomeEvent() {}
 func (SetPlacement) isHomeEvent() {}
 func (SetPermit) isHomeEvent()    {}
@@ -192,6 +190,8 @@
 	Service  ident.Service
 	Tasks    []gate.Task
 	Deadline time.Duration
+	// Rank orders the tasks at the gate, on the home's clock.
+	Rank time.Duration
 }
 
 // Revoke drops tasks of a job that wait at a gate.
@@ -200,14 +200,6 @@
 	Key   ident.JobKey
 }
 
-// Want tells a gate how many tasks wait here.
-type Want struct {
-	Agent   ident.Incarnation
-	Service ident.Service
-	Count   int
-	Oldest  time.Duration
-}
-
 // Handover sends records to the home that follows this one for them. The shell
 // may split them, and says that it sent the last only after all others were
 // acknowledged.
@@ -231,5 +223,4 @@
 func (AskSeal) isHomeAction()    {}
 func (Execute) isHomeAction()    {}
 func (Revoke) isHomeAction()     {}
-func (Want) isHomeAction()       {}
 func (Handover) isHomeAction()   {}
--- a/home/home.go
+++ b/home/home.go
@@ -44,8 +44,6 @@
 	ResolveRetry time.Duration
 	// RetryAfter is when callers are told to come back after a refusal.
 	RetryAfter time.Duration
-	// WantInterval is how often executors are reminded of waiting tasks.
-	WantInterval time.Duration
 }
 
 // DefaultConfig returns the bounds that a daemon uses unless its settings say
@@ -60,7 +58,6 @@
 		ResolveLimit:   3 * time.Second,
 		ResolveRetry:   200 * time.Millisecond,
 		RetryAfter:     time.Second,
-		WantInterval:   100 * time.Millisecond,
 	}
 }
 
@@ -88,7 +85,7 @@
 	executors  []dispatch.Executor
 	records    map[ident.JobKey]*record
 	active     []*record // resolving or running, in the order of arrival
-	waiting    queue
+	waiting    *dispatch.Queue
 	order      []aged
 	answers    []ident.JobKey // finished records with results, oldest first
 	bytes      int
@@ -120,7 +117,7 @@
 		cfg:     cfg,
 		pool:    pool,
 		records: make(map[ident.JobKey]*record),
-		waiting: newQueue(),
+		waiting: dispatch.NewQueue(0),
 		vouched: make(map[ident.Incarnation]bool),
 	}
 }
@@ -139,7 +136,7 @@
 
 // Load returns the present load.
 func (h *Home) Load() Load {
-	return Load{Records: len(h.records), Active: len(h.active), Waiting: h.waiting.len(), HandedOver: h.handedOver}
+	return Load{Records: len(h.records), Active: len(h.active), Waiting: h.waiting.Len(), HandedOver: h.handedOver}
 }
 
 // Step processes one event at the monotonic time now and returns what to do.
@@ -176,8 +173,8 @@
 		h.notSent(now, e)
 	case AgentGone:
 		h.agentGone(now, e)
-	case Offered:
-		h.pool.Offer(now, e.Agent, e.Slots)
+	case GateLoad:
+		h.pool.Observe(now, h.cfg.Self, e.Load)
 	case SetExecutors:
 		h.executors = slices.Clone(e.Executors)
 		h.pool.SetExecutors(now, e.Executors)
--- a/home/record.go
+++ b/home/record.go
@@ -42,6 +42,8 @@
 	// While running.
 	tasks []task
 	left  int // tasks without a result
+	// flight is the number of tasks in the state taskSent.
+	flight int
 
 	// Once done.
 	outcome job.Outcome
@@ -67,7 +69,6 @@
 	state   taskState
 	agent   ident.Incarnation
 	attempt int
-	sentAt  time.Duration
 	body    []byte
 }
 
--- a/home/run.go
+++ b/home/run.go
@@ -31,7 +31,7 @@
 	r.asks = nil
 	r.tasks = make([]task, len(r.spec.Tasks))
 	r.left = len(r.tasks)
-	h.waiting.push(r)
+	h.waiting.PushJob(r.key, r.spec.Service, r.arrived, len(r.tasks))
 }
 
 // cannotRun returns why no executor known here could run the job.
@@ -55,41 +55,34 @@
 
 // place hands waiting tasks to executors while the pool has room.
 func (h *Home) place(now time.Duration) {
-	for _, service := range h.waiting.services() {
+	for _, service := range h.waiting.Services() {
 		h.placeService(now, service)
 	}
 }
 
 func (h *Home) placeService(now time.Duration, service ident.Service) {
 	for {
-		r, index, ok := h.waiting.peek(service)
+		key, ok := h.waiting.Peek(service)
 		if !ok {
 			return
 		}
-		agent, ok := h.pool.Pick(now, service)
+		r := h.records[key]
+		agent, ok := h.pool.Pick(now, service, r.flight < dispatch.UrgentFlight)
 		if !ok {
-			h.tellWants(now, service)
 			return
 		}
-		h.waiting.pop(service)
-		h.send(now, r, index, agent)
-	}
-}
-
-// tellWants tells executors that tasks wait here.
-func (h *Home) tellWants(now time.Duration, service ident.Service) {
-	count, oldest := h.waiting.backlog(service, now)
-	for _, agent := range h.pool.Wants(now, service, count, oldest) {
-		h.emit(Want{Agent: agent, Service: service, Count: count, Oldest: oldest})
+		w, _ := h.waiting.Pop(service)
+		h.send(now, r, w, agent)
 	}
 }
 
 // send notes where a task goes and adds it to the batch of this step.
-func (h *Home) send(now time.Duration, r *record, index int, agent ident.Incarnation) {
+func (h *Home) send(now time.Duration, r *record, w dispatch.Waiting, agent ident.Incarnation) {
+	index := w.Task.Index
 	t := &r.tasks[index]
+	r.flight++
 	t.state = taskSent
 	t.agent = agent
-	t.sentAt = now
 	h.stats.TasksSent++
 	g := gate.Task{Task: r.spec.Tasks[index], Attempt: t.attempt}
 	for i := range h.batch {
@@ -98,7 +91,7 @@
 			return
 		}
 	}
-	h.batch = append(h.batch, Execute{Agent: agent, Key: r.key, Service: r.spec.Service, Tasks: []gate.Task{g}, Deadline: r.deadline})
+	h.batch = append(h.batch, Execute{Agent: agent, Key: r.key, Service: r.spec.Service, Tasks: []gate.Task{g}, Deadline: r.deadline, Rank: w.Rank})
 }
 
 // answered takes a gate's answer to one task.
@@ -109,6 +102,7 @@
 		h.stats.LateAnswers++
 		return
 	}
+	r.flight--
 	switch e.Verdict {
 	case gate.Done:
 		h.taskDone(now, r, t, e.Body)
@@ -135,13 +129,11 @@
 
 func (h *Home) report(now time.Duration, e Answered, t *task) {
 	rep := dispatch.Report{
-		Credit:  e.Credit,
-		Free:    e.Free,
+		Load:    e.Load,
 		Started: e.Verdict != gate.NotStarted,
 		Failed:  e.Verdict == gate.Ran || e.Verdict == gate.WrongIncarnation,
-	}
-	if t != nil {
-		rep.Took = now - t.sentAt
+		Late:    t == nil,
+		Ran:     e.Ran,
 	}
 	h.pool.Report(now, e.Agent, rep)
 }
@@ -161,7 +153,12 @@
 	t.state = taskWaiting
 	t.attempt++
 	t.agent = ""
-	h.waiting.putBack(r, index)
+	h.waiting.Push(dispatch.Waiting{
+		Task:    ident.TaskID{Job: r.key, Index: index},
+		Service: r.spec.Service,
+		Since:   r.arrived,
+		Size:    len(r.tasks),
+	})
 }
 
 func (h *Home) taskLost(now time.Duration, r *record, e Answered) {
@@ -177,6 +174,7 @@
 	h.pool.Report(now, e.Agent, dispatch.Report{})
 	r, t := h.sentTask(e.Task, e.Agent, e.Attempt)
 	if t != nil {
+		r.flight--
 		h.moveTask(r, t, e.Task.Index)
 	}
 }
@@ -238,7 +236,7 @@
 
 // withdrawTasks drops waiting tasks here and at the gates.
 func (h *Home) withdrawTasks(r *record) {
-	h.waiting.remove(r)
+	h.waiting.RemoveJob(r.key)
 	for _, agent := range r.agents() {
 		h.emit(Revoke{Agent: agent, Key: r.key})
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -122,8 +122,10 @@
 	Slots int
 	// Free is the number of idle slots.
 	Free int
-	// Queued is the number of tasks that wait in the agent's home.
+	// Queued is the number of tasks that wait at the agent's gate.
 	Queued int
+	// Pace is the time that slots were busy for each task finished lately.
+	Pace time.Duration
 	// Running is the number of tasks at the backend server.
 	Running int
 	// Jobs is the number of unfinished jobs in the agent's home.
--- a/rpc/dockpb/dockpbconnect/dock.connect.go
+++ b/rpc/dockpb/dockpbconnect/dock.connect.go
@@ -48,10 +48,6 @@
 	AgentServiceExecuteProcedure = "/dock.v1.AgentService/Execute"
 	// AgentServiceRevokeProcedure is the fully-qualified name of the AgentService's Revoke RPC.
 	AgentServiceRevokeProcedure = "/dock.v1.AgentService/Revoke"
-	// AgentServiceWantProcedure is the fully-qualified name of the AgentService's Want RPC.
-	AgentServiceWantProcedure = "/dock.v1.AgentService/Want"
-	// AgentServiceOfferProcedure is the fully-qualified name of the AgentService's Offer RPC.
-	AgentServiceOfferProcedure = "/dock.v1.AgentService/Offer"
 	// AgentServiceHandoverProcedure is the fully-qualified name of the AgentService's Handover RPC.
 	AgentServiceHandoverProcedure = "/dock.v1.AgentService/Handover"
 	// AgentServiceIntentProcedure is the fully-qualified name of the AgentService's Intent RPC.
@@ -77,10 +73,6 @@
 	Execute(context.Context, *connect.Request[dockpb.ExecuteRequest]) (*connect.ServerStreamForClient[dockpb.ExecuteResponse], error)
 	// Revoke drops the tasks of a job that wait at a gate and have not started.
 	Revoke(context.Context, *connect.Request[dockpb.RevokeRequest]) (*connect.Response[dockpb.RevokeResponse], error)
-	// Want tells a gate how many tasks wait at a home.
-	Want(context.Context, *connect.Request[dockpb.WantRequest]) (*connect.Response[dockpb.WantResponse], error)
-	// Offer tells a home that slots are kept for it for a short time.
-	Offer(context.Context, *connect.Request[dockpb.OfferRequest]) (*connect.Response[dockpb.OfferResponse], error)
 	// Handover passes the records of a leaving home to their next home.
 	Handover(context.Context, *connect.Request[dockpb.HandoverRequest]) (*connect.Response[dockpb.HandoverResponse], error)
 	// Intent announces a change that is about to be committed.
@@ -128,18 +120,6 @@
 			connect.WithSchema(agentServiceMethods.ByName("Revoke")),
 			connect.WithClientOptions(opts...),
 		),
-		want: connect.NewClient[dockpb.WantRequest, dockpb.WantResponse](
-			httpClient,
-			baseURL+AgentServiceWantProcedure,
-			connect.WithSchema(agentServiceMethods.ByName("Want")),
-			connect.WithClientOptions(opts...),
-		),
-		offer: connect.NewClient[dockpb.OfferRequest, dockpb.OfferResponse](
-			httpClient,
-			baseURL+AgentServiceOfferProcedure,
-			connect.WithSchema(agentServiceMethods.ByName("Offer")),
-			connect.WithClientOptions(opts...),
-		),
 		handover: connect.NewClient[dockpb.HandoverRequest, dockpb.HandoverResponse](
 			httpClient,
 			baseURL+AgentServiceHandoverProcedure,
@@ -162,8 +142,6 @@
 	seal     *connect.Client[dockpb.SealRequest, dockpb.SealResponse]
 	execute  *connect.Client[dockpb.ExecuteRequest, dockpb.ExecuteResponse]
 	revoke   *connect.Client[dockpb.RevokeRequest, dockpb.RevokeResponse]
-	want     *connect.Client[dockpb.WantRequest, dockpb.WantResponse]
-	offer    *connect.Client[dockpb.OfferRequest, dockpb.OfferResponse]
 	handover *connect.Client[dockpb.HandoverRequest, dockpb.HandoverResponse]
 	intent   *connect.Client[dockpb.IntentRequest, dockpb.IntentResponse]
 }
@@ -193,16 +171,6 @@
 	return c.revoke.CallUnary(ctx, req)
 }
 
-// Want calls dock.v1.AgentService.Want.
-func (c *agentServiceClient) Want(ctx context.Context, req *connect.Request[dockpb.WantRequest]) (*connect.Response[dockpb.WantResponse], error) {
-	return c.want.CallUnary(ctx, req)
-}
-
-// Offer calls dock.v1.AgentService.Offer.
-func (c *agentServiceClient) Offer(ctx context.Context, req *connect.Request[dockpb.OfferRequest]) (*connect.Response[dockpb.OfferResponse], error) {
-	return c.offer.CallUnary(ctx, req)
-}
-
 // Handover calls dock.v1.AgentService.Handover.
 func (c *agentServiceClient) Handover(ctx context.Context, req *connect.Request[dockpb.HandoverRequest]) (*connect.Response[dockpb.HandoverResponse], error) {
 	return c.handover.CallUnary(ctx, req)
@@ -228,10 +196,6 @@
 	Execute(context.Context, *connect.Request[dockpb.ExecuteRequest], *connect.ServerStream[dockpb.ExecuteResponse]) error
 	// Revoke drops the tasks of a job that wait at a gate and have not started.
 	Revoke(context.Context, *connect.Request[dockpb.RevokeRequest]) (*connect.Response[dockpb.RevokeResponse], error)
-	// Want tells a gate how many tasks wait at a home.
-	Want(context.Context, *connect.Request[dockpb.WantRequest]) (*connect.Response[dockpb.WantResponse], error)
-	// Offer tells a home that slots are kept for it for a short time.
-	Offer(context.Context, *connect.Request[dockpb.OfferRequest]) (*connect.Response[dockpb.OfferResponse], error)
 	// Handover passes the records of a leaving home to their next home.
 	Handover(context.Context, *connect.Request[dockpb.HandoverRequest]) (*connect.Response[dockpb.HandoverResponse], error)
 	// Intent announces a change that is about to be committed.
@@ -275,18 +239,6 @@
 		connect.WithSchema(agentServiceMethods.ByName("Revoke")),
 		connect.WithHandlerOptions(opts...),
 	)
-	agentServiceWantHandler := connect.NewUnaryHandler(
-		AgentServiceWantProcedure,
-		svc.Want,
-		connect.WithSchema(agentServiceMethods.ByName("Want")),
-		connect.WithHandlerOptions(opts...),
-	)
-	agentServiceOfferHandler := connect.NewUnaryHandler(
-		AgentServiceOfferProcedure,
-		svc.Offer,
-		connect.WithSchema(agentServiceMethods.ByName("Offer")),
-		connect.WithHandlerOptions(opts...),
-	)
 	agentServiceHandoverHandler := connect.NewUnaryHandler(
 		AgentServiceHandoverProcedure,
 		svc.Handover,
@@ -311,10 +263,6 @@
 			agentServiceExecuteHandler.ServeHTTP(w, r)
 		case AgentServiceRevokeProcedure:
 			agentServiceRevokeHandler.ServeHTTP(w, r)
-		case AgentServiceWantProcedure:
-			agentServiceWantHandler.ServeHTTP(w, r)
-		case AgentServiceOfferProcedure:
-			agentServiceOfferHandler.ServeHTTP(w, r)
 		case AgentServiceHandoverProcedure:
 			agentServiceHandoverHandler.ServeHTTP(w, r)
 		case AgentServiceIntentProcedure:
@@ -348,14 +296,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dock.v1.AgentService.Revoke is not implemented"))
 }
 
-func (UnimplementedAgentServiceHandler) Want(context.Context, *connect.Request[dockpb.WantRequest]) (*connect.Response[dockpb.WantResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dock.v1.AgentService.Want is not implemented"))
-}
-
-func (UnimplementedAgentServiceHandler) Offer(context.Context, *connect.Request[dockpb.OfferRequest]) (*connect.Response[dockpb.OfferResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dock.v1.AgentService.Offer is not implemented"))
-}
-
 func (UnimplementedAgentServiceHandler) Handover(context.Context, *connect.Request[dockpb.HandoverRequest]) (*connect.Response[dockpb.HandoverResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dock.v1.AgentService.Handover is not implemented"))
 }
--- a/rpc/members.go
+++ b/rpc/members.go
@@ -24,6 +24,7 @@
 		Slots:       uint32(max(n.Slots, 0)),
 		Free:        uint32(max(n.Free, 0)),
 		Queued:      uint32(max(n.Queued, 0)),
+		PaceMs:      Millis(n.Pace),
 		State:       uint32(membership.Up),
 	}
 	if n.Leaving {
@@ -44,6 +45,7 @@
 		Slots:       int(p.GetSlots()),
 		Free:        int(p.GetFree()),
 		Queued:      int(p.GetQueued()),
+		Pace:        Duration(p.GetPaceMs()),
 		Leaving:     membership.State(p.GetState()) == membership.Leaving,
 	}
 	for _, s := range p.GetServices() {
