--- a/membership/membership.go
+++ b/membership/membership.go
@@ -86,14 +86,14 @@
 func DefaultConfig() Config {
 	return Config{
 		SuspectAfter: 2 * time.Second,
-		GoneAfter:    8 * time.Second,
+		GoneAfter:    5 * time.Second,
 		ForgetAfter:  time.Minute,
 		EpochGap:     time.Second,
 		RankDelay:    500 * time.Millisecond,
 		MaxMembers:   1000,
 		MaxAgents:    4000,
 		Retention:    job.Retention + 2*job.ClockSkew,
-		LoadSample:   16,
+		LoadSample:   8,
 	}
 }
 
