agent: tell the home of its own executor with each permit

Cause: a cell of one agent refused every job with cannot-run. The home learned of executors, its own included, only when a peer's state changed; an agent alone has no peers, and one in a quiet cell saw its own backend server late.

Ruled out: telling the home when the backend server announces itself. That runs in the gate's duty, which must not wait for the home's mailbox; a permit comes about twice a second anyway.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -119,6 +119,9 @@
 	a.permit.Store(&p)
 	a.gate.box.Put(gate.SetPermit{Permit: p})
 	a.home.box.Put(home.SetPermit{Permit: p})
+	// The own executor depends on the permit and on the backend server, of
+	// which no peer tells.
+	a.publishExecutors()
 }
 
 // SetPlacement hands over a newer placement.
