Add a quick start on one machine and tokens in files

Cause: the steps to a first document were spread over pages, and a token on a screen is one that is seen.

--- a/cmd/foxtaildock/operators_test.go
+++ b/cmd/foxtaildock/operators_test.go
@@ -97,15 +97,13 @@
 func TestOperatorsWorkTheDocument(t *testing.T) {
 	o := &operator{t: t, address: startOperators(t), dir: t.TempDir()}
 	o.token = o.write("bootstrap", bootstrapToken)
-	made := execute("", "document", "token", "operators", "anna", "--role", "operator")
-	_, rest, _ := strings.Cut(made.out, "token, shown only now\n")
-	token, rest, _ := strings.Cut(rest, "\n")
-	_, tokens, _ := strings.Cut(rest, "team/operators\n")
-	team := o.write("team.toml", "owner = \"operators\"\n"+tokens)
+	anna := filepath.Join(o.dir, "anna.token")
+	made := execute("", "document", "token", "operators", "anna", "--role", "operator", "--write", anna, "--owner", "operators")
+	team := o.write("team.toml", made.out)
 	o.want(exitDone, "document apply team/operators "+team+" --expect 0", "accepted: team/operators, version 1")
 
 	o.want(exitNotTaken, "document show")
-	o.token = o.write("token", token)
+	o.token = anna
 	o.want(exitDone, "document show", "team/operators", "operators")
 
 	domain := o.write("domain.toml", "owner = \"operators\"\nstate = \"in-service\"\n")
--- a/cmd/foxtaildock/token.go
+++ b/cmd/foxtaildock/token.go
@@ -3,19 +3,26 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
+	"os"
 	"strings"
 
 	"foxtaildock.example/dock/document"
 	"foxtaildock.example/dock/ident"
 )
 
+// tokenFileMode is the permission of files with tokens.
+const tokenFileMode = 0o600
+
 // documentTokenCommand makes a token. It needs no connection.
 type documentTokenCommand struct {
 	For       ident.Team    `arg:"positional" placeholder:"TEAM" help:"the team of the token"`
 	ID        string        `arg:"positional" help:"a name that tells the team's tokens apart"`
 	Role      document.Role `arg:"--role" default:"caller" help:"caller or operator"`
 	Bootstrap bool          `arg:"--bootstrap" help:"make the token that may write the first section of an empty document"`
+	Write     string        `arg:"--write" placeholder:"FILE" help:"write the token into a new file, and print only what the document or the settings keep of it"`
+	Owner     ident.Team    `arg:"--owner" placeholder:"TEAM" help:"print the text of a whole section that this team owns"`
 }
 
 func (*documentTokenCommand) examples() string {
@@ -23,6 +30,9 @@
   The token goes to the team, the entry into its section
   team/tills. The document keeps only a hash:
     foxtaildock document token tills shop-1
+  The text of a whole new section, and the token in a file:
+    foxtaildock document token tills shop-1 \
+      --write shop-1.token --owner operators > team.toml
   For the settings of the entries of a new system:
     foxtaildock document token --bootstrap`
 }
@@ -40,6 +50,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if d.Write != "" {
+		return exitDone, d.writeToken(c, made)
+	}
 	if c.json {
 		return exitDone, c.printJSON(made)
 	}
@@ -53,10 +66,32 @@
 		return exitDone, nil
 	}
 	p.Heading("for [operators] in the entries' settings")
-	p.Raw(fmt.Sprintf("bootstrap_sha256 = %q", made.BootstrapSHA256))
+	p.Raw(made.kept())
 	return exitDone, nil
 }
 
+// kept is what the document or the settings keep of the token.
+func (n *newToken) kept() string {
+	if n.Entry != "" {
+		return n.Entry
+	}
+	return fmt.Sprintf("bootstrap_sha256 = %q", n.BootstrapSHA256)
+}
+
+// writeToken writes the token into a new file that only its owner can read.
+func (d *documentTokenCommand) writeToken(c *console, made *newToken) error {
+	f, err := os.OpenFile(d.Write, os.O_WRONLY|os.O_CREATE|os.O_EXCL, tokenFileMode)
+	if err != nil {
+		return fmt.Errorf("writing the token: %w", err)
+	}
+	_, err = fmt.Fprintln(f, made.Token)
+	if err := errors.Join(err, f.Close()); err != nil {
+		return fmt.Errorf("writing the token: %w", err)
+	}
+	c.printer().Raw(made.kept())
+	return nil
+}
+
 func (d *documentTokenCommand) make() (*newToken, error) {
 	if d.Bootstrap {
 		token := strings.ToLower(rand.Text() + rand.Text())
@@ -72,7 +107,14 @@
 	if err != nil {
 		return nil, &usageError{err.Error()}
 	}
-	return &newToken{Token: token, Entry: formatTokenEntry(&entry)}, nil
+	return &newToken{Token: token, Entry: d.ownerLine() + formatTokenEntry(&entry)}, nil
+}
+
+func (d *documentTokenCommand) ownerLine() string {
+	if d.Owner == "" {
+		return ""
+	}
+	return fmt.Sprintf("owner = %q\n\n", d.Owner)
 }
 
 func formatTokenEntry(e *document.TokenEntry) string {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -36,6 +36,15 @@
 	}
 }
 
+func TestLocalExamplesAreValid(t *testing.T) {
+	if err := Check(RoleEntry, "../docs/examples/local/entry.toml"); err != nil {
+		t.Error(err)
+	}
+	if err := Check(RoleAgent, "../docs/examples/local/agent.toml"); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestMissingOptionalFieldsGetDefaults(t *testing.T) {
 	a, err := ParseAgent("agent.toml", []byte(`
 process = { failure_domain = "thies", cell = "west" }
