entry: turn strangers away before their request is read, and audit them

Change: a token has to be that of some team before the body is read (401); that it is the job's team is checked as before (403). Both are noted for the audit trail like those of the operators' interface. Log lines of agents now have the failure domain, and those of their link the incarnation.

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -50,7 +50,7 @@
 
 // RunAgent runs an agent until the context ends, then leaves gracefully.
 func RunAgent(ctx context.Context, set *settings.Agent, log *telemetry.Logger) error {
-	p := &agentProcess{set: set, log: log}
+	p := &agentProcess{set: set, log: log.With(telemetry.Domain(set.Process.FailureDomain))}
 	metrics, err := telemetry.NewMetrics(telemetry.RoleAgent, set.Process.FailureDomain, newIncarnation())
 	if err != nil {
 		return fmt.Errorf("metrics: %w", err)
@@ -210,7 +210,7 @@
 	c.Cell = p.set.Process.Cell
 	c.Table = platform.NewClient(p.set.Platform.Address.String(), p.set.Platform.Timeout).Table()
 	c.NewClient = rpc.NewClient
-	c.Log = p.log
+	c.Log = p.log.With(telemetry.Incarnation(self))
 	for _, s := range p.set.Entries.Seeds {
 		c.Seeds = append(c.Seeds, s.String())
 	}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -67,13 +67,14 @@
 	p.answers = newAnswerCounter(jobs)
 	p.keeper = entry.NewDocumentGatekeeper(entry.Unlimited{})
 	p.entry = entry.New(entry.Config{
-		Self:       p.self,
-		Domain:     p.set.Process.FailureDomain,
-		Routing:    routing.DefaultConfig(),
-		Limits:     p.limits(),
-		Gatekeeper: p.keeper,
-		Log:        p.log,
-		Record:     p.answers.record,
+		Self:         p.self,
+		Domain:       p.set.Process.FailureDomain,
+		Routing:      routing.DefaultConfig(),
+		Limits:       p.limits(),
+		Gatekeeper:   p.keeper,
+		Log:          p.log,
+		Record:       p.answers.record,
+		TokenRefused: func(r *http.Request, status int) { p.desk.NoteCaller(r, status) },
 	})
 	p.control, err = control.New(p.controlConfig(), p)
 	if err != nil {
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -54,13 +54,17 @@
 		return
 	}
 	defer c.leave(size)
+	token, ok := c.bearer(w, r)
+	if !ok {
+		return
+	}
 	c.limitBody(w)
 	spec, mark, problem := api.DecodeJob(r.Body, time.Now())
 	if problem != nil {
 		c.problem(w, problem)
 		return
 	}
-	if !c.authorize(w, r, spec.Key.Team) {
+	if !c.authorize(w, r, spec.Key.Team, token) {
 		return
 	}
 	o := c.run(r.Context(), spec, mark)
@@ -127,7 +131,8 @@
 		c.problem(w, problem)
 		return
 	}
-	if !c.authorize(w, r, key.Team) || !c.enter(w, 0) {
+	token, ok := c.bearer(w, r)
+	if !ok || !c.authorize(w, r, key.Team, token) || !c.enter(w, 0) {
 		return
 	}
 	defer c.leave(0)
@@ -187,19 +192,35 @@
 	}
 }
 
-func (c *callers) authorize(w http.ResponseWriter, r *http.Request, team ident.Team) bool {
+// bearer returns the token of a request if it is that of any team. A stranger is
+// turned away before the body is read.
+func (c *callers) bearer(w http.ResponseWriter, r *http.Request) (string, bool) {
 	token, ok := strings.CutPrefix(r.Header.Get(api.TokenHeader), "Bearer ")
-	if !ok {
-		c.problem(w, &api.Problem{Status: http.StatusUnauthorized, Reason: job.ReasonUnauthorized, Message: "a bearer token is needed"})
-		return false
+	team, _, _ := strings.Cut(token, "/")
+	if !ok || !c.entry.cfg.Gatekeeper.Authorize(ident.Team(team), token) {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		c.refuseToken(w, r, http.StatusUnauthorized, "missing or wrong token")
+		return "", false
 	}
+	return token, true
+}
+
+// authorize turns a request away if its token is that of another team.
+func (c *callers) authorize(w http.ResponseWriter, r *http.Request, team ident.Team, token string) bool {
 	if !c.entry.cfg.Gatekeeper.Authorize(team, token) {
-		c.problem(w, &api.Problem{Status: http.StatusForbidden, Reason: job.ReasonUnauthorized, Message: "the token does not belong to the team"})
+		c.refuseToken(w, r, http.StatusForbidden, "the token does not belong to the team")
 		return false
 	}
 	return true
 }
 
+func (c *callers) refuseToken(w http.ResponseWriter, r *http.Request, status int, message string) {
+	if c.entry.cfg.TokenRefused != nil {
+		c.entry.cfg.TokenRefused(r, status)
+	}
+	c.problem(w, &api.Problem{Status: status, Reason: job.ReasonUnauthorized, Message: message})
+}
+
 func (c *callers) problem(w http.ResponseWriter, p *api.Problem) { _ = api.WriteProblem(w, p) }
 
 // finish writes the outcome, counts it and logs it.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,9 @@
 	Limits     Limits
 	Gatekeeper Gatekeeper
 	Log        *telemetry.Logger
+	// TokenRefused notes a request without the right token for the audit trail;
+	// it may be nil.
+	TokenRefused func(r *http.Request, status int)
 	// Record counts the answer to one submission; it may be nil.
 	Record func(ctx context.Context, team ident.Team, o *job.Outcome, took time.Duration)
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -162,7 +162,7 @@
 		refuse(w, status, audit.Unavailable, errNoDocument.Error())
 		return
 	}
-	o.noteRefusal(r, status)
+	o.noteRefusal(r, status, "token refused at the operators' interface")
 	if status == http.StatusForbidden {
 		refuse(w, status, audit.Forbidden, "this token is not for operators")
 		return
@@ -171,7 +171,13 @@
 	refuse(w, status, audit.Unauthorized, document.ErrToken.Error())
 }
 
-func (o *Operators) noteRefusal(r *http.Request, status int) {
+// NoteCaller notes a request to the callers' interface without the right token
+// for the audit trail.
+func (o *Operators) NoteCaller(r *http.Request, status int) {
+	o.noteRefusal(r, status, "token refused at the callers' interface")
+}
+
+func (o *Operators) noteRefusal(r *http.Request, status int, detail string) {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
 		host = "unknown"
@@ -182,7 +188,7 @@
 	}
 	row := audit.Row{
 		ID: control.NewID(), UnixMS: time.Now().UnixMilli(), Entry: o.cfg.Self, By: host,
-		Action: audit.Present, Outcome: outcome, Detail: "token refused at the operators' interface",
+		Action: audit.Present, Outcome: outcome, Detail: detail,
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
