Drive the proofs through the operators' interface

Cause: the entries serve the operators' interface now; rows written past it skip the announcement, so domain-out-platform-down could not hold. Change: the first document, withdrawals, restores and drains go through api.OperatorsClient; domain-race races at two entries and compares what both say; each proof reports the longest time without a processor; the demo checks that no job is harmed before the kill.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"net/http"
@@ -16,6 +17,7 @@
 	"foxtaildock.example/bench/httpjson"
 	"foxtaildock.example/bench/link"
 	"foxtaildock.example/bench/platformd"
+	"foxtaildock.example/dock/document"
 )
 
 const (
@@ -61,11 +63,13 @@
 
 // Cluster is a running system.
 type Cluster struct {
-	Spec     Spec
-	Platform *Process
-	Links    *Process
-	Entries  []*Entry
-	Agents   []*Agent
+	Spec Spec
+	// BootstrapToken may write the first section of the document.
+	BootstrapToken string
+	Platform       *Process
+	Links          *Process
+	Entries        []*Entry
+	Agents         []*Agent
 
 	platformAddress string
 	linkAdmin       string
@@ -76,8 +80,9 @@
 // New lays out a system and writes its settings. Nothing is started.
 func New(spec Spec) (*Cluster, error) {
 	c := &Cluster{
-		Spec:   spec.withDefaults(),
-		client: &http.Client{Timeout: controlTimeout},
+		Spec:           spec.withDefaults(),
+		client:         &http.Client{Timeout: controlTimeout},
+		BootstrapToken: rand.Text(),
 	}
 	var err error
 	if c.platformAddress, err = freeAddress(); err != nil {
@@ -164,6 +169,7 @@
 		Metrics:         e.Metrics,
 		Platform:        platform,
 		PlatformTimeout: c.Spec.PlatformTimeout.String(),
+		Bootstrap:       document.HashBootstrap(c.BootstrapToken),
 		Grace:           c.Spec.Grace.String(),
 		Level:           c.Spec.LogLevel,
 	})
@@ -415,8 +421,14 @@
 	return all, nil
 }
 
-// PlatformAddress returns the address of the platform without a link.
-func (c *Cluster) PlatformAddress() string { return c.platformAddress }
+// OperatorAddresses returns the operators' addresses of the entries.
+func (c *Cluster) OperatorAddresses() []string {
+	var out []string
+	for _, e := range c.Entries {
+		out = append(out, e.Operators)
+	}
+	return out
+}
 
 // CallerAddresses returns the callers' addresses of the entries.
 func (c *Cluster) CallerAddresses() []string {
--- a/bench/cluster/settings.go
+++ b/bench/cluster/settings.go
@@ -14,6 +14,7 @@
 	Domain, Cell                            string
 	Callers, Operators, Internal, Metrics   string
 	Platform, PlatformTimeout, Grace, Level string
+	Bootstrap                               string
 }
 
 // agentSettings fills agentTemplate.
@@ -43,6 +44,9 @@
 address = "{{.Platform}}"
 timeout = "{{.PlatformTimeout}}"
 
+[operators]
+bootstrap_sha256 = "{{.Bootstrap}}"
+
 [log]
 level = "{{.Level}}"
 
--- a/bench/cmd/foxbench/prove.go
+++ b/bench/cmd/foxbench/prove.go
@@ -68,10 +68,9 @@
 		}
 	}
 	return proof.Options{
-		Daemon:    daemon,
-		Bench:     bench,
-		Dir:       dir,
-		Seed:      seed,
-		Operators: proof.NewOperators,
+		Daemon: daemon,
+		Bench:  bench,
+		Dir:    dir,
+		Seed:   seed,
 	}, nil
 }
--- a/bench/proof/bed.go
+++ b/bench/proof/bed.go
@@ -49,14 +49,12 @@
 	Dir string
 	// Seed is that of the load.
 	Seed uint64
-	// Operators returns a client for the operators' interface.
-	Operators func() Operators
 }
 
 // Bed is one running system under load.
 type Bed struct {
 	Cluster   *cluster.Cluster
-	Operators Operators
+	Operators *Operators
 	Token     string
 	Dir       string
 
@@ -81,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Bed{Cluster: system, Operators: opts.Operators(), Dir: shape.Dir}
+	b := &Bed{Cluster: system, Dir: shape.Dir}
 	if err := b.start(ctx); err != nil {
 		system.Close()
 		return nil, err
@@ -96,11 +94,11 @@
 	if err := b.Cluster.Start(ctx); err != nil {
 		return err
 	}
-	token, err := b.Operators.Prepare(ctx, b.Cluster, team, service)
+	var err error
+	b.Operators, b.Token, err = prepareOperators(ctx, b.Cluster, team, service)
 	if err != nil {
 		return fmt.Errorf("first document: %w", err)
 	}
-	b.Token = token
 	return b.waitAuthorized(ctx)
 }
 
--- a/bench/proof/demo.go
+++ b/bench/proof/demo.go
@@ -42,7 +42,7 @@
 	bed.setDemoLoad()
 	step("%d jobs of 1 to %d tasks", demoJobs, demoMaxTasks)
 	bed.StartLoad(ctx)
-	window, err := bed.demoEvents(ctx, step)
+	events, err := bed.demoEvents(ctx, step)
 	if err != nil {
 		bed.StopLoad()
 		return err
@@ -50,7 +50,7 @@
 	bed.WaitLoad()
 	step("all jobs answered")
 	domain := bed.Cluster.Agents[1].Domain
-	err = errors.Join(bed.Verify(), bed.demoComplete(), bed.noStarts(window, inDomain(domain)))
+	err = errors.Join(bed.Verify(), bed.demoAnswers(events.killed), bed.noStarts(events.out, inDomain(domain)))
 	return errors.Join(err, bed.demoReport(out, err))
 }
 
@@ -66,45 +66,54 @@
 	b.Load.Caller.Patience = demoDeadline / 6
 }
 
-// demoEvents withdraws and restores a failure domain and kills an agent. It
-// returns the window in which nothing may start in the domain.
-func (b *Bed) demoEvents(ctx context.Context, step func(string, ...any)) (window, error) {
+// demoTimes says when things happened in the demo.
+type demoTimes struct {
+	// out is the window in which nothing may start in the withdrawn domain.
+	out    window
+	killed time.Time
+}
+
+// demoEvents withdraws and restores a failure domain and kills an agent.
+func (b *Bed) demoEvents(ctx context.Context, step func(string, ...any)) (demoTimes, error) {
+	var times demoTimes
 	domain := b.Cluster.Agents[1].Domain
 	if err := b.WaitResults(ctx, time.Time{}, demoWithdrawAt); err != nil {
-		return window{}, err
+		return times, err
 	}
 	accepted, err := b.Operators.SetDomain(ctx, domain, false)
 	if err != nil {
-		return window{}, err
+		return times, err
 	}
 	step("%s withdrawn", domain)
 	hold(ctx, demoOutTime)
-	out := window{from: accepted.Add(forceLimit), to: time.Now()}
+	times.out = window{from: accepted.Add(forceLimit), to: time.Now()}
 	if _, err := b.Operators.SetDomain(ctx, domain, true); err != nil {
-		return out, err
+		return times, err
 	}
 	step("%s restored", domain)
 	if err := b.WaitResults(ctx, time.Time{}, demoKillAt); err != nil {
-		return out, err
+		return times, err
 	}
 	victim := b.Cluster.Agents[2]
+	times.killed = time.Now()
 	if err := errors.Join(victim.Kill(), victim.Backend.Kill()); err != nil {
-		return out, err
+		return times, err
 	}
 	step("%s killed, its server too", victim.Name)
-	return out, nil
+	return times, nil
 }
 
-// demoComplete checks that every job was answered and that failures are of the
-// kind that a killed agent explains.
-func (b *Bed) demoComplete() error {
+// demoAnswers checks that every job has an answer, and that every answer before
+// the kill is complete: a planned withdrawal harms no job.
+func (b *Bed) demoAnswers(killed time.Time) error {
 	results := b.Results()
 	if len(results) != demoJobs {
 		return fmt.Errorf("%d of %d jobs have a result", len(results), demoJobs)
 	}
 	for _, r := range results {
-		if r.Outcome == load.Rejected {
-			return fmt.Errorf("%s was rejected: %s", r.Job.Key, r.Detail)
+		early := r.FirstSent.Add(r.Took).Before(killed)
+		if r.Outcome == load.Rejected || early && r.Outcome != load.Complete {
+			return notComplete(r)
 		}
 	}
 	return nil
--- a/bench/proof/domains.go
+++ b/bench/proof/domains.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"time"
 
 	"foxtaildock.example/bench/backend"
@@ -157,21 +159,17 @@
 // races is the number of races of withdraw and restore.
 const races = 5
 
-// raceDomain lets two operators race, then withdraws for good: nothing may start
-// afterwards, whoever won before.
+// raceDomain lets two operators race at two entries. After each race the last
+// accepted state must be the same at both entries, and if that is withdrawn,
+// nothing may start there any more.
 func raceDomain(ctx context.Context, b *Bed) error {
 	domain := b.Cluster.Agents[1].Domain
 	var out window
 	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
 		for range races {
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				// The loser's refusal is an expected end of the race.
-				_, _ = b.Operators.SetDomain(ctx, domain, true)
-			}()
-			_, _ = b.Operators.SetDomain(ctx, domain, false)
-			<-done
+			if err := b.raceOnce(ctx, domain); err != nil {
+				return err
+			}
 		}
 		accepted, err := b.Operators.SetDomain(ctx, domain, false)
 		if err != nil {
@@ -184,3 +182,35 @@
 	})
 	return errors.Join(err, b.noStarts(out, inDomain(domain)))
 }
+
+// raceOnce changes the domain both ways at once, each at an entry of its own, and
+// compares what both entries say afterwards.
+func (b *Bed) raceOnce(ctx context.Context, domain string) error {
+	addresses := b.Cluster.OperatorAddresses()
+	var wg sync.WaitGroup
+	errs := make([]error, 2)
+	for i := range errs {
+		client, err := b.Operators.clientOf(addresses[i : i+1])
+		if err != nil {
+			return err
+		}
+		wg.Go(func() { _, errs[i] = setDomain(ctx, client, domain, i == 0) })
+	}
+	wg.Wait()
+	if errs[0] != nil && errs[1] != nil {
+		return fmt.Errorf("both racing changes were refused: %w", errors.Join(errs...))
+	}
+	hold(ctx, forceLimit)
+	first, err := b.Operators.DomainState(ctx, domain)
+	if err != nil {
+		return err
+	}
+	second, err := b.Operators.DomainState(ctx, domain)
+	if err != nil {
+		return err
+	}
+	if first != second {
+		return fmt.Errorf("one entry says %s, another %s", first, second)
+	}
+	return nil
+}
--- a/bench/proof/operators.go
+++ b/bench/proof/operators.go
@@ -2,27 +2,155 @@
 
 import (
 	"context"
-	"errors"
+	"crypto/rand"
+	"fmt"
+	"strings"
 	"time"
 
 	"foxtaildock.example/bench/cluster"
+	"foxtaildock.example/dock/api"
+	"foxtaildock.example/dock/document"
 )
 
-// ErrNotRun means that a proof could not be run, as what it needs is missing.
-var ErrNotRun = errors.New("not run")
+// changeReason is shown in the audit trail of the system under test.
+const changeReason = "proof"
 
-// Operators is what proofs need of the operators' interface.
-type Operators interface {
-	// Prepare writes the first document: the team that submits, its service
-	// and the failure domains. It returns the team's token.
-	Prepare(ctx context.Context, c *cluster.Cluster, team, service string) (token string, err error)
-	// SetDomain withdraws a failure domain or restores it. It returns when the
-	// change was known to be accepted.
-	SetDomain(ctx context.Context, domain string, inService bool) (accepted time.Time, err error)
-	// Drain takes the backend server beside the agent out of service, or puts
-	// it back.
-	Drain(ctx context.Context, agent *cluster.Agent, out bool) (accepted time.Time, err error)
+// Operators changes the document through the operators' interface of the entries,
+// each time starting with another entry.
+type Operators struct {
+	cluster *cluster.Cluster
+	token   string
+	next    int
 }
 
-// NewOperators returns the client for the operators' interface.
-func NewOperators() Operators { return &rowOperators{} }
+// prepareOperators writes the first document: the operators' section with the
+// bootstrap token, then the team that submits and its service. It returns the
+// operators and the token of the team.
+func prepareOperators(ctx context.Context, c *cluster.Cluster, team, service string) (*Operators, string, error) {
+	first, err := newFirstDocument(team, service)
+	if err != nil {
+		return nil, "", err
+	}
+	bootstrap := &Operators{cluster: c, token: c.BootstrapToken}
+	if err := bootstrap.apply(ctx, first.operators); err != nil {
+		return nil, "", err
+	}
+	o := &Operators{cluster: c, token: first.operatorToken}
+	if err := o.waitKnown(ctx); err != nil {
+		return nil, "", err
+	}
+	for _, s := range first.others {
+		if err := o.apply(ctx, s); err != nil {
+			return nil, "", err
+		}
+	}
+	return o, first.callerToken, nil
+}
+
+// client returns a client that tries the entries in turn, each time starting with
+// another one. Its connections are its own, since some proofs break them.
+func (o *Operators) client() (*api.OperatorsClient, error) {
+	addresses := o.cluster.OperatorAddresses()
+	first := o.next % len(addresses)
+	o.next++
+	return o.clientOf(append(addresses[first:], addresses[:first]...))
+}
+
+func (o *Operators) clientOf(addresses []string) (*api.OperatorsClient, error) {
+	urls := make([]string, len(addresses))
+	for i, a := range addresses {
+		urls[i] = "http://" + a
+	}
+	return api.NewOperatorsClient(urls, o.token, nil)
+}
+
+// waitKnown waits until every entry takes the token.
+func (o *Operators) waitKnown(ctx context.Context) error {
+	for _, address := range o.cluster.OperatorAddresses() {
+		client, err := o.clientOf([]string{address})
+		if err != nil {
+			return err
+		}
+		for {
+			if _, err = client.Document(ctx); err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("the operators' token is not known at %s: %w", address, err)
+			}
+			hold(ctx, pollInterval)
+		}
+	}
+	return nil
+}
+
+// apply creates a section.
+func (o *Operators) apply(ctx context.Context, s sectionText) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	request := newChange()
+	request.Expect = new(s.expect)
+	request.Text = s.text
+	_, err = client.Apply(ctx, s.name, request)
+	return err
+}
+
+// newChange starts a change with an id of its own.
+func newChange() api.ChangeRequest {
+	id := fmt.Sprintf("%013d-%s", time.Now().UnixMilli(), strings.ToLower(rand.Text()))
+	return api.ChangeRequest{ChangeID: id, Reason: changeReason}
+}
+
+// SetDomain withdraws a failure domain or restores it. It returns when the change
+// was known to be accepted.
+func (o *Operators) SetDomain(ctx context.Context, domain string, inService bool) (time.Time, error) {
+	client, err := o.client()
+	if err != nil {
+		return time.Time{}, err
+	}
+	return setDomain(ctx, client, domain, inService)
+}
+
+func setDomain(ctx context.Context, client *api.OperatorsClient, domain string, inService bool) (time.Time, error) {
+	change := client.Withdraw
+	if inService {
+		change = client.Restore
+	}
+	_, err := change(ctx, domain, newChange())
+	return time.Now(), err
+}
+
+// Drain takes the backend server beside the agent out of service, or puts it
+// back.
+func (o *Operators) Drain(ctx context.Context, agent *cluster.Agent, out bool) (time.Time, error) {
+	client, err := o.client()
+	if err != nil {
+		return time.Time{}, err
+	}
+	change := client.Undrain
+	if out {
+		change = client.Drain
+	}
+	_, err = change(ctx, agent.Internal, newChange())
+	return time.Now(), err
+}
+
+// DomainState returns what the document says of a failure domain, as committed.
+func (o *Operators) DomainState(ctx context.Context, domain string) (document.DomainState, error) {
+	client, err := o.client()
+	if err != nil {
+		return "", err
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return "", err
+	}
+	for _, d := range status.Domains {
+		if d.Domain == domain {
+			return d.State, nil
+		}
+	}
+	return document.DomainInService, nil
+}
--- a/bench/proof/registry.go
+++ b/bench/proof/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -46,7 +45,8 @@
 const (
 	Held      Verdict = "held"
 	FellShort Verdict = "FELL SHORT"
-	NotRun    Verdict = "not run"
+	// NotRun means that the system could not be started.
+	NotRun Verdict = "not run"
 )
 
 // Report is the result of one proof.
@@ -56,11 +56,18 @@
 	Verdict Verdict
 	Err     error
 	Took    time.Duration
+	// Stall is the longest time for which this process got no processor. The
+	// system under test had none either, so a verdict after a long one says
+	// little.
+	Stall   time.Duration
 	Summary *load.Summary
 	// Dir has the settings, logs and ledgers of the run.
 	Dir string
 }
 
+// reportedStall is the shortest stall that is worth telling.
+const reportedStall = time.Second
+
 // maxErrorLines bounds what is shown of an error.
 const maxErrorLines = 4
 
@@ -83,11 +90,15 @@
 }
 
 func (r Report) counts() string {
+	text := ""
+	if r.Stall > reportedStall {
+		text = fmt.Sprintf(", machine stalled %v", r.Stall.Round(100*time.Millisecond))
+	}
 	if r.Summary == nil {
-		return ""
+		return text
 	}
 	s := r.Summary
-	return fmt.Sprintf(", jobs %d, failed %d, refused %d", s.Jobs, s.Counts[load.Failed], s.Counts[load.Refused])
+	return text + fmt.Sprintf(", jobs %d, failed %d, refused %d", s.Jobs, s.Counts[load.Failed], s.Counts[load.Refused])
 }
 
 // All returns every proof in the order in which they run.
@@ -104,25 +115,27 @@
 
 // Execute runs one proof on a system of its own. The directory of a proof that
 // held is removed.
-func Execute(ctx context.Context, opts Options, p Proof) Report {
+func Execute(ctx context.Context, opts Options, p Proof) (report Report) {
 	began := time.Now()
-	report := Report{Proof: p, Seed: opts.Seed, Verdict: Held, Dir: filepath.Join(opts.Dir, p.Name)}
+	report = Report{Proof: p, Seed: opts.Seed, Verdict: Held, Dir: filepath.Join(opts.Dir, p.Name)}
+	stalls := watchStalls()
+	defer func() {
+		report.Took = time.Since(began)
+		report.Stall = stalls.stop()
+	}()
 	bed, err := NewBed(ctx, opts, p.Name, p.Shape)
-	if err == nil {
-		err = p.Run(ctx, bed)
-		bed.Close()
-		report.Summary = load.Summarize(bed.Results(), p.Shape.Agents*bed.Cluster.Spec.Slots)
+	if err != nil {
+		report.Verdict, report.Err = NotRun, err
+		return report
 	}
-	report.Took = time.Since(began)
-	switch {
-	case err == nil:
-		_ = os.RemoveAll(report.Dir)
-	case errors.Is(err, ErrNotRun):
-		report.Verdict = NotRun
-	default:
+	report.Err = p.Run(ctx, bed)
+	bed.Close()
+	report.Summary = load.Summarize(bed.Results(), p.Shape.Agents*bed.Cluster.Spec.Slots)
+	if report.Err != nil {
 		report.Verdict = FellShort
+		return report
 	}
-	report.Err = err
+	_ = os.RemoveAll(report.Dir)
 	return report
 }
 
--- a/bench/proof/sections.go
+++ b/bench/proof/sections.go
@@ -19,11 +19,14 @@
 type sectionText struct {
 	name document.Name
 	text string
+	// expect is the version that the section has now.
+	expect ident.DocVersion
 }
 
 // firstDocument is the document of a new system, and its tokens.
 type firstDocument struct {
-	sections      []sectionText
+	operators     sectionText
+	others        []sectionText
 	operatorToken string
 	callerToken   string
 }
@@ -42,8 +45,8 @@
 	return firstDocument{
 		operatorToken: operator,
 		callerToken:   caller,
-		sections: []sectionText{
-			operatorText,
+		operators:     operatorText,
+		others: []sectionText{
 			callerText,
 			{
 				name: document.NameOf(document.KindService, service),
@@ -65,23 +68,3 @@
 	fmt.Fprintf(&text, "salt = %q\nsha256 = %q\n", entry.Salt, entry.SHA256)
 	return token, sectionText{name: document.NameOf(document.KindTeam, string(team)), text: text.String()}, nil
 }
-
-// domainSection says whether a failure domain is in service.
-func domainSection(domain string, inService bool) sectionText {
-	state := document.DomainWithdrawn
-	if inService {
-		state = document.DomainInService
-	}
-	return sectionText{
-		name: document.NameOf(document.KindDomain, domain),
-		text: fmt.Sprintf("owner = %q\nstate = %q\nreason = \"proof\"\nramp_seconds = 1\n", document.OperatorsTeam, state),
-	}
-}
-
-// drainSection takes the backend server beside the agent out of service.
-func drainSection(address string) sectionText {
-	return sectionText{
-		name: document.NameOf(document.KindDrain, address),
-		text: fmt.Sprintf("owner = %q\nreason = \"proof\"\n", document.OperatorsTeam),
-	}
-}
