Wait until jobs flow before a proof begins

Ruled out: tolerating refusals during the proof. Change: a proof submits small jobs one by one first, which may be refused with the time to come back; its own load must be complete from its first job.

--- a/bench/proof/bed.go
+++ b/bench/proof/bed.go
@@ -99,7 +99,38 @@
 	if err != nil {
 		return fmt.Errorf("first document: %w", err)
 	}
-	return b.waitAuthorized(ctx)
+	if err := b.waitAuthorized(ctx); err != nil {
+		return err
+	}
+	return b.waitFlow(ctx)
+}
+
+// waitFlow submits small jobs until some are complete. A daemon that says it is
+// ready may still refuse for a moment, with the time to come back.
+func (b *Bed) waitFlow(ctx context.Context) error {
+	driver := load.Driver{
+		Caller: &load.Caller{
+			Entries:      b.Cluster.CallerAddresses(),
+			Token:        b.Token,
+			Patience:     startTimeout,
+			RetryRefused: true,
+		},
+		Workload: load.Workload{
+			Prefix:   "warm",
+			Team:     team,
+			Service:  service,
+			Jobs:     warmUpJobs,
+			MinTasks: 1,
+			MaxTasks: 1,
+			Deadline: startTimeout,
+		},
+		Concurrency: 1,
+	}
+	results := driver.Run(ctx)
+	for _, r := range results {
+		b.keep(r)
+	}
+	return firstNotComplete(results)
 }
 
 // waitAuthorized waits until every entry knows the first document.
@@ -236,14 +267,15 @@
 // flow again, and checks the promises. All jobs sent later than settleTime after
 // the harm must be complete.
 func (b *Bed) RunUnderLoad(ctx context.Context, harm func(context.Context) error) error {
+	began := time.Now()
 	b.StartLoad(ctx)
-	err := b.harmAndRecover(ctx, harm)
+	err := b.harmAndRecover(ctx, began, harm)
 	b.StopLoad()
 	return errors.Join(err, b.Verify())
 }
 
-func (b *Bed) harmAndRecover(ctx context.Context, harm func(context.Context) error) error {
-	if err := b.WaitResults(ctx, time.Time{}, warmUpJobs); err != nil {
+func (b *Bed) harmAndRecover(ctx context.Context, began time.Time, harm func(context.Context) error) error {
+	if err := b.WaitResults(ctx, began, warmUpJobs); err != nil {
 		return fmt.Errorf("before the harm: %w", err)
 	}
 	if bad := firstNotComplete(b.Results()); bad != nil {
--- a/bench/proof/demo.go
+++ b/bench/proof/demo.go
@@ -41,8 +41,9 @@
 	defer bed.Close()
 	bed.setDemoLoad()
 	step("%d jobs of 1 to %d tasks", demoJobs, demoMaxTasks)
+	loaded := time.Now()
 	bed.StartLoad(ctx)
-	events, err := bed.demoEvents(ctx, step)
+	events, err := bed.demoEvents(ctx, loaded, step)
 	if err != nil {
 		bed.StopLoad()
 		return err
@@ -74,10 +75,10 @@
 }
 
 // demoEvents withdraws and restores a failure domain and kills an agent.
-func (b *Bed) demoEvents(ctx context.Context, step func(string, ...any)) (demoTimes, error) {
+func (b *Bed) demoEvents(ctx context.Context, loaded time.Time, step func(string, ...any)) (demoTimes, error) {
 	var times demoTimes
 	domain := b.Cluster.Agents[1].Domain
-	if err := b.WaitResults(ctx, time.Time{}, demoWithdrawAt); err != nil {
+	if err := b.WaitResults(ctx, loaded, demoWithdrawAt); err != nil {
 		return times, err
 	}
 	accepted, err := b.Operators.SetDomain(ctx, domain, false)
@@ -91,7 +92,7 @@
 		return times, err
 	}
 	step("%s restored", domain)
-	if err := b.WaitResults(ctx, time.Time{}, demoKillAt); err != nil {
+	if err := b.WaitResults(ctx, loaded, demoKillAt); err != nil {
 		return times, err
 	}
 	victim := b.Cluster.Agents[2]
@@ -107,8 +108,8 @@
 // the kill is complete: a planned withdrawal harms no job.
 func (b *Bed) demoAnswers(killed time.Time) error {
 	results := b.Results()
-	if len(results) != demoJobs {
-		return fmt.Errorf("%d of %d jobs have a result", len(results), demoJobs)
+	if want := demoJobs + warmUpJobs; len(results) != want {
+		return fmt.Errorf("%d of %d jobs have a result", len(results), want)
 	}
 	for _, r := range results {
 		early := r.FirstSent.Add(r.Took).Before(killed)
