--- a/bench/proof/bed.go
+++ b/bench/proof/bed.go
@@ -49,14 +49,12 @@
 	Dir string
 	// Seed is that of the load.
 	Seed uint64
-	// Operators returns a client for the operators' interface.
-	Operators func() Operators
 }
 
 // Bed is one running system under load.
 type Bed struct {
 	Cluster   *cluster.Cluster
-	Operators Operators
+	Operators *Operators
 	Token     string
 	Dir       string
 
@@ -81,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Bed{Cluster: system, Operators: opts.Operators(), Dir: shape.Dir}
+	b := &Bed{Cluster: system, Dir: shape.Dir}
 	if err := b.start(ctx); err != nil {
 		system.Close()
 		return nil, err
@@ -96,12 +94,43 @@
 	if err := b.Cluster.Start(ctx); err != nil {
 		return err
 	}
-	token, err := b.Operators.Prepare(ctx, b.Cluster, team, service)
+	var err error
+	b.Operators, b.Token, err = prepareOperators(ctx, b.Cluster, team, service)
 	if err != nil {
 		return fmt.Errorf("first document: %w", err)
 	}
-	b.Token = token
-	return b.waitAuthorized(ctx)
+	if err := b.waitAuthorized(ctx); err != nil {
+		return err
+	}
+	return b.waitFlow(ctx)
+}
+
+// waitFlow submits small jobs until some are complete. A daemon that says it is
+// ready may still refuse for a moment, with the time to come back.
+func (b *Bed) waitFlow(ctx context.Context) error {
+	driver := load.Driver{
+		Caller: &load.Caller{
+			Entries:      b.Cluster.CallerAddresses(),
+			Token:        b.Token,
+			Patience:     startTimeout,
+			RetryRefused: true,
+		},
+		Workload: load.Workload{
+			Prefix:   "warm",
+			Team:     team,
+			Service:  service,
+			Jobs:     warmUpJobs,
+			MinTasks: 1,
+			MaxTasks: 1,
+			Deadline: startTimeout,
+		},
+		Concurrency: 1,
+	}
+	results := driver.Run(ctx)
+	for _, r := range results {
+		b.keep(r)
+	}
+	return firstNotComplete(results)
 }
 
 // waitAuthorized waits until every entry knows the first document.
@@ -238,14 +267,15 @@
 // flow again, and checks the promises. All jobs sent later than settleTime after
 // the harm must be complete.
 func (b *Bed) RunUnderLoad(ctx context.Context, harm func(context.Context) error) error {
+	began := time.Now()
 	b.StartLoad(ctx)
-	err := b.harmAndRecover(ctx, harm)
+	err := b.harmAndRecover(ctx, began, harm)
 	b.StopLoad()
 	return errors.Join(err, b.Verify())
 }
 
-func (b *Bed) harmAndRecover(ctx context.Context, harm func(context.Context) error) error {
-	if err := b.WaitResults(ctx, time.Time{}, warmUpJobs); err != nil {
+func (b *Bed) harmAndRecover(ctx context.Context, began time.Time, harm func(context.Context) error) error {
+	if err := b.WaitResults(ctx, began, warmUpJobs); err != nil {
 		return fmt.Errorf("before the harm: %w", err)
 	}
 	if bad := firstNotComplete(b.Results()); bad != nil {
