--- a/control/cell_scenarios_test.go
+++ b/control/cell_scenarios_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"errors"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"foxtaildock.example/dock/audit"
 	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/platform"
 )
@@ -313,3 +316,36 @@
 		}
 	})
 }
+
+// The time from the answer "accepted" until every agent acts under the change.
+// Calls take no time here, so it is what the intervals alone cost.
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	run(t, 2, 11, func(t *testing.T, c *cell) {
+		version := c.mustApply(0, "domain/lulea", 0, inService).Version
+		var took []time.Duration
+		for i := range 100 {
+			time.Sleep(time.Duration(1000+37*i) * time.Millisecond)
+			version = c.mustApply(i%2, "domain/lulea", version, inService).Version
+			accepted := time.Now()
+			for c.oldestVersion() < version {
+				time.Sleep(10 * time.Millisecond)
+			}
+			took = append(took, time.Since(accepted))
+		}
+		slices.Sort(took)
+		t.Logf("in force everywhere after: median %v, p99 %v, max %v", took[50], took[98], took[99])
+		if took[99] >= permit.Lease {
+			t.Errorf("one change took %v", took[99])
+		}
+	})
+}
+
+// oldestVersion is the lowest version that any agent acts under.
+func (c *cell) oldestVersion() ident.DocVersion {
+	oldest := ident.DocVersion(math.MaxUint64)
+	for _, a := range c.agents {
+		_, v := a.mayStart()
+		oldest = min(oldest, v)
+	}
+	return oldest
+}
