Put an accepted change in force at its entry before answering

Cause: an operator who used a new token at the same entry right after the change was accepted could still be turned away. Also, homes now hear from entries which executors are out of service and send them nothing.

--- a/agent/peers.go
+++ b/agent/peers.go
@@ -72,7 +72,7 @@
 			Services:    p.Services,
 			Slots:       p.Slots,
 			Free:        p.Free,
-			Accepting:   p.State == membership.Up,
+			Accepting:   p.State == membership.Up && !p.OutOfService,
 		})
 	}
 	slices.SortFunc(out, func(x, y dispatch.Executor) int {
--- a/control/epoch.go
+++ b/control/epoch.go
@@ -68,7 +68,7 @@
 	if err := c.run(ctx); err != nil {
 		return err
 	}
-	d.box.Put(loaded{s.withPlacement(prop.Next)})
+	d.box.Put(loaded{snapshot: s.withPlacement(prop.Next)})
 	d.cfg.Log.Info("placement committed", telemetry.Epoch(prop.Next.Epoch), telemetry.Count(len(prop.Next.Current())))
 	return nil
 }
--- a/control/events.go
+++ b/control/events.go
@@ -38,8 +38,12 @@
 // confirmed is a read of the platform that found a state.
 type confirmed struct{ confirmation permit.Confirmation }
 
-// loaded is a snapshot read from the platform.
-type loaded struct{ snapshot *snapshot }
+// loaded is a snapshot that was read from the platform or committed there.
+type loaded struct {
+	snapshot *snapshot
+	// done is closed once the snapshot is installed; it may be nil.
+	done chan struct{}
+}
 
 // settled is the certain outcome of an announced change.
 type settled struct {
@@ -89,6 +93,9 @@
 		d.granter.ConfirmRead(e.confirmation)
 	case loaded:
 		d.install(e.snapshot)
+		if e.done != nil {
+			close(e.done)
+		}
 	case settled:
 		d.intents.settle(e.id, e.after)
 		d.granter.Learn(e.after)
--- a/control/read.go
+++ b/control/read.go
@@ -90,7 +90,7 @@
 	} else if next, err = load(ctx, d.cfg.Table, d.cfg.Cell, d.current.Load()); err != nil {
 		return nil, err
 	}
-	d.box.Put(loaded{next})
+	d.box.Put(loaded{snapshot: next})
 	if next.state() != h.state() {
 		d.kickReader()
 	}
--- a/control/store.go
+++ b/control/store.go
@@ -84,8 +84,7 @@
 		}
 		err = s.commit(ctx, snap, section, c, forced)
 		if err == nil {
-			// The platform may go away now; others learn the content here.
-			s.duty.box.Put(loaded{next})
+			s.install(ctx, next)
 			return Applied{ChangeID: c.ID, Section: c.Section, Version: section.Version}, nil
 		}
 		var conflict *platform.ConflictError
@@ -96,6 +95,19 @@
 	return Applied{}, fmt.Errorf("%w: other changes came first %d times", platform.ErrUnavailable, applyTries)
 }
 
+// install puts an accepted change in force at this entry before it is answered.
+// The platform may go away now; other processes then learn the content here.
+func (s *Store) install(ctx context.Context, next *snapshot) {
+	e := loaded{snapshot: next, done: make(chan struct{})}
+	if !s.duty.box.Put(e) {
+		return
+	}
+	select {
+	case <-e.done:
+	case <-ctx.Done():
+	}
+}
+
 // errChangeID means that a change id can't be used.
 var errChangeID = errors.New("a change id is the wall clock in milliseconds in 13 digits, a dash, and random letters")
 
