Let operators vouch for lost agents; never list a removed agent again

Cause: (1) after the loss of more than half of the agents the forced epoch never came, since nobody is declared gone while most are silent. (2) An agent that was paused for longer than the retention was listed again under its old incarnation, since the row had forgotten it.

Change: the force request declares silent agents gone; heartbeats carry the epoch in which the agent joined. The property test now tells its agents when they joined, as the protocol does, and runs 200 steps.

--- a/control/agentlink/link.go
+++ b/control/agentlink/link.go
@@ -80,7 +80,9 @@
 	holder    permit.Holder
 	placement *placement.Placement
 	peers     *peerBook
-	entries   map[string]*entryState
+	// joined is the epoch in which the agent found itself listed first.
+	joined  ident.Epoch
+	entries map[string]*entryState
 	// searchAt is when the table is asked next, and searching whether an
 	// answer is awaited.
 	searchAt  time.Duration
@@ -162,6 +164,7 @@
 			Epoch:   uint64(known.Epoch),
 		},
 		Intent:  l.holder.Intent(),
+		Joined:  uint64(l.joined),
 		Running: uint32(max(n.Running, 0)),
 		Jobs:    uint32(max(n.Jobs, 0)),
 	}
@@ -226,6 +229,9 @@
 		return
 	}
 	l.placement = rpc.PlacementFromProto(p)
+	if m, ok := l.placement.Member(l.cfg.Self); ok {
+		l.joined = m.Joined
+	}
 	l.agent.SetPlacement(l.placement)
 }
 
--- a/control/cell_scenarios_test.go
+++ b/control/cell_scenarios_test.go
@@ -317,6 +317,34 @@
 	})
 }
 
+// More than half of the agents are off for good. Changes are refused until an
+// operator vouches for that, and the placement follows only then.
+func TestOperatorVouchesThatMostAgentsAreOff(t *testing.T) {
+	run(t, 2, 6, func(t *testing.T, c *cell) {
+		for _, a := range c.agents[:4] {
+			c.kill(a)
+		}
+		time.Sleep(time.Minute)
+		if n := len(c.entries[0].Placement().Current()); n != 6 {
+			t.Errorf("%d of 6 members although most of the fleet went silent at once", n)
+		}
+		if _, err := c.apply(0, "domain/lulea", 0, withdrawn); !errors.Is(err, ErrUnannounced) {
+			t.Errorf("a change was answered with %v", err)
+		}
+		if _, err := c.entries[0].Store().Apply(c.ctx, change("domain/lulea", 0, withdrawn), true); err != nil {
+			t.Errorf("a forced change was answered with %v", err)
+		}
+		c.entries[1].ForceEpoch()
+		time.Sleep(10 * time.Second)
+		for _, e := range c.entries {
+			if n := len(e.Placement().Current()); n != 2 {
+				t.Errorf("%d of 2 members after the forced epoch", n)
+			}
+		}
+		c.mustApply(0, "domain/umea", 0, inService)
+	})
+}
+
 // The time from the answer "accepted" until every agent acts under the change.
 // Calls take no time here, so it is what the intervals alone cost.
 func TestChangeIsInForceEverywhere(t *testing.T) {
--- a/control/epoch.go
+++ b/control/epoch.go
@@ -77,9 +77,9 @@
 	return &announcer{client: d.cfg.Client, timeout: d.cfg.CallTimeout}
 }
 
-// ForceEpoch lets the next epoch that this entry proposes do without the word of
-// more than half of the members. An operator asks for it who knows that the
-// members that do not answer are off for good.
+// ForceEpoch declares the agents gone that are silent at all entries, and lets the
+// next epoch that this entry proposes do without the word of the members. An
+// operator asks for it who knows that the silent ones are off for good.
 func (d *Duty) ForceEpoch() bool { return d.box.Offer(force{}) }
 
 // commit is one announced change of the state: announce, commit, settle.
--- a/control/events.go
+++ b/control/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/rpc/dockpb"
 )
@@ -107,6 +108,7 @@
 		d.planned(e.err)
 	case force:
 		d.forceNext = true
+		d.apply(d.tracker.Step(d.now(), membership.SilentAreOff{}))
 	case askStatus:
 		e.reply <- d.status()
 	case askRank:
--- /dev/null
+++ b/membership/main_test.go
@@ -0,0 +1,16 @@
+package membership
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// Former members are forgotten after 17 minutes, so the runs of the fleet have to
+// be long. A flag on the command line overrides this.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.steps", "200"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -128,6 +128,9 @@
 	Running int
 	// Jobs is the number of unfinished jobs in the agent's home.
 	Jobs int
+	// Joined is the epoch in which the agent found itself listed first, and
+	// zero if it never did.
+	Joined ident.Epoch
 	// Leaving says that the agent wants to leave as planned.
 	Leaving bool
 	// Known is the newest document version and epoch the agent heard of.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -18,6 +18,7 @@
 	now     time.Duration
 	wall    time.Time
 	current *placement.Placement
+	joined  map[ident.Incarnation]ident.Epoch
 	epochs  int
 }
 
@@ -26,6 +27,7 @@
 	return &fleet{
 		t: NewTracker(cfg), p: NewPlanner(cfg), now: time.Hour,
 		wall: time.Unix(1_800_000_000, 0), current: placement.New(0, nil),
+		joined: make(map[ident.Incarnation]ident.Epoch),
 	}
 }
 
@@ -39,6 +41,13 @@
 // pass lets time pass in steps of 500 ms in which the given agents are heard.
 func (f *fleet) pass(d time.Duration, heard ...Announcement) {
 	for end := f.now + d; f.now < end; {
+		for i := range heard {
+			// An agent that was told of a placement remembers when it joined.
+			if m, ok := f.current.Member(heard[i].Incarnation); ok {
+				f.joined[m.Incarnation] = m.Joined
+			}
+			heard[i].Joined = f.joined[heard[i].Incarnation]
+		}
 		f.now += 500 * time.Millisecond
 		f.wall = f.wall.Add(500 * time.Millisecond)
 		for _, n := range heard {
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -25,14 +25,19 @@
 // ViewChanged reports a newer document version.
 type ViewChanged struct{ View permit.View }
 
+// SilentAreOff reports that an operator vouches that all agents that are silent
+// for GoneAfter are off for good, although they are most of the fleet.
+type SilentAreOff struct{}
+
 // Tick reports that time has passed. It is due a few times per SuspectAfter.
 type Tick struct{}
 
-func (Heartbeat) trackerEvent()   {}
-func (Elsewhere) trackerEvent()   {}
-func (Installed) trackerEvent()   {}
-func (ViewChanged) trackerEvent() {}
-func (Tick) trackerEvent()        {}
+func (Heartbeat) trackerEvent()    {}
+func (Elsewhere) trackerEvent()    {}
+func (Installed) trackerEvent()    {}
+func (ViewChanged) trackerEvent()  {}
+func (SilentAreOff) trackerEvent() {}
+func (Tick) trackerEvent()         {}
 
 // Action is an output of Tracker.Step.
 type Action interface{ trackerAction() }
@@ -103,6 +108,8 @@
 		return t.installed(now, e.Placement)
 	case ViewChanged:
 		return t.viewChanged(now, e.View)
+	case SilentAreOff:
+		return t.silentAreOff(now)
 	case Tick:
 		return t.tick(now)
 	}
@@ -111,7 +118,7 @@
 
 func (t *Tracker) heartbeat(now time.Duration, n Announcement) []Action {
 	// One that left as planned goes on being heard while it finishes.
-	if t.hasLeft(n.Incarnation) && !n.Leaving {
+	if t.hasLeft(&n) && !n.Leaving {
 		return []Action{Removed{n.Incarnation}}
 	}
 	a, ok := t.agents[n.Incarnation]
@@ -160,7 +167,7 @@
 func (t *Tracker) elsewhere(now time.Duration, ns []Announcement) []Action {
 	var acts []Action
 	for _, n := range ns {
-		if t.hasLeft(n.Incarnation) {
+		if t.hasLeft(&n) {
 			continue
 		}
 		a, ok := t.agents[n.Incarnation]
@@ -200,10 +207,14 @@
 	return acts
 }
 
-// hasLeft reports whether an epoch has removed the incarnation.
-func (t *Tracker) hasLeft(id ident.Incarnation) bool {
-	m, ok := t.current.Member(id)
-	return ok && m.Left != 0
+// hasLeft reports whether an epoch has removed the incarnation. One that was a
+// member once and that the row does not know was removed and then forgotten.
+func (t *Tracker) hasLeft(n *Announcement) bool {
+	m, ok := t.current.Member(n.Incarnation)
+	if !ok {
+		return n.Joined != 0 && n.Joined <= t.current.Epoch
+	}
+	return m.Left != 0
 }
 
 func (t *Tracker) add(n Announcement, now time.Duration) *Agent {
@@ -252,6 +263,19 @@
 	return acts
 }
 
+// silentAreOff declares the silent agents gone without judging itself. Silence
+// counts from the last heartbeat here: what another entry hears is not silent.
+func (t *Tracker) silentAreOff(now time.Duration) []Action {
+	var acts []Action
+	for _, id := range t.order {
+		a := t.agents[id]
+		if a.State != Gone && t.isGone(now, a, now-a.HeardAt) {
+			acts = append(acts, t.move(now, a, Gone)...)
+		}
+	}
+	return acts
+}
+
 // silence is the time since the agent was heard here, or since this entry was
 // last at fault itself.
 func (t *Tracker) silence(now time.Duration, a *Agent) time.Duration {
