--- /dev/null
+++ b/control/fuzz_test.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"net/http"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/permit"
+	"foxtaildock.example/dock/placement"
+	"foxtaildock.example/dock/platform/memory"
+	"foxtaildock.example/dock/rpc/dockpb"
+	"foxtaildock.example/dock/telemetry"
+)
+
+// fuzzDuty is a duty without loops that has the empty state installed.
+func fuzzDuty(f *testing.F) *Duty {
+	cfg := DefaultConfig()
+	cfg.Self, cfg.Cell, cfg.Address = "entry0", "north", "10.0.0.1:1"
+	cfg.Table = memory.New().Table()
+	cfg.Client = &http.Client{}
+	cfg.Log = telemetry.Discard()
+	d, err := New(cfg, idle{})
+	if err != nil {
+		f.Fatal(err)
+	}
+	doc := document.New(0, nil)
+	view, err := document.NewView(doc)
+	if err != nil {
+		f.Fatal(err)
+	}
+	d.install(&snapshot{document: doc, view: view, placement: placement.New(0, nil), fromTable: true})
+	return d
+}
+
+func seed(f *testing.F, m proto.Message) {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+}
+
+// Whatever an agent sends: it is answered, and nobody's word stands in for a
+// read of the platform.
+func FuzzHeartbeat(f *testing.F) {
+	seed(f, &dockpb.HeartbeatRequest{
+		Self: &dockpb.Peer{Incarnation: "a", Address: "10.0.0.2:1", Slots: 8}, Entry: "entry0", Echo: 1 << 40, Joined: 3,
+		Confirmation: &dockpb.Confirmation{Version: 1, Epoch: 1}, Intent: "x",
+	})
+	d := fuzzDuty(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := &dockpb.HeartbeatRequest{}
+		if proto.Unmarshal(data, r) != nil {
+			return
+		}
+		resp := d.beat(r)
+		if resp.GetPermit().GetRemainingMs() > 0 || d.granter.Mode(d.now()) != permit.Island {
+			t.Error("a permit without a confirmation")
+		}
+	})
+}
+
+// Whatever another entry sends or answers: nothing reverts, and an answer
+// without content changes no state.
+func FuzzExchange(f *testing.F) {
+	seed(f, &dockpb.ExchangeRequest{
+		Self:  &dockpb.EntryPeer{Incarnation: "b", Version: 7, Epoch: 9},
+		Peers: []*dockpb.Peer{{Incarnation: "a", Address: "10.0.0.2:1"}}, Demand: []*dockpb.TeamDemand{{Team: "t", Running: 3}},
+	})
+	seed(f, &dockpb.ExchangeResponse{
+		Self: &dockpb.EntryPeer{Incarnation: "b"}, Confirmation: &dockpb.Confirmation{Version: 1, Epoch: 1, AgeMs: 20},
+		Document:  &dockpb.Document{Version: 1, Sections: []*dockpb.Section{{Name: "domain/a", Text: "x"}}},
+		Placement: &dockpb.Placement{Epoch: 1, Members: []*dockpb.Member{{Incarnation: "a", Joined: 1}}},
+	})
+	d := fuzzDuty(f)
+	d.entries["10.0.0.9:1"] = &entryState{stop: func() {}}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		before := d.current.Load().state()
+		request := &dockpb.ExchangeRequest{}
+		if proto.Unmarshal(data, request) == nil {
+			request.Self = &dockpb.EntryPeer{Version: request.GetSelf().GetVersion(), Epoch: request.GetSelf().GetEpoch()}
+			d.exchange(request)
+		}
+		if after := d.current.Load().state(); after != before {
+			t.Errorf("a request moved the state from %v to %v", before, after)
+		}
+		response := &dockpb.ExchangeResponse{}
+		if proto.Unmarshal(data, response) == nil {
+			d.exchanged(exchanged{address: "10.0.0.9:1", sentAt: d.now(), response: response})
+		}
+		if after := d.current.Load().state(); !after.Covers(before) {
+			t.Errorf("an answer moved the state from %v back to %v", before, after)
+		}
+	})
+}
