--- a/agent/peers.go
+++ b/agent/peers.go
@@ -71,7 +71,7 @@
 			Domain:      p.Domain,
 			Services:    p.Services,
 			Slots:       p.Slots,
-			Free:        p.Free,
+			Load:        dispatch.Load{Free: p.Free, Queued: p.Queued, Pace: p.Pace},
 			Accepting:   p.State == membership.Up && !p.OutOfService,
 		})
 	}
--- a/control/agentlink/peers.go
+++ b/control/agentlink/peers.go
@@ -50,6 +50,7 @@
 	known, ok := b.last[a.Incarnation]
 	known.Free = a.Free
 	known.Queued = a.Queued
+	known.Pace = a.Pace
 	known.State = a.State
 	known.OutOfService = a.OutOfService
 	return known, ok
--- a/rpc/members.go
+++ b/rpc/members.go
@@ -22,6 +22,7 @@
 		Incarnation:  string(a.Incarnation),
 		Free:         uint32(max(a.Free, 0)),
 		Queued:       uint32(max(a.Queued, 0)),
+		PaceMs:       Millis(a.Pace),
 		State:        uint32(a.State),
 		OutOfService: a.OutOfService,
 	}
@@ -36,6 +37,7 @@
 		Slots:       uint32(max(n.Slots, 0)),
 		Free:        uint32(max(n.Free, 0)),
 		Queued:      uint32(max(n.Queued, 0)),
+		PaceMs:      Millis(n.Pace),
 		State:       uint32(membership.Up),
 	}
 	if n.Leaving {
@@ -56,6 +58,7 @@
 		Slots:       int(p.GetSlots()),
 		Free:        int(p.GetFree()),
 		Queued:      int(p.GetQueued()),
+		Pace:        Duration(p.GetPaceMs()),
 		Leaving:     membership.State(p.GetState()) == membership.Leaving,
 	}
 	for _, s := range p.GetServices() {
