--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -9,58 +9,6 @@
 	"foxtaildock.example/dock/placement"
 )
 
-// Event is an input of Tracker.Step.
-type Event interface{ trackerEvent() }
-
-// Heartbeat reports a heartbeat that arrived here.
-type Heartbeat struct{ Agent Announcement }
-
-// Elsewhere reports that another entry hears the agents itself.
-type Elsewhere struct{ Agents []Announcement }
-
-// Installed reports a newer placement. Its members count as heard at that time,
-// so that an entry that has just started gives everyone a chance.
-type Installed struct{ Placement *placement.Placement }
-
-// ViewChanged reports a newer document version.
-type ViewChanged struct{ View permit.View }
-
-// Tick reports that time has passed. It is due a few times per SuspectAfter.
-type Tick struct{}
-
-func (Heartbeat) trackerEvent()   {}
-func (Elsewhere) trackerEvent()   {}
-func (Installed) trackerEvent()   {}
-func (ViewChanged) trackerEvent() {}
-func (Tick) trackerEvent()        {}
-
-// Action is an output of Tracker.Step.
-type Action interface{ trackerAction() }
-
-// Changed reports that an agent moved between states, or, with equal states, that
-// it was taken out of service or returned. From is zero if it is new.
-type Changed struct {
-	Agent    Agent
-	From, To State
-}
-
-// Rejected reports a heartbeat that found no room.
-type Rejected struct{ Incarnation ident.Incarnation }
-
-// Removed reports a heartbeat of an incarnation that an epoch has taken out. It
-// has to start over under a new one.
-type Removed struct{ Incarnation ident.Incarnation }
-
-// FaultOwn reports that more than half of the fleet went silent at once, or
-// that this is over. While it lasts nobody is suspected or declared gone, since
-// the likely cause is this process or its network.
-type FaultOwn struct{ Begins bool }
-
-func (Changed) trackerAction()  {}
-func (Rejected) trackerAction() {}
-func (Removed) trackerAction()  {}
-func (FaultOwn) trackerAction() {}
-
 // Tracker is the core that follows the agents of one cell in one entry.
 //
 // Invariants:
@@ -103,6 +51,8 @@
 		return t.installed(now, e.Placement)
 	case ViewChanged:
 		return t.viewChanged(now, e.View)
+	case SilentAreOff:
+		return t.silentAreOff(now)
 	case Tick:
 		return t.tick(now)
 	}
@@ -111,7 +61,7 @@
 
 func (t *Tracker) heartbeat(now time.Duration, n Announcement) []Action {
 	// One that left as planned goes on being heard while it finishes.
-	if t.hasLeft(n.Incarnation) && !n.Leaving {
+	if t.hasLeft(&n) && !n.Leaving {
 		return []Action{Removed{n.Incarnation}}
 	}
 	a, ok := t.agents[n.Incarnation]
@@ -160,7 +110,7 @@
 func (t *Tracker) elsewhere(now time.Duration, ns []Announcement) []Action {
 	var acts []Action
 	for _, n := range ns {
-		if t.hasLeft(n.Incarnation) {
+		if t.hasLeft(&n) {
 			continue
 		}
 		a, ok := t.agents[n.Incarnation]
@@ -200,10 +150,14 @@
 	return acts
 }
 
-// hasLeft reports whether an epoch has removed the incarnation.
-func (t *Tracker) hasLeft(id ident.Incarnation) bool {
-	m, ok := t.current.Member(id)
-	return ok && m.Left != 0
+// hasLeft reports whether an epoch has removed the incarnation. One that was a
+// member once and that the row does not know was removed and then forgotten.
+func (t *Tracker) hasLeft(n *Announcement) bool {
+	m, ok := t.current.Member(n.Incarnation)
+	if !ok {
+		return n.Joined != 0 && n.Joined <= t.current.Epoch
+	}
+	return m.Left != 0
 }
 
 func (t *Tracker) add(n Announcement, now time.Duration) *Agent {
@@ -252,6 +206,19 @@
 	return acts
 }
 
+// silentAreOff declares the silent agents gone without judging itself. Silence
+// counts from the last heartbeat here: what another entry hears is not silent.
+func (t *Tracker) silentAreOff(now time.Duration) []Action {
+	var acts []Action
+	for _, id := range t.order {
+		a := t.agents[id]
+		if a.State != Gone && t.isGone(now, a, now-a.HeardAt) {
+			acts = append(acts, t.move(now, a, Gone)...)
+		}
+	}
+	return acts
+}
+
 // silence is the time since the agent was heard here, or since this entry was
 // last at fault itself.
 func (t *Tracker) silence(now time.Duration, a *Agent) time.Duration {
