Say every few seconds that an answer is awaited

Cause: a submission may take minutes, and a person needs to know that the command is alive.

Conclusion: go test -race ./cmd/foxtaildock passes.

--- a/cmd/foxtaildock/console.go
+++ b/cmd/foxtaildock/console.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"os"
+	"sync"
+	"time"
 
 	"foxtaildock.example/dock/report"
 )
@@ -49,6 +51,33 @@
 	_, _ = fmt.Fprintf(c.err, format+"\n", args...)
 }
 
+// patienceOfPeople is how long a person waits without a word.
+const patienceOfPeople = 3 * time.Second
+
+// whileWaiting tells a person every few seconds that an answer is awaited, until
+// the returned function is called.
+func (c *console) whileWaiting(what string) (stop func()) {
+	began := time.Now()
+	ticker := time.NewTicker(patienceOfPeople)
+	ended := make(chan struct{})
+	var told sync.WaitGroup
+	told.Go(func() {
+		for {
+			select {
+			case <-ticker.C:
+				c.note("waiting for %s, %s", what, time.Since(began).Round(time.Second))
+			case <-ended:
+				return
+			}
+		}
+	})
+	return func() {
+		ticker.Stop()
+		close(ended)
+		told.Wait()
+	}
+}
+
 // printJSON writes a document for a program.
 func (c *console) printJSON(document any) error {
 	e := json.NewEncoder(c.out)
--- a/cmd/foxtaildock/in_force.go
+++ b/cmd/foxtaildock/in_force.go
@@ -20,6 +20,7 @@
 func waitInForce(ctx context.Context, c *console, client *api.OperatorsClient, a *api.ChangeAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, inForceLimit)
 	defer cancel()
+	defer c.whileWaiting("the change to be in force")()
 	began := time.Now()
 	behind := "unknown"
 	for {
--- a/cmd/foxtaildock/job.go
+++ b/cmd/foxtaildock/job.go
@@ -37,7 +37,9 @@
 	if j.Wait {
 		ask = client.Wait
 	}
+	stop := c.whileWaiting("the answer")
 	answer, err := ask(ctx, o.Team, j.Key)
+	stop()
 	if err != nil {
 		return 0, err
 	}
--- a/cmd/foxtaildock/submit.go
+++ b/cmd/foxtaildock/submit.go
@@ -53,7 +53,9 @@
 	}
 	c.note("key %s, first sent %s", request.Key, request.FirstAttemptAt.Format(time.RFC3339Nano))
 	began := time.Now()
+	stop := c.whileWaiting("the answer")
 	answer, err := client.Submit(ctx, *request)
+	stop()
 	if err != nil {
 		return 0, err
 	}
