--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -252,6 +252,12 @@
 	return all
 }
 
+// early returns the daemons that Start starts.
+func (c *Cluster) early() []*Process {
+	all := c.daemons()
+	return all[:len(all)-c.Spec.LateAgents]
+}
+
 // daemons returns the processes of the system itself.
 func (c *Cluster) daemons() []*Process {
 	var all []*Process
@@ -270,7 +276,7 @@
 	if err := c.StartStandIns(ctx); err != nil {
 		return err
 	}
-	if err := startAll(c.daemons()); err != nil {
+	if err := startAll(c.early()); err != nil {
 		return err
 	}
 	return c.WaitReady(ctx)
@@ -313,7 +319,7 @@
 	})
 }
 
-// WaitReady waits until every running daemon says that it is ready.
+// WaitReady waits until every daemon that was ever started says that it is ready.
 func (c *Cluster) WaitReady(ctx context.Context) error {
 	for _, e := range c.Entries {
 		if err := c.WaitProcessReady(ctx, e.Process, e.Metrics); err != nil {
@@ -330,6 +336,9 @@
 
 // WaitProcessReady waits until one daemon says that it is ready.
 func (c *Cluster) WaitProcessReady(ctx context.Context, p *Process, metrics string) error {
+	if p.PID() == 0 {
+		return nil
+	}
 	url := "http://" + metrics + "/readyz"
 	return poll(ctx, p, func() error {
 		return httpjson.Call(ctx, c.client, http.MethodGet, url, nil, nil)
--- a/bench/cluster/spec.go
+++ b/bench/cluster/spec.go
@@ -17,6 +17,8 @@
 	Domains []string
 	Entries int
 	Agents  int
+	// LateAgents is the number of agents, the last ones, that Start leaves out.
+	LateAgents int
 	// Services are announced by every backend server.
 	Services    []string
 	Slots       int
--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -76,7 +76,10 @@
 type attempt struct {
 	job     Job
 	request api.JobRequest
+	// first is the time of the first sending, began that from which the
+	// deadline counts. They differ if an earlier Run sent the job first.
 	first   time.Time
+	began   time.Time
 	entry   int
 	result  Result
 	backoff time.Duration
@@ -89,6 +92,19 @@
 // Run submits the job and returns its final result. The entry with the given
 // number is tried first.
 func (c *Caller) Run(ctx context.Context, job Job, firstEntry int) Result {
+	return c.run(ctx, Result{Job: job, FirstSent: time.Now()}, firstEntry)
+}
+
+// Resubmit submits a job that has a result already, as a caller does that lost
+// it. The answer has to be the same, or a true failure.
+func (c *Caller) Resubmit(ctx context.Context, earlier Result, firstEntry int) Result {
+	again := Result{Job: earlier.Job, FirstSent: earlier.FirstSent, Attempts: earlier.Attempts}
+	return c.run(ctx, again, firstEntry)
+}
+
+// run submits the job on top of the attempts that the result counts.
+func (c *Caller) run(ctx context.Context, result Result, firstEntry int) Result {
+	job := result.Job
 	request, err := job.Request()
 	if err != nil {
 		return Result{Job: job, Outcome: Rejected, Detail: err.Error()}
@@ -97,12 +113,13 @@
 		job:     job,
 		request: request,
 		entry:   firstEntry,
-		result:  Result{Job: job, FirstSent: time.Now()},
+		result:  result,
+		first:   result.FirstSent,
+		began:   time.Now(),
 		backoff: firstBackoff,
 	}
-	a.first = a.result.FirstSent
 	a.request.FirstAttemptAt = a.first
-	ctx, cancel := context.WithDeadline(ctx, a.first.Add(job.Deadline+c.GiveUp))
+	ctx, cancel := context.WithDeadline(ctx, a.began.Add(job.Deadline+c.GiveUp))
 	defer cancel()
 	c.track(job)
 	defer c.untrack(job)
@@ -118,7 +135,7 @@
 
 // finish returns the result, with what became of the duplicate.
 func (a *attempt) finish() Result {
-	a.result.Took = time.Since(a.first)
+	a.result.Took = time.Since(a.began)
 	if a.duplicate == nil {
 		return a.result
 	}
@@ -185,7 +202,7 @@
 	a.result.Refusals = append(a.result.Refusals, at)
 	a.result.Outcome = Refused
 	retry := time.Duration(answer.RetryAfterMS) * time.Millisecond
-	left := a.job.Deadline - time.Since(a.first)
+	left := a.job.Deadline - time.Since(a.began)
 	if !c.RetryRefused || retry <= 0 || retry >= left {
 		return true
 	}
@@ -198,7 +215,7 @@
 func (c *Caller) send(ctx context.Context, a *attempt) (api.JobAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Patience)
 	defer cancel()
-	left := a.job.Deadline - time.Since(a.first)
+	left := a.job.Deadline - time.Since(a.began)
 	if left < time.Millisecond {
 		return c.lookUp(ctx, a)
 	}
--- a/bench/proof/registry.go
+++ b/bench/proof/registry.go
@@ -98,12 +98,20 @@
 		return text
 	}
 	s := r.Summary
-	return text + fmt.Sprintf(", jobs %d, failed %d, refused %d", s.Jobs, s.Counts[load.Failed], s.Counts[load.Refused])
+	text += fmt.Sprintf(", jobs %d, failed %d, refused %d", s.Jobs, s.Counts[load.Failed], s.Counts[load.Refused])
+	var reasons []string
+	for _, reason := range s.Reasons {
+		reasons = append(reasons, fmt.Sprintf("%s %d", reason.Reason, reason.Count))
+	}
+	if len(reasons) > 0 {
+		text += " (" + strings.Join(reasons, ", ") + ")"
+	}
+	return text
 }
 
 // All returns every proof in the order in which they run.
 func All() []Proof {
-	return slices.Concat(processProofs(), linkProofs(), platformProofs(), backendProofs(), leaveProofs(), domainProofs(), loadProofs())
+	return slices.Concat(processProofs(), linkProofs(), platformProofs(), backendProofs(), leaveProofs(), domainProofs(), loadProofs(), againProofs())
 }
 
 // Select returns the proofs whose name contains the text.
