Silence the callers' connections in a proof

Cause: callers' open connections can go silent as well; only their patience was tried so far. Change: links between callers and entries where a proof asks for them, and silent-callers.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -37,6 +37,9 @@
 	Metrics   string
 	// PlatformLink is the name of the link to the platform.
 	PlatformLink string
+	// CallerLink is the name of the link from the callers, if there is one.
+	CallerLink string
+	reachedAt  string
 }
 
 // Agent is one agent process and the backend server beside it.
@@ -157,6 +160,13 @@
 	if err != nil {
 		return err
 	}
+	e.reachedAt = e.Callers
+	if c.Spec.CallerLinks {
+		e.CallerLink = "callers-" + name
+		if e.reachedAt, err = c.addLink(e.CallerLink, e.Callers); err != nil {
+			return err
+		}
+	}
 	settings := c.path(name + ".toml")
 	e.Process = c.daemon("entry", name, settings)
 	c.Entries = append(c.Entries, e)
@@ -439,11 +449,11 @@
 	return out
 }
 
-// CallerAddresses returns the callers' addresses of the entries.
+// CallerAddresses returns where callers reach the entries.
 func (c *Cluster) CallerAddresses() []string {
 	var out []string
 	for _, e := range c.Entries {
-		out = append(out, e.Callers)
+		out = append(out, e.reachedAt)
 	}
 	return out
 }
--- a/bench/cluster/spec.go
+++ b/bench/cluster/spec.go
@@ -23,6 +23,9 @@
 	Services    []string
 	Slots       int
 	Connections int
+	// CallerLinks puts links between the callers and the entries. Without them
+	// a stopped entry refuses connections; a link accepts and then closes them.
+	CallerLinks bool
 	// DirectBackends leaves out the links to the backend servers, so that a
 	// killed one refuses connections. A link accepts and then closes them.
 	DirectBackends bool
--- a/bench/proof/links.go
+++ b/bench/proof/links.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"foxtaildock.example/bench/cluster"
 	"foxtaildock.example/bench/link"
 )
 
@@ -21,6 +22,13 @@
 			Shape:    usual(),
 			Run:      silentBackend,
 		},
+		{
+			Name:     "silent-callers",
+			Promise:  promiseWhole,
+			Scenario: "open connections of callers silent for good, three times",
+			Shape:    cluster.Spec{Entries: 2, Agents: 3, CallerLinks: true},
+			Run:      silentCallers,
+		},
 		{
 			Name:     "silent-platform",
 			Promise:  promiseOutage,
@@ -51,6 +59,30 @@
 	})
 }
 
+const (
+	// silences is the number of times that callers' connections go silent.
+	silences = 3
+	// silenceGap is the time between two of them.
+	silenceGap = 2 * time.Second
+)
+
+// silentCallers needs callers that give up and attach through a new connection.
+func silentCallers(ctx context.Context, b *Bed) error {
+	b.Load.Caller.Patience = silenceGap
+	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
+		for range silences {
+			for _, e := range b.Cluster.Entries {
+				if _, err := b.Cluster.SilenceLink(ctx, e.CallerLink); err != nil {
+					return err
+				}
+			}
+			hold(ctx, silenceGap)
+		}
+		return nil
+	})
+	return errors.Join(err, b.AllComplete())
+}
+
 func silentPlatform(ctx context.Context, b *Bed) error {
 	err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
 		for _, e := range b.Cluster.Entries {
