--- a/agent/agent.go
+++ b/agent/agent.go
@@ -157,6 +157,7 @@
 		Slots:       own.Slots,
 		Free:        g.Free,
 		Queued:      g.Queued,
+		Waiting:     h.Waiting,
 		Pace:        g.Pace,
 		Running:     g.Running,
 		Jobs:        h.Active,
--- a/agent/server.go
+++ b/agent/server.go
@@ -46,6 +46,7 @@
 		Service:  ident.Service(m.GetService()),
 		Tasks:    make([]job.Task, len(m.GetTasks())),
 		Deadline: rpc.Duration(m.GetDeadlineMs()),
+		Handicap: rpc.Duration(m.GetHandicapMs()),
 	}
 	for i, t := range m.GetTasks() {
 		spec.Tasks[i] = rpc.TaskFromProto(t)
--- a/bench/sim/agent.go
+++ b/bench/sim/agent.go
@@ -33,6 +33,8 @@
 	load gate.Load
 	// listed is what the entries say about this agent.
 	listed dispatch.Executor
+	// listedWaiting is the number of tasks that wait at its home.
+	listedWaiting int
 }
 
 func newAgent(w *world, worker int) *agent {
@@ -72,6 +74,7 @@
 // announce makes the entries know the state of this agent.
 func (a *agent) announce() {
 	l := a.gate.Load()
+	a.listedWaiting = a.home.Load().Waiting
 	a.listed = dispatch.Executor{
 		Incarnation: a.self,
 		Services:    []ident.Service{anyService},
--- a/bench/sim/ideal.go
+++ b/bench/sim/ideal.go
@@ -27,6 +27,10 @@
 	started time.Duration
 	left    int
 	done    bool
+	request ident.RequestID
+	// entry is nil if no entry admits jobs.
+	entry *entry
+	try   int
 }
 
 // runIdeal returns the response times of the trace under the ideal.
@@ -53,7 +57,7 @@
 func (s *ideal) arrive(job *Job) {
 	now := s.events.Now()
 	s.jobs[job.Key] = &progress{job: job, started: now, left: len(job.Tasks)}
-	s.queue.PushJob(job.Key, anyService, now, len(job.Tasks))
+	s.queue.PushJob(job.Key, anyService, now, 0, len(job.Tasks))
 	if job.CancelAfter > 0 {
 		s.events.Push(now+job.CancelAfter, func() { s.cancel(job) })
 	}
--- a/bench/sim/scenario.go
+++ b/bench/sim/scenario.go
@@ -12,6 +12,8 @@
 	Load float64
 	// change completes the workload; nil leaves it.
 	change func(Site, *Workload)
+	// entries is the number of entries that admit jobs.
+	entries int
 }
 
 // Times of the scenarios, as shares of the length of the trace.
@@ -35,6 +37,8 @@
 		{Name: "straggler", Load: 0.7, change: fault(Slow, oneWorker)},
 		{Name: "failing", Load: 0.7, change: fault(Failing, oneWorker)},
 		{Name: "all-failing", Load: 0.7, change: fault(Failing, allWorkers)},
+		{Name: "overload", Load: 0.8, change: overload, entries: 2},
+		{Name: "flood", Load: 0.3, change: flood, entries: 2},
 		{Name: "domain-out", Load: 0.5, change: fault(Out, oneDomain)},
 	}
 }
@@ -51,6 +55,21 @@
 
 func bursts(_ Site, w *Workload) { w.BurstFactor = 2 }
 
+// overload makes the middle fifth offer three times the capacity, in jobs of at
+// most overloadTasks tasks and with a short deadline.
+func overload(_ Site, w *Workload) {
+	w.BurstFactor = 3 / 0.8
+	w.Deadline = 10 * time.Second
+	w.Teams = 950
+}
+
+// flood makes one team offer three times the capacity beside the others.
+func flood(_ Site, w *Workload) {
+	w.Flood = 3
+	w.Deadline = 10 * time.Second
+	w.Teams = 50
+}
+
 func cancelWave(_ Site, w *Workload) { w.CancelShare = 0.5 }
 
 func oneWorker(Site) []int { return []int{badWorker} }
@@ -89,11 +108,12 @@
 // Run runs the scenario once.
 func (s Scenario) Run(site Site, policy Policy, seed uint64, length time.Duration) Report {
 	return Run(Config{
-		Site:   site,
-		Policy: policy,
-		Seed:   seed,
-		Trace:  s.Trace(site, seed, length),
-		WarmUp: length / 10,
+		Site:    site,
+		Policy:  policy,
+		Seed:    seed,
+		Trace:   s.Trace(site, seed, length),
+		Entries: s.entries,
+		WarmUp:  length / 10,
 	})
 }
 
--- a/bench/sim/sim_test.go
+++ b/bench/sim/sim_test.go
@@ -141,3 +141,28 @@
 		}
 	}
 }
+
+// TestOverload offers three times the capacity for a fifth of the time, with a
+// deadline of 10 s, to entries that admit jobs.
+func TestOverload(t *testing.T) {
+	s := mustFind(t, "overload")
+	reports := s.RunSeeds(Norrbrand(), PolicyShortestQueue, 4, 200*time.Second)
+	goodput := SpreadOf(reports, func(r *Report) float64 { return r.Goodput })
+	if goodput.Mean < 0.95 {
+		t.Errorf("goodput %+v", goodput)
+	}
+	for _, r := range reports {
+		mustBe(t, "p99 in seconds", r.All.P99.Seconds(), 10)
+		mustBe(t, "p99 of single tasks in seconds", r.Small.P99.Seconds(), 5)
+	}
+}
+
+// TestFloodOfOneTeamSparesOthers lets one team offer three times the capacity.
+func TestFloodOfOneTeamSparesOthers(t *testing.T) {
+	calm := mustFind(t, "flood")
+	calm.change = nil
+	small := func(r *Report) float64 { return r.Small.P99.Seconds() }
+	was := SpreadOf(calm.RunSeeds(Norrbrand(), PolicyShortestQueue, 4, testLength), small)
+	is := SpreadOf(mustFind(t, "flood").RunSeeds(Norrbrand(), PolicyShortestQueue, 4, testLength), small)
+	mustBe(t, "p99 of single tasks of the other teams", is.Mean/was.Mean, 1.2)
+}
--- a/bench/sim/workload.go
+++ b/bench/sim/workload.go
@@ -1,9 +1,11 @@
 package sim
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"foxtaildock.example/dock/ident"
@@ -37,13 +39,16 @@
 	// are cancelled by their callers at one moment.
 	CancelShare float64
 	Faults      []Fault
+	// Flood is the load that one more team adds in the middle fifth, in jobs of
+	// one task.
+	Flood float64
 }
 
 // Generate draws a trace.
 func Generate(site Site, w Workload) Trace {
 	g := generator{random: rand.New(rand.NewPCG(w.Seed, 1)), workload: w}
 	g.rate = w.Load * float64(site.TotalSlots()) / (meanRun() * meanTasks())
-	return g.trace()
+	return g.trace(site)
 }
 
 type generator struct {
@@ -53,7 +58,7 @@
 	rate float64
 }
 
-func (g *generator) trace() Trace {
+func (g *generator) trace(site Site) Trace {
 	t := Trace{Length: g.workload.Length, Faults: g.workload.Faults}
 	at := time.Duration(0)
 	for {
@@ -63,12 +68,35 @@
 		}
 		at += seconds(g.random.ExpFloat64() / rate)
 		if at >= t.Length {
-			return t
+			return g.flood(site, t)
 		}
 		t.Jobs = append(t.Jobs, g.job(at, len(t.Jobs)))
 	}
 }
 
+// FloodTeam is the team of a flood.
+const FloodTeam ident.Team = "flood"
+
+// flood adds the jobs of one team in the middle fifth.
+func (g *generator) flood(site Site, t Trace) Trace {
+	if g.workload.Flood == 0 {
+		return t
+	}
+	rate := g.workload.Flood * float64(site.TotalSlots()) / meanRun()
+	at := 2 * t.Length / 5
+	for n := 0; ; n++ {
+		at += seconds(g.random.ExpFloat64() / rate)
+		if !g.inMiddle(at) {
+			break
+		}
+		j := Job{At: at, Key: ident.JobKey{Team: FloodTeam, Key: fmt.Sprintf("flood-%d", n)}, Deadline: g.workload.Deadline}
+		j.Tasks = append(j.Tasks, g.task())
+		t.Jobs = append(t.Jobs, j)
+	}
+	slices.SortStableFunc(t.Jobs, func(a, b Job) int { return cmp.Compare(a.At, b.At) })
+	return t
+}
+
 func (g *generator) inMiddle(at time.Duration) bool {
 	fifth := g.workload.Length / 5
 	return at >= 2*fifth && at < 3*fifth
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -26,6 +26,8 @@
 	// Since is when the task's job began to wait; a task that was refused by
 	// an executor keeps it.
 	Since time.Duration
+	// Handicap is the job's beside the one for its size.
+	Handicap time.Duration
 	// Size is the number of tasks of the job.
 	Size int
 	// Rank orders tasks, also those of different homes at a gate; the least
@@ -48,10 +50,11 @@
 
 // queuedJob is one job with at least one waiting task.
 type queuedJob struct {
-	key     ident.JobKey
-	service ident.Service
-	since   time.Duration
-	indexes []int
+	key      ident.JobKey
+	service  ident.Service
+	since    time.Duration
+	handicap time.Duration
+	indexes  []int
 	// size is the number of tasks when the job was added.
 	size     int
 	rank     time.Duration
@@ -75,13 +78,14 @@
 	}
 }
 
-// PushJob adds the tasks 0 to tasks-1 of a job that has none in the queue.
-func (q *Queue) PushJob(key ident.JobKey, service ident.Service, since time.Duration, tasks int) {
+// PushJob adds the tasks 0 to tasks-1 of a job that has none in the queue. The
+// handicap is added to the one for the job's size.
+func (q *Queue) PushJob(key ident.JobKey, service ident.Service, since, handicap time.Duration, tasks int) {
 	indexes := make([]int, tasks)
 	for i := range indexes {
 		indexes[i] = i
 	}
-	q.addJob(&queuedJob{key: key, service: service, since: since, size: tasks, indexes: indexes})
+	q.addJob(&queuedJob{key: key, service: service, since: since, handicap: handicap, size: tasks, indexes: indexes})
 }
 
 // Push adds one task of a job of the given size. All tasks of a job name the
@@ -89,7 +93,7 @@
 func (q *Queue) Push(w Waiting) {
 	j, ok := q.jobs[w.Task.Job]
 	if !ok {
-		q.addJob(&queuedJob{key: w.Task.Job, service: w.Service, since: w.Since, size: w.Size, indexes: []int{w.Task.Index}})
+		q.addJob(&queuedJob{key: w.Task.Job, service: w.Service, since: w.Since, handicap: w.Handicap, size: w.Size, indexes: []int{w.Task.Index}})
 		return
 	}
 	j.indexes = append(j.indexes, w.Task.Index)
@@ -100,7 +104,7 @@
 func (q *Queue) addJob(j *queuedJob) {
 	q.sequence++
 	j.sequence = q.sequence
-	j.rank = j.since + min(time.Duration(j.size)*q.weight, LongestHandicap)
+	j.rank = j.since + j.handicap + min(time.Duration(j.size)*q.weight, LongestHandicap)
 	q.jobs[j.key] = j
 	h, ok := q.services[j.service]
 	if !ok {
@@ -129,11 +133,12 @@
 	}
 	j := h.jobs[0]
 	w := Waiting{
-		Task:    ident.TaskID{Job: j.key, Index: j.indexes[0]},
-		Service: service,
-		Since:   j.since,
-		Size:    j.size,
-		Rank:    j.rank,
+		Task:     ident.TaskID{Job: j.key, Index: j.indexes[0]},
+		Service:  service,
+		Since:    j.since,
+		Handicap: j.handicap,
+		Size:     j.size,
+		Rank:     j.rank,
 	}
 	j.indexes = j.indexes[1:]
 	h.tasks--
--- a/dispatch/shortest.go
+++ b/dispatch/shortest.go
@@ -21,6 +21,9 @@
 	// depthPerSlot is the number of waiting tasks at a gate, for each of its
 	// slots, up to which a task that is not urgent may join them.
 	depthPerSlot = 0.5
+	// urgentDepthPerSlot is the same for urgent tasks. More would be refused by
+	// the gates, and each refusal costs two messages.
+	urgentDepthPerSlot = 8
 )
 
 // Config configures ShortestQueue.
@@ -98,7 +101,11 @@
 	if e == nil {
 		return "", false
 	}
-	if !urgent && float64(e.idle) <= -depthPerSlot*float64(e.Slots) {
+	depth := depthPerSlot
+	if urgent {
+		depth = urgentDepthPerSlot
+	}
+	if float64(e.idle) <= -depth*float64(e.Slots) {
 		return "", false
 	}
 	e.take()
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -118,6 +118,7 @@
 
 func addSpec(req *dockpb.SubmitRequest, a *routing.Call) {
 	req.Service = string(a.Spec.Service)
+	req.HandicapMs = rpc.Millis(a.Spec.Handicap)
 	req.FirstAttemptUnixMs = a.FirstAttempt.UnixMilli()
 	req.Tasks = make([]*dockpb.Task, len(a.Spec.Tasks))
 	for i := range a.Spec.Tasks {
--- a/home/run.go
+++ b/home/run.go
@@ -31,7 +31,7 @@
 	r.asks = nil
 	r.tasks = make([]task, len(r.spec.Tasks))
 	r.left = len(r.tasks)
-	h.waiting.PushJob(r.key, r.spec.Service, r.arrived, len(r.tasks))
+	h.waiting.PushJob(r.key, r.spec.Service, r.arrived, r.spec.Handicap, len(r.tasks))
 }
 
 // cannotRun returns why no executor known here could run the job.
@@ -154,10 +154,11 @@
 	t.attempt++
 	t.agent = ""
 	h.waiting.Push(dispatch.Waiting{
-		Task:    ident.TaskID{Job: r.key, Index: index},
-		Service: r.spec.Service,
-		Since:   r.arrived,
-		Size:    len(r.tasks),
+		Task:     ident.TaskID{Job: r.key, Index: index},
+		Service:  r.spec.Service,
+		Since:    r.arrived,
+		Handicap: r.spec.Handicap,
+		Size:     len(r.tasks),
 	})
 }
 
--- a/job/job.go
+++ b/job/job.go
@@ -56,10 +56,14 @@
 	Tasks   []Task
 	// Deadline is the time left for the whole job, counted from receipt.
 	Deadline time.Duration
+	// Handicap sets the job back among those that wait at its home. The entry
+	// sets it for teams that use more than their fair part.
+	Handicap time.Duration
 }
 
 // Digest is a fingerprint of everything in the spec that a resubmission must
-// repeat. Deadline is not part of it, since it shrinks from try to try.
+// repeat. Deadline and Handicap are not part of it, since they differ from try
+// to try.
 func (s *Spec) Digest() uint64 {
 	h := xxhash.New()
 	var word [8]byte
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -124,6 +124,8 @@
 	Free int
 	// Queued is the number of tasks that wait at the agent's gate.
 	Queued int
+	// Waiting is the number of tasks that wait at the agent's home.
+	Waiting int
 	// Pace is the time that slots were busy for each task finished lately.
 	Pace time.Duration
 	// Running is the number of tasks at the backend server.
--- a/rpc/members.go
+++ b/rpc/members.go
@@ -36,6 +36,7 @@
 		Slots:       uint32(max(n.Slots, 0)),
 		Free:        uint32(max(n.Free, 0)),
 		Queued:      uint32(max(n.Queued, 0)),
+		Waiting:     uint32(max(n.Waiting, 0)),
 		PaceMs:      Millis(n.Pace),
 		State:       uint32(membership.Up),
 	}
@@ -57,6 +58,7 @@
 		Slots:       int(p.GetSlots()),
 		Free:        int(p.GetFree()),
 		Queued:      int(p.GetQueued()),
+		Waiting:     int(p.GetWaiting()),
 		Pace:        Duration(p.GetPaceMs()),
 		Leaving:     membership.State(p.GetState()) == membership.Leaving,
 	}
