--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,11 @@
 # prove runs every failure proof on real processes, one line each.
 prove: build
 	$(BIN)/foxbench prove
+
+# measure prints the slopes behind docs/CAPACITY.md, the simulated figures, and
+# those of real processes. It takes a few minutes.
+measure: build
+	$(GO) test -run '^$$' -bench . -benchmem ./admission ./api ./control ./control/agentlink ./dispatch ./entry
+	cd bench && $(GO) test -run '^$$' -bench Slope -benchmem ./sim
+	$(BIN)/foxbench sim
+	$(BIN)/foxbench measure
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -277,8 +277,10 @@
 	for range b.N {
 		r.now += 100 * time.Microsecond
 		submit()
-		done := admitted[0]
-		admitted = admitted[1:]
-		step(Done{ID: done})
+		if len(admitted) > 0 {
+			done := admitted[0]
+			admitted = admitted[1:]
+			step(Done{ID: done})
+		}
 	}
 }
--- a/control/agentlink/peers.go
+++ b/control/agentlink/peers.go
@@ -51,6 +51,7 @@
 	known.Free = a.Free
 	known.Queued = a.Queued
 	known.Pace = a.Pace
+	known.Pace = a.Pace
 	known.State = a.State
 	known.OutOfService = a.OutOfService
 	return known, ok
