entry: admission between callers and routing

Cause: the daemon admitted every job; the core of package admission was not wired. Ruled out: a lock around the core instead of a duty of its own, against the house style.

--- a/control/duty.go
+++ b/control/duty.go
@@ -191,6 +191,7 @@
 	d.apply(d.tracker.Step(now, membership.Tick{}))
 	d.expireEntries(now)
 	d.plan(now)
+	d.listener.SetAgents(d.tracker.Agents())
 	if mode := d.granter.Mode(now); mode != d.mode {
 		d.cfg.Log.Info("permits are now " + mode.String())
 		d.mode = mode
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
+	"foxtaildock.example/dock/admission"
 	"foxtaildock.example/dock/control"
 	"foxtaildock.example/dock/document"
 	"foxtaildock.example/dock/entry"
@@ -35,6 +37,7 @@
 	self    ident.Incarnation
 	entry   *entry.Entry
 	keeper  *entry.DocumentGatekeeper
+	admit   *entry.Admitter
 	control *control.Duty
 	answers *answerCounter
 	// desk serves the operators' interface.
@@ -65,7 +68,8 @@
 		return fmt.Errorf("metrics: %w", err)
 	}
 	p.answers = newAnswerCounter(jobs)
-	p.keeper = entry.NewDocumentGatekeeper(entry.Unlimited{})
+	p.admit = entry.NewAdmitter()
+	p.keeper = entry.NewDocumentGatekeeper(p.admit)
 	p.entry = entry.New(entry.Config{
 		Self:       p.self,
 		Domain:     p.set.Process.FailureDomain,
@@ -170,6 +174,7 @@
 		p.control.Run(ctx)
 	}()
 	go p.desk.Run(ctx)
+	go p.admit.Run(ctx)
 	go func() {
 		defer close(ended)
 		p.entry.Run(ctx)
@@ -197,7 +202,10 @@
 // The methods below are what the control duty tells the entry.
 
 // SetView hands over a newer document.
-func (p *entryProcess) SetView(v *document.View) { p.keeper.SetView(v) }
+func (p *entryProcess) SetView(v *document.View) {
+	p.keeper.SetView(v)
+	p.admit.SetView(v)
+}
 
 // SetPlacement hands over a newer placement.
 func (p *entryProcess) SetPlacement(pl *placement.Placement) {
@@ -205,11 +213,29 @@
 	p.entry.SetPlacement(pl)
 }
 
-// SetAgents hands over the state of agents. Routing goes by the placement alone.
-func (p *entryProcess) SetAgents([]membership.Agent) {}
+// SetAgents hands over the state of agents. Routing goes by the placement alone,
+// admission by their load.
+func (p *entryProcess) SetAgents(agents []membership.Agent) { p.admit.SetAgents(agents) }
 
 // SetDemand hands over the demand at another entry.
-func (p *entryProcess) SetDemand(ident.Incarnation, []control.Demand) {}
+func (p *entryProcess) SetDemand(from ident.Incarnation, demand []control.Demand) {
+	if demand == nil {
+		p.admit.SetDemand(from, nil)
+		return
+	}
+	theirs := make([]admission.Demand, len(demand))
+	for i, d := range demand {
+		theirs[i] = admission.Demand{Team: d.Team, StartsPerSecond: float64(d.StartsPerSecond)}
+	}
+	p.admit.SetDemand(from, theirs)
+}
 
 // Demand returns the demand at this entry.
-func (p *entryProcess) Demand() []control.Demand { return nil }
+func (p *entryProcess) Demand() []control.Demand {
+	var demand []control.Demand
+	for _, d := range p.admit.Demand() {
+		rate := int(math.Ceil(d.StartsPerSecond))
+		demand = append(demand, control.Demand{Team: d.Team, StartsPerSecond: rate})
+	}
+	return demand
+}
--- /dev/null
+++ b/entry/admitter_test.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"foxtaildock.example/dock/admission"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/job"
+)
+
+func startAdmitter(t *testing.T, limits ...admission.Limits) *Admitter {
+	t.Helper()
+	a := NewAdmitter()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		a.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	a.box.Put(admission.SetLimits{Limits: limits})
+	return a
+}
+
+func oneTask(team ident.Team) *job.Spec {
+	return &job.Spec{Key: ident.JobKey{Team: team, Key: "k"}, Tasks: make([]job.Task, 1), Deadline: time.Minute}
+}
+
+func TestAdmitterPassesTheNextJobOnceOneIsDone(t *testing.T) {
+	a := startAdmitter(t, admission.Limits{Team: "a", Running: 1})
+	done, _, ok := a.Admit(context.Background(), oneTask("a"))
+	if !ok {
+		t.Fatal("the first job was refused")
+	}
+	second := make(chan bool)
+	go func() {
+		_, _, ok := a.Admit(context.Background(), oneTask("a"))
+		second <- ok
+	}()
+	done()
+	if !<-second {
+		t.Fatal("the second job was refused")
+	}
+}
+
+func TestCallerThatHangsUpWhileWaitingLeavesRoom(t *testing.T) {
+	a := startAdmitter(t, admission.Limits{Team: "a", Running: 1})
+	done, _, _ := a.Admit(context.Background(), oneTask("a"))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, refusal, ok := a.Admit(ctx, oneTask("a")); ok || refusal.Reason != job.ReasonCancelled {
+		t.Fatalf("admitted %v, %+v", ok, refusal)
+	}
+	done()
+	if _, _, ok := a.Admit(context.Background(), oneTask("a")); !ok {
+		t.Fatal("the room of the caller that hung up is lost")
+	}
+}
+
+func TestAdmitterRefusesWithReasonAndTime(t *testing.T) {
+	a := startAdmitter(t, admission.Limits{Team: "a", StartsPerSecond: 1, Burst: 1})
+	a.Admit(context.Background(), oneTask("a"))
+	spec := oneTask("a")
+	spec.Deadline = time.Millisecond
+	_, refusal, ok := a.Admit(context.Background(), spec)
+	if ok || refusal.Reason != job.ReasonQuota || refusal.RetryAfter == 0 {
+		t.Fatalf("admitted %v, %+v", ok, refusal)
+	}
+}
