Ask former homes by the caller's first attempt; add the simulated cluster

It found that a first attempt that was delayed on its way to the entry, while its resubmission ran at the then home, was started again by the next home: the mark says nothing about the time before it arrived. A home now asks all former homes whose permits could still be live after the caller's first attempt.

--- /dev/null
+++ b/bench/model/cluster.go
@@ -0,0 +1,270 @@
+package model
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"foxtaildock.example/bench/sim/eventqueue"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/permit"
+)
+
+// Sizes of the simulated deployment. Agents have the addresses from 0, entries
+// those that follow.
+const (
+	agentCount  = 5
+	entryCount  = 2
+	domainCount = 3
+)
+
+// Bounds that the checks allow for.
+const (
+	// leaseBound is how long after the commit of a withdrawal a start is
+	// allowed.
+	leaseBound = permit.Lease
+	// answerSlack is how long after its deadline a request may be answered.
+	answerSlack = 500 * time.Millisecond
+	// settleTime is how long everything may take to end once faults end. It
+	// covers the longest deadline, delay and give-up time.
+	settleTime = 40 * time.Second
+)
+
+// endpointID names the incarnation that a call is meant for.
+type endpointID string
+
+// endpoint is an agent or entry.
+type endpoint interface{ base() *process }
+
+// Cluster is the simulated deployment.
+type Cluster struct {
+	trace    Trace
+	log      io.Writer
+	queue    eventqueue.Queue[func()]
+	random   *rand.Rand
+	platform *platform
+	agents   []*agentProcess
+	entries  []*entryProcess
+	lives    int
+	cuts     map[link]bool
+	storm    int
+	backends map[int]behaviour
+	jobs     []*callerJob
+	open     []*submission
+
+	starts     map[ident.TaskID]int
+	firstStart map[ident.JobKey]time.Duration
+	started    int
+	steps      int
+	events     int
+	outcomes   Outcomes
+	broken     *Violation
+}
+
+func newCluster(trace Trace, log io.Writer) *Cluster {
+	c := &Cluster{
+		log:        log,
+		trace:      trace,
+		random:     rand.New(rand.NewPCG(trace.Seed, 0)),
+		platform:   newPlatform(),
+		cuts:       make(map[link]bool),
+		backends:   make(map[int]behaviour),
+		starts:     make(map[ident.TaskID]int),
+		firstStart: make(map[ident.JobKey]time.Duration),
+	}
+	for i := range agentCount {
+		a := newAgentProcess(c, i, "")
+		c.agents = append(c.agents, a)
+		c.platform.join(a.incarnation, a.address, a.domain)
+	}
+	for i := range entryCount {
+		c.entries = append(c.entries, newEntryProcess(c, agentCount+i))
+	}
+	c.advance(warmUp)
+	return c
+}
+
+// warmUp is the time in which permits and placements reach everybody.
+const warmUp = 4 * time.Second
+
+// at schedules f after d.
+func (c *Cluster) at(d time.Duration, f func()) { c.queue.Push(c.queue.Now()+d, f) }
+
+// advance runs everything that is due within d.
+func (c *Cluster) advance(d time.Duration) {
+	end := c.queue.Now() + d
+	reached := false
+	c.queue.Push(end, func() { reached = true })
+	for !reached && c.broken == nil {
+		f, ok := c.queue.Pop()
+		if !ok {
+			return
+		}
+		f()
+		c.events++
+	}
+	c.checkAnswered()
+}
+
+// newIncarnation draws the name of a new life.
+func (c *Cluster) newIncarnation() ident.Incarnation {
+	c.lives++
+	return ident.Incarnation(fmt.Sprintf("i%04d-%08x", c.lives, c.random.Uint32()))
+}
+
+func (c *Cluster) mutated(m Mutation) bool { return c.trace.Mutation == m }
+
+// processAt returns the process at an address, or nil.
+func (c *Cluster) processAt(address int) *process {
+	switch {
+	case address >= 0 && address < agentCount:
+		return c.agents[address].process
+	case address >= agentCount && address < agentCount+entryCount:
+		return c.entries[address-agentCount].process
+	}
+	return nil
+}
+
+// endpointOf returns the live endpoint of a process, or nil if it is dead.
+func (c *Cluster) endpointOf(p *process) endpoint {
+	for _, a := range c.agents {
+		if a.process == p && !p.dead {
+			return a
+		}
+	}
+	for _, e := range c.entries {
+		if e.process == p && !p.dead {
+			return e
+		}
+	}
+	return nil
+}
+
+// note writes a line to the log, if there is one.
+func (c *Cluster) note(who, format string, args ...any) {
+	if c.log != nil {
+		_, _ = fmt.Fprintf(c.log, "%v %s: %s\n", c.queue.Now(), who, fmt.Sprintf(format, args...))
+	}
+}
+
+// apply performs one command.
+func (c *Cluster) apply(cmd Command) {
+	c.note("command", "%+v; %+v", cmd, c.platform.state)
+	switch cmd.Op {
+	case OpSubmit:
+		c.submitNew(cmd.A, cmd.B)
+	case OpResubmit, OpReuse, OpCancel, OpLookup, OpHangUp:
+		c.applyToJob(cmd)
+	case OpKill, OpRestart, OpPause, OpJoin, OpLeave, OpRemove:
+		c.applyToProcess(cmd)
+	case OpResume:
+		c.resumeAll()
+	case OpCut:
+		c.cuts[link{c.anyAddress(cmd.A), c.anyAddress(cmd.B)}] = true
+	case OpMend:
+		clear(c.cuts)
+	case OpWithdraw:
+		c.platform.withdraw(c.queue.Now(), domainOf(cmd.A))
+	case OpRestore:
+		c.platform.restore(domainOf(cmd.A))
+	case OpOutage:
+		c.platform.down = cmd.A%2 == 1
+	case OpStorm:
+		c.storm = min(max(cmd.A, 0), 40)
+	case OpBackend:
+		c.backends[index(cmd.A, agentCount)] = behaviour(index(cmd.B, int(behaviours)))
+	}
+}
+
+func (c *Cluster) applyToProcess(cmd Command) {
+	p := c.processAt(index(cmd.A, agentCount+entryCount))
+	agent := c.agents[index(cmd.A, agentCount)]
+	switch cmd.Op {
+	case OpKill:
+		p.dead = true
+	case OpRestart:
+		c.restart(p)
+	case OpPause:
+		p.paused = !p.dead
+	case OpJoin:
+		if !agent.dead {
+			c.platform.join(agent.incarnation, agent.address, agent.domain)
+		}
+	case OpLeave:
+		agent.after(0, agent.leave)
+	case OpRemove:
+		c.platform.remove(agent.incarnation)
+	}
+}
+
+// restart begins a new life at the address of a dead process.
+func (c *Cluster) restart(p *process) {
+	if !p.dead {
+		return
+	}
+	if p.address >= agentCount {
+		c.entries[p.address-agentCount] = newEntryProcess(c, p.address)
+		return
+	}
+	var life ident.Incarnation
+	if c.mutated(MutationReuseIncarnation) {
+		life = p.incarnation
+	}
+	c.agents[p.address] = newAgentProcess(c, p.address, life)
+}
+
+func (c *Cluster) resumeAll() {
+	for i := range agentCount + entryCount {
+		c.processAt(i).resume()
+	}
+}
+
+func (c *Cluster) anyAddress(i int) int { return index(i, agentCount+entryCount+1) - 1 }
+
+// index maps any number into [0, n).
+func index(i, n int) int { return ((i % n) + n) % n }
+
+func domainOf(address int) ident.FailureDomain {
+	return ident.FailureDomain(fmt.Sprintf("zone-%d", index(address, domainCount)))
+}
+
+// endFaults makes everything well again: dead agents come back under new
+// incarnations, and the placement lists exactly the living.
+func (c *Cluster) endFaults() {
+	clear(c.cuts)
+	clear(c.backends)
+	c.storm = 0
+	c.platform.down = false
+	for i := range domainCount {
+		c.platform.restore(domainOf(i))
+	}
+	c.resumeAll()
+	for i := range agentCount + entryCount {
+		c.restart(c.processAt(i))
+	}
+	for _, m := range slices.Clone(c.platform.members) {
+		if !c.isAlive(m.Incarnation) {
+			c.platform.remove(m.Incarnation)
+		}
+	}
+	for _, a := range c.agents {
+		c.platform.join(a.incarnation, a.address, a.domain)
+	}
+}
+
+func (c *Cluster) isAlive(id ident.Incarnation) bool {
+	return slices.ContainsFunc(c.agents, func(a *agentProcess) bool { return a.incarnation == id && !a.dead })
+}
+
+func (c *Cluster) result() Result {
+	return Result{Steps: c.steps, Events: c.events, Starts: c.started, Outcomes: c.outcomes, Broken: c.broken}
+}
+
+func (c *Cluster) fail(rule Rule, detail string) {
+	c.note("broken", "%s: %s", rule, detail)
+	if c.broken == nil {
+		c.broken = &Violation{Rule: rule, At: c.queue.Now(), Detail: detail}
+	}
+}
--- /dev/null
+++ b/bench/model/entry.go
@@ -0,0 +1,203 @@
+package model
+
+import (
+	"slices"
+	"time"
+
+	"foxtaildock.example/dock/gate"
+	"foxtaildock.example/dock/home"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/job"
+	"foxtaildock.example/dock/permit"
+	"foxtaildock.example/dock/placement"
+	"foxtaildock.example/dock/routing"
+)
+
+// readInterval is how often an entry reads the platform.
+const readInterval = 500 * time.Millisecond
+
+// readTimeout bounds one read.
+const readTimeout = 800 * time.Millisecond
+
+// entryProcess is one life of an entry.
+type entryProcess struct {
+	*process
+	core      *routing.Routing
+	granter   *permit.Granter
+	placement *placement.Placement
+	peers     []peer
+	lastID    ident.RequestID
+	waiting   map[ident.RequestID]func(routing.Action)
+	calls     map[ident.RequestID]*call
+}
+
+func newEntryProcess(c *Cluster, address int) *entryProcess {
+	p := &process{cluster: c, address: address, incarnation: c.newIncarnation(), origin: c.queue.Now()}
+	e := &entryProcess{
+		process: p,
+		core:    routing.New(routing.DefaultConfig()),
+		granter: permit.NewGranter(),
+		waiting: make(map[ident.RequestID]func(routing.Action)),
+		calls:   make(map[ident.RequestID]*call),
+	}
+	if !c.mutated(MutationNoTicks) {
+		e.every(tickInterval, func() { e.step(routing.Tick{}) })
+	}
+	e.every(readInterval, e.read)
+	return e
+}
+
+func (e *entryProcess) base() *process { return e.process }
+
+func setGatePermit(p permit.Permit) gate.SetPermit { return gate.SetPermit{Permit: p} }
+
+// read reads the newest state from the platform. The answer is lost in an
+// outage or a cut, and may be late.
+func (e *entryProcess) read() {
+	c := e.cluster
+	began := e.now()
+	if c.platform.down || c.isCut(e.address, platformAddress) {
+		return
+	}
+	c.at(c.delay(), func() {
+		if c.platform.down || c.isCut(platformAddress, e.address) {
+			return
+		}
+		s := c.platform.snapshot()
+		e.after(c.delay(), func() { e.learn(began, s) })
+	})
+}
+
+func (e *entryProcess) learn(began time.Duration, s snapshot) {
+	if e.now()-began > readTimeout {
+		return
+	}
+	e.granter.Install(s.state, s.view, currentMembers(s.placement))
+	e.granter.ConfirmRead(permit.Confirmation{State: s.state, ReadAt: began})
+	if e.placement == nil || s.placement.Epoch > e.placement.Epoch {
+		e.placement = s.placement
+		e.step(routing.SetPlacement{Placement: s.placement})
+	}
+}
+
+func currentMembers(p *placement.Placement) []ident.Incarnation {
+	var ids []ident.Incarnation
+	for _, m := range p.Current() {
+		ids = append(ids, m.Incarnation)
+	}
+	return ids
+}
+
+// request hands a caller's request to the routing core.
+func (e *entryProcess) request(r routing.Request, answer func(routing.Action)) ident.RequestID {
+	e.lastID++
+	r.ID = e.lastID
+	e.waiting[r.ID] = answer
+	e.step(r)
+	return r.ID
+}
+
+// gone tells the core that a caller hung up.
+func (e *entryProcess) hungUp(id ident.RequestID) {
+	delete(e.waiting, id)
+	e.step(routing.Gone{ID: id})
+	e.endCall(id)
+}
+
+func (e *entryProcess) step(ev routing.Event) {
+	for _, action := range slices.Clone(e.core.Step(e.now(), ev)) {
+		if e.cluster.log != nil {
+			e.cluster.note(string(e.incarnation), "routing does %T %+v on %T %+v", action, action, ev, ev)
+		}
+		e.perform(action)
+	}
+}
+
+func (e *entryProcess) perform(action routing.Action) {
+	switch action := action.(type) {
+	case routing.Call:
+		e.soon(func() { e.call(action) })
+	case routing.Reply:
+		e.answer(action.ID, action)
+	case routing.ReplyState:
+		e.answer(action.ID, action)
+	}
+}
+
+func (e *entryProcess) answer(id ident.RequestID, action routing.Action) {
+	e.endCall(id)
+	f := e.waiting[id]
+	delete(e.waiting, id)
+	if f != nil {
+		f(action)
+	}
+}
+
+func (e *entryProcess) endCall(id ident.RequestID) {
+	if k := e.calls[id]; k != nil {
+		k.done()
+		delete(e.calls, id)
+	}
+}
+
+// call makes one call to a home.
+func (e *entryProcess) call(a routing.Call) {
+	k := &call{from: e.process, to: addressOf(a.To.Address), meant: endpointID(a.To.Incarnation), timeout: max(a.Deadline-e.now(), time.Nanosecond)}
+	left := max(0, a.Deadline-e.now())
+	k.serve = func(to endpoint, send func(any)) func() { return to.(*agentProcess).serveCall(&a, left, send) }
+	k.answer = func(m any) {
+		k.done()
+		e.step(e.homeAnswer(&a, m))
+	}
+	k.end = func(err callError) { e.step(e.callEnded(&a, err)) }
+	e.calls[a.ID] = k
+	k.start()
+}
+
+func (e *entryProcess) homeAnswer(a *routing.Call, m any) routing.Event {
+	switch m := m.(type) {
+	case home.Redirect:
+		return routing.Redirected{ID: a.ID, Call: a.Call, To: placement.Member{Incarnation: m.To.Incarnation, Address: m.To.Address}}
+	case home.ReplyState:
+		return routing.State{ID: a.ID, Call: a.Call, Total: m.Total, Started: m.Started, Finished: m.Finished}
+	case home.Reply:
+		return routing.Answered{ID: a.ID, Call: a.Call, Outcome: m.Outcome}
+	}
+	return routing.Answered{ID: a.ID, Call: a.Call, Outcome: job.Outcome{}}
+}
+
+func (e *entryProcess) callEnded(a *routing.Call, err callError) routing.Event {
+	sent := err == errMaybeSent || err == errTimeout
+	if e.cluster.mutated(MutationSwitchHome) {
+		sent = false
+	}
+	return routing.Failed{ID: a.ID, Call: a.Call, Sent: sent, Replaced: err == errReplaced}
+}
+
+// serveCall takes an entry's call and answers with the home's word.
+func (a *agentProcess) serveCall(r *routing.Call, left time.Duration, send func(any)) func() {
+	id := a.nextID()
+	a.replies[id] = func(m home.Action) { send(m) }
+	a.homeStep(homeEvent(a, r, id, left))
+	return func() {
+		if _, open := a.replies[id]; open {
+			delete(a.replies, id)
+			a.homeStep(home.Gone{Request: id})
+		}
+	}
+}
+
+func homeEvent(a *agentProcess, r *routing.Call, id ident.RequestID, left time.Duration) home.Event {
+	switch r.Op {
+	case routing.OpCancel:
+		return home.Cancel{Request: id, Key: r.Key}
+	case routing.OpState, routing.OpWait:
+		return home.Lookup{Request: id, Key: r.Key, Wait: r.Op == routing.OpWait}
+	}
+	spec := *r.Spec
+	spec.Deadline = left
+	return home.Submit{Request: id, Spec: &spec, Fresh: r.Fresh, Age: a.cluster.wallClock().Sub(r.FirstAttempt)}
+}
+
+// wallClock is the time of day, the same everywhere in the model.
+func (c *Cluster) wallClock() time.Time { return time.Unix(0, 0).Add(c.queue.Now()) }
--- /dev/null
+++ b/bench/model/trace.go
@@ -0,0 +1,59 @@
+package model
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// header is the first line of a stored trace.
+type header struct {
+	Seed     uint64   `json:"seed"`
+	Mutation Mutation `json:"mutation,omitempty"`
+	// Breaks is the stated outcome: the promise that the run breaks, or
+	// nothing if it keeps all.
+	Breaks Rule `json:"breaks,omitempty"`
+	// About says in one sentence what the run shows.
+	About string `json:"about,omitempty"`
+}
+
+// Stored is a trace with its stated outcome, as it is kept in testdata.
+type Stored struct {
+	Trace  Trace
+	Breaks Rule
+	About  string
+}
+
+// WriteStored writes a trace as JSON lines: one header, one line per command.
+func WriteStored(w io.Writer, s Stored) error {
+	e := json.NewEncoder(w)
+	if err := e.Encode(header{Seed: s.Trace.Seed, Mutation: s.Trace.Mutation, Breaks: s.Breaks, About: s.About}); err != nil {
+		return fmt.Errorf("header of a trace: %w", err)
+	}
+	for i, c := range s.Trace.Commands {
+		if err := e.Encode(c); err != nil {
+			return fmt.Errorf("command %d of a trace: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// ReadStored reads what WriteStored wrote.
+func ReadStored(r io.Reader) (Stored, error) {
+	d := json.NewDecoder(bufio.NewReader(r))
+	d.DisallowUnknownFields()
+	var h header
+	if err := d.Decode(&h); err != nil {
+		return Stored{}, fmt.Errorf("header of a trace: %w", err)
+	}
+	s := Stored{Trace: Trace{Seed: h.Seed, Mutation: h.Mutation}, Breaks: h.Breaks, About: h.About}
+	for d.More() {
+		var c Command
+		if err := d.Decode(&c); err != nil {
+			return Stored{}, fmt.Errorf("command %d of a trace: %w", len(s.Trace.Commands), err)
+		}
+		s.Trace.Commands = append(s.Trace.Commands, c)
+	}
+	return s, nil
+}
--- a/home/home.go
+++ b/home/home.go
@@ -37,6 +37,10 @@
 	// AcceptWindow is the age of a first attempt beyond which a job is not
 	// started any more.
 	AcceptWindow time.Duration
+	// FreshSkew bounds how far a caller's clock may be ahead of this process's
+	// for the mark of a first attempt to be relied on. For a lease and this
+	// time after a change of epochs, former homes are asked about fresh jobs.
+	FreshSkew time.Duration
 	// ResolveLimit is how long former homes are asked before the caller is
 	// told that the job is unresolved.
 	ResolveLimit time.Duration
@@ -57,6 +61,7 @@
 		MaxResultBytes: 48 << 20,
 		Retention:      job.Retention,
 		AcceptWindow:   job.AcceptWindow,
+		FreshSkew:      time.Second,
 		ResolveLimit:   3 * time.Second,
 		ResolveRetry:   200 * time.Millisecond,
 		RetryAfter:     time.Second,
@@ -106,8 +111,8 @@
 	at  time.Duration
 }
 
-// lapsing is an epoch that permits may still name somewhere until a lease after
-// this process learned of its successor.
+// lapsing is an epoch that permits may still have named somewhere until a lease
+// after this process learned of its successor.
 type lapsing struct {
 	epoch ident.Epoch
 	until time.Duration
@@ -203,6 +208,7 @@
 	if p.Epoch <= known {
 		return
 	}
+	h.forgetLapsed(now)
 	h.lapsing = append(h.lapsing, lapsing{epoch: known, until: now + permit.Lease})
 	h.placement = p
 	if m, ok := p.Member(h.cfg.Self); ok && m.Left != 0 {
@@ -210,6 +216,14 @@
 	}
 }
 
+// forgetLapsed drops epochs that lapsed before the first attempt of any job that
+// may still be accepted.
+func (h *Home) forgetLapsed(now time.Duration) {
+	h.lapsing = slices.DeleteFunc(h.lapsing, func(l lapsing) bool {
+		return now-l.until > h.cfg.AcceptWindow+h.cfg.FreshSkew
+	})
+}
+
 // tick lets time pass.
 func (h *Home) tick(now time.Duration) {
 	for _, r := range slices.Clone(h.active) {
--- a/home/record.go
+++ b/home/record.go
@@ -35,9 +35,8 @@
 	changed  time.Duration
 
 	// While resolving.
-	asks      []ask
-	startable time.Duration // when a fresh job needs no more seals
-	giveUp    time.Duration // when the caller is told that it is unresolved
+	asks   []ask
+	giveUp time.Duration // when the caller is told that it is unresolved
 
 	// While running.
 	tasks []task
--- a/home/resolve.go
+++ b/home/resolve.go
@@ -109,8 +109,8 @@
 }
 
 // resolve makes a record and asks the former homes that could have started the
-// job. A job that is fresh has been nowhere else; it only has to be kept from
-// starting at a former home whose permit for an earlier epoch may still be live.
+// job. For a fresh one these are the homes of epochs that a permit could still
+// name after the caller's first attempt: before it the job did not exist.
 func (h *Home) resolve(now time.Duration, e Submit, old *record) {
 	r := &record{
 		key:      e.Spec.Key,
@@ -129,20 +129,21 @@
 	}
 	h.records[r.key] = r
 	h.active = append(h.active, r)
-	h.openAsks(now, r)
+	h.openAsks(r, h.askFrom(now, e))
 	h.settle(now, r)
 }
 
-// openAsks determines whom to ask.
-func (h *Home) openAsks(now time.Duration, r *record) {
-	from, until := h.oldestLapsing(now)
-	r.startable = until
-	if r.fresh && until <= now {
-		return
-	}
-	if !r.fresh {
-		from = 0
+// askFrom returns the oldest epoch whose home could have the job. A caller's
+// clock that is ahead by more than FreshSkew shows, and the mark is not relied on.
+func (h *Home) askFrom(now time.Duration, e Submit) ident.Epoch {
+	if !e.Fresh || e.Age < -h.cfg.FreshSkew {
+		return 0
 	}
+	return h.oldestLapsing(now - e.Age - h.cfg.FreshSkew)
+}
+
+// openAsks determines whom to ask.
+func (h *Home) openAsks(r *record, from ident.Epoch) {
 	for _, m := range h.placement.FormerHomes(r.key, from) {
 		h.addAsk(r, m)
 	}
@@ -182,14 +183,15 @@
 	return ok && m.Incarnation == heir
 }
 
-// oldestLapsing returns the oldest epoch that a permit may still name, and when
-// the last such permit lapses.
-func (h *Home) oldestLapsing(now time.Duration) (ident.Epoch, time.Duration) {
-	h.lapsing = slices.DeleteFunc(h.lapsing, func(l lapsing) bool { return l.until <= now })
-	if len(h.lapsing) == 0 {
-		return 0, 0
-	}
-	return h.lapsing[0].epoch, h.lapsing[len(h.lapsing)-1].until
+// oldestLapsing returns the oldest epoch that a permit could name after the
+// given moment, or the newest known epoch if permits could name no other.
+func (h *Home) oldestLapsing(moment time.Duration) ident.Epoch {
+	for _, l := range h.lapsing {
+		if l.until > moment {
+			return l.epoch
+		}
+	}
+	return h.placement.Epoch
 }
 
 // sealAnswered takes the answer of a former home.
@@ -266,9 +268,11 @@
 	switch {
 	case open == 0 && vanished == 0:
 		h.begin(now, r)
-	case r.fresh && now >= r.startable:
-		h.begin(now, r)
-	case !r.fresh && open == 0:
+	case open == 0 && r.fresh:
+		// An earlier sending of the caller may have reached the lost home and
+		// been resubmitted, so the job can't start; this one never has.
+		h.discard(now, r, job.Refuse(job.ReasonHomeLost, h.cfg.RetryAfter, "the former home of the key was lost a moment ago"))
+	case open == 0:
 		h.conclude(now, r, job.Fail(job.ReasonHomeLost, 0, "a home that may have run the job is gone"))
 	}
 }
@@ -292,7 +296,7 @@
 	if r.phase != phaseResolving {
 		return
 	}
-	if now >= r.giveUp && !(r.fresh && r.startable > now) {
+	if now >= r.giveUp {
 		h.discard(now, r, h.turnAway(r.fresh, job.ReasonUnresolved, "a former home of the job does not answer"))
 		return
 	}
