--- a/home/home.go
+++ b/home/home.go
@@ -190,6 +190,7 @@
 		h.setPlacement(now, e.Placement)
 	case SetPermit:
 		h.permit = e.Permit
+		h.settleAll(now)
 	case Leave:
 		h.leaving = true
 	case HandedOver:
@@ -214,6 +215,12 @@
 	if m, ok := p.Member(h.cfg.Self); ok && m.Left != 0 {
 		h.leaving = true
 	}
+	for _, r := range h.active {
+		if r.phase == phaseResolving {
+			h.openAsks(r)
+		}
+	}
+	h.settleAll(now)
 }
 
 // forgetLapsed drops epochs that lapsed before the first attempt of any job that
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -86,7 +86,7 @@
 func DefaultConfig() Config {
 	return Config{
 		SuspectAfter: 2 * time.Second,
-		GoneAfter:    8 * time.Second,
+		GoneAfter:    5 * time.Second,
 		ForgetAfter:  time.Minute,
 		EpochGap:     time.Second,
 		RankDelay:    500 * time.Millisecond,
@@ -138,6 +138,9 @@
 type Agent struct {
 	Announcement
 	State State
+	// OutOfService is true while the operators' document has taken the agent's
+	// failure domain or backend server out of service.
+	OutOfService bool
 	// HeardAt is when the newest heartbeat arrived here.
 	HeardAt time.Duration
 	// ElsewhereAt is when another entry last said that it hears the agent.
