--- a/bench/model/network.go
+++ b/bench/model/network.go
@@ -47,12 +47,15 @@
 	answer func(any)
 	end    func(callError)
 
-	target  *process
-	ended   bool
-	broken  bool
-	bad     int
-	hangUps []func()
-	arrival time.Duration
+	target *process
+	ended  bool
+	broken bool
+	served bool
+	// turnedAway is true if the target was too busy to look at the call.
+	turnedAway bool
+	bad        int
+	hangUps    []func()
+	arrival    time.Duration
 }
 
 // start makes the call.
@@ -100,10 +103,15 @@
 		k.respond(func() { k.finish(errReplaced) })
 		return
 	}
-	if c.storm > 0 && c.chance(2) {
+	if k.turnedAway {
+		return
+	}
+	if !k.served && c.storm > 0 && c.chance(2) {
+		k.turnedAway = true
 		k.respond(func() { k.finish(errNotSent) })
 		return
 	}
+	k.served = true
 	hangUp := k.serve(e, func(m any) {
 		k.respond(func() {
 			if !k.ended {
--- a/bench/model/shrink_test.go
+++ b/bench/model/shrink_test.go
@@ -1,12 +1,18 @@
 package model
 
+import "time"
+
 // seedTries is the number of seeds with which a shorter trace is tried, since
 // leaving a command out changes every later draw.
 const seedTries = 12
 
+// shrinkTime bounds the search; a longer trace is worth less than the wait.
+const shrinkTime = 15 * time.Second
+
 // shrink looks for a short trace that breaks the same promise.
 func shrink(trace Trace, rule Rule) Trace {
-	for size := len(trace.Commands) / 2; size > 0; {
+	end := time.Now().Add(shrinkTime)
+	for size := len(trace.Commands) / 2; size > 0 && time.Now().Before(end); {
 		shorter, ok := shrinkOnce(trace, rule, size)
 		if ok {
 			trace = shorter
