--- a/agent/agent.go
+++ b/agent/agent.go
@@ -153,11 +153,11 @@
 	}
 }
 
-// Leave begins a planned leave. New work is turned away; Idle tells when the
+// Leave begins a planned leave. No home places tasks here any more; jobs are
+// accepted until the placement no longer lists this agent. Idle tells when the
 // rest is finished.
 func (a *Agent) Leave() {
 	a.leaving.Store(true)
-	a.home.box.Put(home.Leave{})
 	a.publishExecutors()
 }
 
--- a/bench/model/agent.go
+++ b/bench/model/agent.go
@@ -137,7 +137,6 @@
 		return
 	}
 	a.leaving = true
-	a.homeStep(home.Leave{})
 	a.publishExecutors()
 	a.cluster.at(leaveDelay, func() { a.cluster.platform.remove(a.incarnation) })
 }
--- a/bench/model/agentcalls.go
+++ b/bench/model/agentcalls.go
@@ -210,20 +210,30 @@
 
 // answer delivers one answer; one that was delivered already is dropped.
 func (x *execution) answer(m gate.Answer) {
+	if x.agent.cluster.mutated(MutationCrossAnswers) {
+		m.Task.Index = x.firstOpen()
+	}
 	t, ok := x.open[m.Task.Index]
 	if x.stopped || !ok || t.Attempt != m.Attempt {
 		return
 	}
 	delete(x.open, t.Index)
-	if x.agent.cluster.mutated(MutationCrossAnswers) && len(x.spec.Tasks) > 1 {
-		m.Task.Index = x.spec.Tasks[0].Index
-	}
 	x.agent.homeStep(answered(x.spec.Agent, m))
 	if len(x.open) == 0 {
 		x.stop()
 	}
 }
 
+// firstOpen returns the index of the first task without an answer.
+func (x *execution) firstOpen() int {
+	for _, t := range x.spec.Tasks {
+		if _, ok := x.open[t.Index]; ok {
+			return t.Index
+		}
+	}
+	return 0
+}
+
 // end deals with a call that left tasks open.
 func (x *execution) end(err callError) {
 	if x.stopped {
--- a/bench/model/checks.go
+++ b/bench/model/checks.go
@@ -15,6 +15,7 @@
 	o := &s.outcome
 	if s.op == routing.OpSubmit {
 		c.count(o.Kind)
+		c.checkPlanned(s)
 	}
 	switch o.Kind {
 	case job.Complete:
@@ -31,6 +32,14 @@
 	}
 }
 
+// checkPlanned checks that a job completes if there are no faults.
+func (c *Cluster) checkPlanned(s *submission) {
+	o := &s.outcome
+	if c.trace.Planned && o.Kind != job.Complete {
+		c.fail(RulePlanned, fmt.Sprintf("job %s made at %v: %s %s: %s", s.spec.Key, s.sent, o.Kind, o.Reason, o.Detail))
+	}
+}
+
 func (c *Cluster) count(k job.Kind) {
 	switch k {
 	case job.Complete:
@@ -156,6 +165,8 @@
 			c.fail(RuleSettles, fmt.Sprintf("entry %s still has %d requests", e.incarnation, n))
 		}
 	}
+	c.replaceRemoved()
+	c.advance(warmUp)
 	c.checkWorks()
 }
 
--- a/bench/model/cluster.go
+++ b/bench/model/cluster.go
@@ -254,6 +254,19 @@
 	}
 }
 
+// replaceRemoved starts agents that are no longer members over, as a process
+// does that learns of its removal, and lists them.
+func (c *Cluster) replaceRemoved() {
+	for i := range agentCount {
+		a := c.agents[i]
+		if !c.platform.lists(a.incarnation) {
+			a.dead = true
+			c.restart(a.process)
+		}
+		c.platform.join(c.agents[i].incarnation, i, c.agents[i].domain)
+	}
+}
+
 func (c *Cluster) isAlive(id ident.Incarnation) bool {
 	return slices.ContainsFunc(c.agents, func(a *agentProcess) bool { return a.incarnation == id && !a.dead })
 }
--- a/bench/model/command.go
+++ b/bench/model/command.go
@@ -91,7 +91,7 @@
 	MutationOneCheck Mutation = "one-check"
 	// MutationAllFirst marks every resubmission as a first attempt.
 	MutationAllFirst Mutation = "all-first"
-	// MutationCrossAnswers delivers a gate's answer under another index.
+	// MutationCrossAnswers matches a gate's answers to tasks by their order.
 	MutationCrossAnswers Mutation = "cross-answers"
 	// MutationNoTicks lets no time pass in entries.
 	MutationNoTicks Mutation = "no-ticks"
--- a/bench/model/model.go
+++ b/bench/model/model.go
@@ -19,6 +19,9 @@
 	Seed uint64
 	// Mutation names the rule that is broken on purpose, if any.
 	Mutation Mutation
+	// Planned says that the commands hold no fault, so that every job has to
+	// complete.
+	Planned  bool
 	Commands []Command
 }
 
@@ -45,6 +48,8 @@
 	// short slack unless its entry was paused, and once faults end nothing
 	// stays active anywhere.
 	RuleSettles Rule = "settles"
+	// RulePlanned: without faults, planned changes cost no job its answer.
+	RulePlanned Rule = "planned-changes"
 	// RuleWorks: once faults end, new jobs complete.
 	RuleWorks Rule = "works-again"
 )
--- a/bench/model/property_test.go
+++ b/bench/model/property_test.go
@@ -15,26 +15,27 @@
 	}
 	var total Result
 	for round := 0; total.Steps < limit; round++ {
-		if !runRound(t, round, &total) {
+		if !checkRound(t, round, traces(MutationNone), &total) {
 			return
 		}
 	}
 	t.Logf("%d steps, %d events, %d starts, outcomes %+v", total.Steps, total.Events, total.Starts, total.Outcomes)
 }
 
-// runRound checks the property once and reports whether it held.
-func runRound(t *testing.T, round int, total *Result) bool {
+// checkRound runs drawn traces, stores one that breaks a promise, and reports
+// whether none did.
+func checkRound(t *testing.T, round int, gen *rapid.Generator[Trace], total *Result) bool {
 	var failed Trace
 	var broken *Violation
 	seedRound(t, round)
-	ok := t.Run(fmt.Sprintf("round-%d", round), func(t *testing.T) {
+	return t.Run(fmt.Sprintf("round-%d", round), func(t *testing.T) {
 		t.Cleanup(func() {
 			if broken != nil {
 				t.Logf("%s written to %s", broken.Rule, saveTrace(t, shrink(failed, broken.Rule), broken.Rule))
 			}
 		})
 		rapid.Check(t, func(t *rapid.T) {
-			trace := traces(MutationNone).Draw(t, "trace")
+			trace := gen.Draw(t, "trace")
 			r := Run(trace)
 			total.add(r)
 			if r.Broken != nil {
@@ -43,7 +44,6 @@
 			}
 		})
 	})
-	return ok
 }
 
 func (r *Result) add(o Result) {
--- a/bench/model/trace.go
+++ b/bench/model/trace.go
@@ -11,6 +11,7 @@
 type header struct {
 	Seed     uint64   `json:"seed"`
 	Mutation Mutation `json:"mutation,omitempty"`
+	Planned  bool     `json:"planned,omitempty"`
 	// Breaks is the stated outcome: the promise that the run breaks, or
 	// nothing if it keeps all.
 	Breaks Rule `json:"breaks,omitempty"`
@@ -28,7 +29,7 @@
 // WriteStored writes a trace as JSON lines: one header, one line per command.
 func WriteStored(w io.Writer, s Stored) error {
 	e := json.NewEncoder(w)
-	if err := e.Encode(header{Seed: s.Trace.Seed, Mutation: s.Trace.Mutation, Breaks: s.Breaks, About: s.About}); err != nil {
+	if err := e.Encode(header{Seed: s.Trace.Seed, Mutation: s.Trace.Mutation, Planned: s.Trace.Planned, Breaks: s.Breaks, About: s.About}); err != nil {
 		return fmt.Errorf("header of a trace: %w", err)
 	}
 	for i, c := range s.Trace.Commands {
@@ -47,7 +48,7 @@
 	if err := d.Decode(&h); err != nil {
 		return Stored{}, fmt.Errorf("header of a trace: %w", err)
 	}
-	s := Stored{Trace: Trace{Seed: h.Seed, Mutation: h.Mutation}, Breaks: h.Breaks, About: h.About}
+	s := Stored{Trace: Trace{Seed: h.Seed, Mutation: h.Mutation, Planned: h.Planned}, Breaks: h.Breaks, About: h.About}
 	for d.More() {
 		var c Command
 		if err := d.Decode(&c); err != nil {
--- a/bench/model/trace_test.go
+++ b/bench/model/trace_test.go
@@ -9,44 +9,57 @@
 	"testing"
 )
 
-// saveTrace keeps a failed run for replay and returns the file's name. A run
-// that broke a promise without a mutation is a fault to be mended: its file is
-// kept, and its stated outcome becomes "breaks nothing" with the fix.
+var logEvents = flag.Bool("events", false, "print the events of replayed traces")
+
+// saveTrace keeps a failed run for replay and returns the file's name. Its
+// stated outcome becomes "breaks nothing" in the commit that mends the fault.
 func saveTrace(t *testing.T, trace Trace, rule Rule) string {
 	t.Helper()
-	name := filepath.Join("testdata", fmt.Sprintf("failed-%s-%d.jsonl", rule, trace.Seed))
-	f, err := os.Create(name)
+	return store(t, fmt.Sprintf("failed-%s-%d.jsonl", rule, trace.Seed), Stored{Trace: trace, Breaks: rule})
+}
+
+// store writes a trace into testdata.
+func store(t *testing.T, name string, s Stored) string {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	f, err := os.Create(path)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = f.Close() }()
-	if err := WriteStored(f, Stored{Trace: trace, Breaks: rule}); err != nil {
+	if err := WriteStored(f, s); err != nil {
 		t.Fatal(err)
 	}
-	return name
+	return path
 }
 
-// TestReplay replays every stored trace against its stated outcome.
-func TestReplay(t *testing.T) {
-	names, err := filepath.Glob("testdata/*.jsonl")
+// load reads a trace.
+func load(t *testing.T, path string) Stored {
+	t.Helper()
+	f, err := os.Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range names {
-		t.Run(filepath.Base(name), func(t *testing.T) { replay(t, name) })
+	defer func() { _ = f.Close() }()
+	stored, err := ReadStored(f)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return stored
 }
 
-func replay(t *testing.T, name string) {
-	f, err := os.Open(name)
+// TestReplay replays every stored trace against its stated outcome.
+func TestReplay(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.jsonl")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = f.Close() }()
-	stored, err := ReadStored(f)
-	if err != nil {
-		t.Fatal(err)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) { replay(t, load(t, path)) })
 	}
+}
+
+func replay(t *testing.T, stored Stored) {
 	var broke Rule
 	r := RunLogged(stored.Trace, eventLog(t))
 	if r.Broken != nil {
@@ -57,8 +70,6 @@
 	}
 }
 
-var logEvents = flag.Bool("events", false, "print the events of replayed traces")
-
 // eventLog returns where the events of a replay go.
 func eventLog(t *testing.T) io.Writer {
 	if !*logEvents {
--- a/home/events.go
+++ b/home/events.go
@@ -113,9 +113,6 @@
 // SetPermit hands over the newest permit.
 type SetPermit struct{ Permit permit.Permit }
 
-// Leave begins a planned leave: no new job is accepted.
-type Leave struct{}
-
 // HandedOver brings records from a leaving home. Last says that the peer has
 // sent all that was meant for this home.
 type HandedOver struct {
@@ -140,7 +137,6 @@
 func (SetExecutors) isHomeEvent() {}
 func (SetPlacement) isHomeEvent() {}
 func (SetPermit) isHomeEvent()    {}
-func (Leave) isHomeEvent()        {}
 func (HandedOver) isHomeEvent()   {}
 func (Tick) isHomeEvent()         {}
 
--- a/home/home.go
+++ b/home/home.go
@@ -97,7 +97,7 @@
 	order      []aged
 	answers    []ident.JobKey // finished records with results, oldest first
 	bytes      int
-	leaving    bool
+	left       bool // the newest placement no longer lists this home
 	handedOver bool
 	vouched    map[ident.Incarnation]bool
 	stats      Stats
@@ -191,8 +191,6 @@
 	case SetPermit:
 		h.permit = e.Permit
 		h.settleAll(now)
-	case Leave:
-		h.leaving = true
 	case HandedOver:
 		h.receive(now, e)
 	case Tick:
@@ -213,7 +211,7 @@
 	h.lapsing = append(h.lapsing, lapsing{epoch: known, until: now + permit.Lease})
 	h.placement = p
 	if m, ok := p.Member(h.cfg.Self); ok && m.Left != 0 {
-		h.leaving = true
+		h.left = true
 	}
 	for _, r := range h.active {
 		if r.phase == phaseResolving {
--- a/home/leave.go
+++ b/home/leave.go
@@ -11,13 +11,10 @@
 // and no job is active here any more. Every member of the epoch in which it
 // left gets its share, even an empty one, so that it can vouch for this home.
 func (h *Home) handOver() {
-	if h.handedOver || !h.leaving || len(h.active) > 0 || h.placement == nil {
-		return
-	}
-	self, ok := h.placement.Member(h.cfg.Self)
-	if !ok || self.Left == 0 {
+	if h.handedOver || !h.left || len(h.active) > 0 {
 		return
 	}
+	self, _ := h.placement.Member(h.cfg.Self)
 	h.handedOver = true
 	shares := h.shares(self.Left)
 	for _, m := range h.placement.Current() {
--- a/home/resolve.go
+++ b/home/resolve.go
@@ -63,8 +63,8 @@
 
 // submitUnknown takes a key without an active record. An old record is a seal.
 func (h *Home) submitUnknown(now time.Duration, e Submit, old *record) {
-	if r, detail := h.closed(); r != "" {
-		h.reply(e.Request, h.turnAway(e.Fresh, r, detail))
+	if h.placement == nil {
+		h.reply(e.Request, h.turnAway(e.Fresh, job.ReasonNoHome, "the agent knows no placement yet"))
 		return
 	}
 	if !h.mayAccept(e.Spec.Key, e.Fresh) {
@@ -90,17 +90,6 @@
 	return h.signed(job.Fail(job.ReasonTooOld, 0, "the first attempt is older than the accept window and there is no record"))
 }
 
-// closed returns why this home takes no unknown key at all.
-func (h *Home) closed() (job.Reason, string) {
-	switch {
-	case h.leaving:
-		return job.ReasonStopping, "the agent is leaving"
-	case h.placement == nil:
-		return job.ReasonNoHome, "the agent knows no placement yet"
-	}
-	return "", ""
-}
-
 // permitted reports whether a key may be accepted now. Invariant: a key is
 // accepted only under a live permit that names the newest epoch known here.
 // After a change of the epoch the permit follows within a heartbeat, so a job
@@ -294,7 +283,7 @@
 	}
 	open, vanished := r.openAsks()
 	switch {
-	case !h.leaving && !h.permitted(now):
+	case !h.left && !h.permitted(now):
 		// Wait for the permit, or for the time to give up.
 	case open == 0 && vanished == 0:
 		h.begin(now, r)
--- a/home/run.go
+++ b/home/run.go
@@ -13,10 +13,6 @@
 
 // begin accepts a resolved job: its tasks join the queue.
 func (h *Home) begin(now time.Duration, r *record) {
-	if reason, detail := h.closed(); reason != "" {
-		h.discard(now, r, h.signed(job.Refuse(reason, h.cfg.RetryAfter, detail)))
-		return
-	}
 	if !h.mayAccept(r.key, r.fresh) {
 		m, _ := h.placement.Home(r.key)
 		h.passOn(now, r, m.Incarnation)
