agent: check messages of other processes before the cores see them

A verdict that is not known used to leave a task without an answer until its deadline; it now counts as "ran", and an unknown verdict on a seal as unreachable.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -139,7 +139,7 @@
 	case err != nil:
 		e.Verdict = home.Unreachable
 	default:
-		e.Verdict = home.SealVerdict(resp.Msg.GetVerdict())
+		e.Verdict = sealVerdict(resp.Msg.GetVerdict())
 		e.Vouches = vouchesFromProto(resp.Msg.GetVouches())
 	}
 	return e
@@ -258,19 +258,3 @@
 func recordToProto(r *home.Record) *dockpb.Record {
 	return &dockpb.Record{Key: rpc.KeyToProto(r.Key), Digest: r.Digest, Outcome: rpc.OutcomeToProto(&r.Outcome)}
 }
-
-func vouchesToProto(vouches []home.Vouch) []*dockpb.Vouch {
-	out := make([]*dockpb.Vouch, len(vouches))
-	for i, v := range vouches {
-		out[i] = &dockpb.Vouch{Peer: string(v.Peer), Heir: string(v.Heir), Epoch: uint64(v.Epoch)}
-	}
-	return out
-}
-
-func vouchesFromProto(vouches []*dockpb.Vouch) []home.Vouch {
-	out := make([]home.Vouch, len(vouches))
-	for i, v := range vouches {
-		out[i] = home.Vouch{Peer: ident.Incarnation(v.GetPeer()), Heir: ident.Incarnation(v.GetHeir()), Epoch: ident.Epoch(v.GetEpoch())}
-	}
-	return out
-}
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -123,7 +123,7 @@
 		Agent:   x.spec.Agent,
 		Task:    ident.TaskID{Job: x.spec.Key, Index: t.Index},
 		Attempt: t.Attempt,
-		Verdict: gate.Verdict(m.GetVerdict()),
+		Verdict: taskVerdict(m.GetVerdict()),
 		Body:    m.GetBody(),
 		Reason:  job.Reason(m.GetReason()),
 		Detail:  m.GetDetail(),
--- a/agent/server.go
+++ b/agent/server.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"time"
 
 	"connectrpc.com/connect"
 
 	"foxtaildock.example/dock/gate"
 	"foxtaildock.example/dock/home"
 	"foxtaildock.example/dock/ident"
-	"foxtaildock.example/dock/job"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb"
 	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
@@ -29,33 +27,17 @@
 	if !s.meant(m.GetHome()) {
 		return nil, rpc.Replaced()
 	}
-	action, err := s.askHome(ctx, func(id ident.RequestID) home.Event { return submitEvent(id, m) })
+	event, ok := submitEvent(m)
+	if !ok {
+		return nil, errMalformed
+	}
+	action, err := s.askHome(ctx, event)
 	if err != nil {
 		return nil, err
 	}
 	return connect.NewResponse(submitResponse(action)), nil
 }
 
-func submitEvent(id ident.RequestID, m *dockpb.SubmitRequest) home.Event {
-	key := rpc.KeyFromProto(m.GetKey())
-	if m.GetLookup() {
-		return home.Lookup{Request: id, Key: key, Wait: m.GetDeadlineMs() > 0}
-	}
-	spec := &job.Spec{
-		Key:      key,
-		Service:  ident.Service(m.GetService()),
-		Tasks:    make([]job.Task, len(m.GetTasks())),
-		Deadline: rpc.Duration(m.GetDeadlineMs()),
-	}
-	for i, t := range m.GetTasks() {
-		spec.Tasks[i] = rpc.TaskFromProto(t)
-	}
-	return home.Submit{Request: id, Spec: spec, Fresh: m.GetFresh(), Age: ageOf(m.GetFirstAttemptUnixMs())}
-}
-
-// ageOf returns the wall-clock age of a moment.
-func ageOf(unixMillis int64) time.Duration { return time.Since(time.UnixMilli(unixMillis)) }
-
 func submitResponse(action home.Action) *dockpb.SubmitResponse {
 	switch a := action.(type) {
 	case home.Reply:
@@ -73,7 +55,7 @@
 }
 
 // askHome sends a request to the home and waits for its answer.
-func (s *server) askHome(ctx context.Context, event func(ident.RequestID) home.Event) (home.Action, error) {
+func (s *server) askHome(ctx context.Context, event homeRequest) (home.Action, error) {
 	h := s.agent.home
 	id := h.ids.next()
 	answer := h.replies.open(id, 1)
@@ -142,32 +124,21 @@
 	if !s.meant(m.GetTo()) {
 		return rpc.Replaced()
 	}
+	event, ok := executeEvent(m, s.agent.Now())
+	if !ok {
+		return errMalformed
+	}
 	g := s.agent.gate
 	id := g.ids.next()
+	event.Request = id
 	answers := g.answers.open(id, len(m.GetTasks()))
 	defer g.answers.close(id)
-	if !g.box.Offer(s.executeEvent(id, m)) {
+	if !g.box.Offer(event) {
 		return rpc.Busy()
 	}
 	return streamAnswers(ctx, len(m.GetTasks()), answers, stream)
 }
 
-func (s *server) executeEvent(id ident.RequestID, m *dockpb.ExecuteRequest) gate.Execute {
-	e := gate.Execute{
-		Request:  id,
-		Home:     ident.Incarnation(m.GetHome()),
-		Key:      rpc.KeyFromProto(m.GetKey()),
-		Service:  ident.Service(m.GetService()),
-		Tasks:    make([]gate.Task, len(m.GetTasks())),
-		Deadline: s.agent.Now() + rpc.Duration(m.GetDeadlineMs()),
-		Age:      ageOf(m.GetCreatedUnixMs()),
-	}
-	for i, t := range m.GetTasks() {
-		e.Tasks[i] = gate.Task{Task: rpc.TaskFromProto(t), Attempt: int(t.GetAttempt())}
-	}
-	return e
-}
-
 // streamAnswers sends n answers, or fewer if the caller hangs up.
 func streamAnswers(ctx context.Context, n int, answers <-chan gate.Answer, stream *connect.ServerStream[dockpb.ExecuteResponse]) error {
 	for range n {
@@ -245,18 +216,9 @@
 	if !s.meant(m.GetTo()) {
 		return nil, rpc.Replaced()
 	}
-	e := home.HandedOver{
-		From:    ident.Incarnation(m.GetFrom()),
-		Epoch:   ident.Epoch(m.GetEpoch()),
-		Vouches: vouchesFromProto(m.GetVouches()),
-		Last:    m.GetLast(),
-	}
-	for _, r := range m.GetRecords() {
-		e.Records = append(e.Records, home.Record{
-			Key:     rpc.KeyFromProto(r.GetKey()),
-			Digest:  r.GetDigest(),
-			Outcome: rpc.OutcomeFromProto(r.GetOutcome()),
-		})
+	e, ok := handedOver(m)
+	if !ok {
+		return nil, errMalformed
 	}
 	if !s.agent.home.box.Put(e) {
 		return nil, rpc.Busy()
