--- a/agent/decode.go
+++ b/agent/decode.go
@@ -58,6 +58,7 @@
 		Service:  ident.Service(m.GetService()),
 		Tasks:    make([]gate.Task, len(m.GetTasks())),
 		Deadline: now + boundedDeadline(m.GetDeadlineMs()),
+		Rank:     now - time.Duration(m.GetWaitMs())*time.Millisecond,
 		Age:      ageOf(m.GetCreatedUnixMs()),
 	}
 	seen := make(map[int]bool, len(m.GetTasks()))
--- a/agent/decode_fuzz_test.go
+++ b/agent/decode_fuzz_test.go
@@ -33,10 +33,10 @@
 
 // fuzzHome returns a home that accepts and runs jobs.
 func fuzzHome() *home.Home {
-	h := home.New(home.DefaultConfig(fuzzSelf), dispatch.NewCredit(dispatch.Config{Own: fuzzSelf}))
+	h := home.New(home.DefaultConfig(fuzzSelf), dispatch.NewShortestQueue(dispatch.Config{Own: fuzzSelf}))
 	h.Step(0, home.SetPlacement{Placement: placement.New(1, []placement.Member{{Incarnation: fuzzSelf, Joined: 1}})})
 	h.Step(0, home.SetExecutors{Executors: []dispatch.Executor{{
-		Incarnation: fuzzSelf, Services: []ident.Service{"stamp"}, Slots: 2, Free: 2, Accepting: true,
+		Incarnation: fuzzSelf, Services: []ident.Service{"stamp"}, Slots: 2, Load: dispatch.Load{Free: 2}, Accepting: true,
 	}}})
 	h.Step(fuzzNow, home.SetPermit{Permit: permit.Permit{Epoch: 1, InService: true, Until: fuzzNow + permit.Lease}})
 	return h
--- a/bench/model/agent.go
+++ b/bench/model/agent.go
@@ -58,6 +58,7 @@
 	running   []*execution
 	handing   int
 	directory []peer
+	load      dispatch.Load
 }
 
 // localRequest marks the requests of the home in the same process.
@@ -77,7 +78,7 @@
 		gone:    make(map[ident.Incarnation]bool),
 	}
 	random := rand.New(rand.NewPCG(c.random.Uint64(), 1))
-	a.home = home.New(homeConfig(life), dispatch.NewCredit(dispatch.Config{Own: life, Random: random}))
+	a.home = home.New(homeConfig(life), dispatch.NewShortestQueue(dispatch.Config{Own: life, Random: random}))
 	a.every(tickInterval, a.tick)
 	a.every(heartbeatInterval, a.heartbeat)
 	a.every(heartbeatInterval, a.announce)
@@ -183,8 +184,6 @@
 		a.execute(action)
 	case home.Revoke:
 		a.soon(func() { a.revoke(action) })
-	case home.Want:
-		a.soon(func() { a.want(action) })
 	case home.Handover:
 		a.handing++
 		a.soon(func() { a.handOver(action, handoverTries) })
@@ -204,6 +203,17 @@
 		a.note("gate does", action)
 		a.performGate(action)
 	}
+	a.noteLoad()
+}
+
+// noteLoad tells the home in this process of a change of the gate's load.
+func (a *agentProcess) noteLoad() {
+	l := a.gate.Load().Load
+	if l.Free == a.load.Free && l.Queued == a.load.Queued {
+		return
+	}
+	a.load = l
+	a.soon(func() { a.homeStep(home.GateLoad{Load: l}) })
 }
 
 func (a *agentProcess) performGate(action gate.Action) {
@@ -212,8 +222,6 @@
 		a.soon(func() { a.runTask(action) })
 	case gate.Answer:
 		a.answer(action)
-	case gate.Offer:
-		a.soon(func() { a.offer(action) })
 	}
 }
 
@@ -237,15 +245,15 @@
 		Body:    m.Body,
 		Reason:  m.Reason,
 		Detail:  m.Detail,
-		Credit:  m.Credit,
-		Free:    m.Free,
+		Load:    m.Load,
+		Ran:     m.Ran,
 	}
 }
 
 // noteHomeEvent logs what concerns jobs.
 func (a *agentProcess) noteHomeEvent(e home.Event) {
 	switch e := e.(type) {
-	case home.Tick, home.SetExecutors, home.Offered, home.SetPermit:
+	case home.Tick, home.SetExecutors, home.SetPermit, home.GateLoad:
 		return
 	case home.Submit:
 		a.note("home gets submission fresh/spec", struct {
--- a/bench/model/agentcalls.go
+++ b/bench/model/agentcalls.go
@@ -85,24 +85,6 @@
 	a.notice(r.Agent, func(to *agentProcess) { to.gateStep(e) })
 }
 
-func (a *agentProcess) want(w home.Want) {
-	e := gate.Want{Home: a.incarnation, Service: w.Service, Count: w.Count, Oldest: w.Oldest}
-	if w.Agent == a.incarnation {
-		a.gateStep(e)
-		return
-	}
-	a.notice(w.Agent, func(to *agentProcess) { to.gateStep(e) })
-}
-
-func (a *agentProcess) offer(o gate.Offer) {
-	e := home.Offered{Agent: a.incarnation, Slots: o.Slots}
-	if o.Home == a.incarnation {
-		a.homeStep(e)
-		return
-	}
-	a.notice(o.Home, func(to *agentProcess) { to.homeStep(e) })
-}
-
 // handOver passes records to the next home and tries again for a while.
 func (a *agentProcess) handOver(h home.Handover, tries int) {
 	if tries == 0 {
@@ -130,7 +112,7 @@
 // execute sends tasks to the gate of this process or of another.
 func (a *agentProcess) execute(e home.Execute) {
 	if e.Agent == a.incarnation {
-		m := gate.Execute{Request: a.nextID() | localRequest, Home: a.incarnation, Key: e.Key, Service: e.Service, Tasks: e.Tasks, Deadline: e.Deadline}
+		m := gate.Execute{Request: a.nextID() | localRequest, Home: a.incarnation, Key: e.Key, Service: e.Service, Tasks: e.Tasks, Deadline: e.Deadline, Rank: e.Rank}
 		a.soon(func() { a.gateStep(m) })
 		return
 	}
@@ -189,8 +171,11 @@
 		}
 	}
 	left := max(0, x.spec.Deadline-a.now())
+	waited := a.now() - x.spec.Rank
 	k := &call{from: a.process, to: address, meant: endpointID(x.spec.Agent), twice: true}
-	k.serve = func(e endpoint, send func(any)) func() { return e.(*agentProcess).serveExecute(m, left, x.made, send) }
+	k.serve = func(e endpoint, send func(any)) func() {
+		return e.(*agentProcess).serveExecute(m, left, waited, x.made, send)
+	}
 	k.answer = func(m any) { x.answer(m.(gate.Answer)) }
 	k.end = x.end
 	x.current = k
@@ -198,11 +183,12 @@
 }
 
 // serveExecute takes a call of another home's agent.
-func (a *agentProcess) serveExecute(m gate.Execute, left, made time.Duration, send func(any)) func() {
+func (a *agentProcess) serveExecute(m gate.Execute, left, waited, made time.Duration, send func(any)) func() {
 	id := a.nextID()
 	a.streams[id] = func(answer gate.Answer) { send(answer) }
 	m.Request = id
 	m.Deadline = a.now() + left
+	m.Rank = a.now() - waited
 	m.Age = a.cluster.queue.Now() - made
 	a.gateStep(m)
 	return func() { delete(a.streams, id) }
--- a/bench/model/heartbeat.go
+++ b/bench/model/heartbeat.go
@@ -20,7 +20,8 @@
 	incarnation ident.Incarnation
 	address     int
 	domain      ident.FailureDomain
-	slots, free int
+	slots       int
+	load        dispatch.Load
 	accepting   bool
 	known       permit.State
 	heard       time.Duration
@@ -49,7 +50,7 @@
 		address:     a.address,
 		domain:      a.domain,
 		slots:       g.Slots,
-		free:        g.Free,
+		load:        g.Load,
 		accepting:   g.Slots > 0 && a.inService() && !a.leaving,
 		known:       a.holder.Known(),
 	}
@@ -118,7 +119,7 @@
 		Domain:      p.domain,
 		Services:    []ident.Service{service},
 		Slots:       p.slots,
-		Free:        p.free,
+		Load:        p.load,
 		Accepting:   p.accepting,
 	}
 }
--- a/home/record.go
+++ b/home/record.go
@@ -46,6 +46,8 @@
 	// While running.
 	tasks []task
 	left  int // tasks without a result
+	// flight is the number of tasks in the state taskSent.
+	flight int
 
 	// Once done.
 	outcome job.Outcome
@@ -71,7 +73,6 @@
 	state   taskState
 	agent   ident.Incarnation
 	attempt int
-	sentAt  time.Duration
 	body    []byte
 }
 
