--- a/rpc/members.go
+++ b/rpc/members.go
@@ -22,6 +22,7 @@
 		Incarnation:  string(a.Incarnation),
 		Free:         uint32(max(a.Free, 0)),
 		Queued:       uint32(max(a.Queued, 0)),
+		PaceMs:       Millis(a.Pace),
 		State:        uint32(a.State),
 		OutOfService: a.OutOfService,
 	}
