--- a/home/resolve.go
+++ b/home/resolve.go
@@ -27,6 +27,10 @@
 
 // submit takes a job from an entry.
 func (h *Home) submit(now time.Duration, e Submit) {
+	if e.Age < -h.cfg.FreshSkew {
+		// The caller's clock is ahead, so its mark can't be relied on.
+		e.Fresh = false
+	}
 	r := h.records[e.Spec.Key]
 	switch {
 	case r == nil:
@@ -34,17 +38,22 @@
 	case r.phase == phaseSealed:
 		h.submitSealed(now, e, r)
 	case r.digest != e.Spec.Digest():
-		h.reply(e.Request, h.signed(job.Refuse(job.ReasonKeyReused, 0, "the key belongs to a job with another body")))
+		h.reply(e.Request, h.keyReused())
 	case r.phase == phaseDone:
 		h.stats.Attached++
 		h.touch(now, r)
 		h.reply(e.Request, r.outcome)
 	default:
 		h.stats.Attached++
+		r.resubmitted = r.resubmitted || !e.Fresh
 		r.waiters = append(r.waiters, e.Request)
 	}
 }
 
+func (h *Home) keyReused() job.Outcome {
+	return h.signed(job.Refuse(job.ReasonKeyReused, 0, "the key belongs to a job with another body"))
+}
+
 // submitSealed takes a key that was sealed for another home. Only a later epoch
 // that makes this home the owner again lets it ask for the key back.
 func (h *Home) submitSealed(now time.Duration, e Submit, r *record) {
@@ -58,8 +67,8 @@
 
 // submitUnknown takes a key without an active record. An old record is a seal.
 func (h *Home) submitUnknown(now time.Duration, e Submit, old *record) {
-	if r, detail := h.closed(); r != "" {
-		h.reply(e.Request, h.turnAway(e.Fresh, r, detail))
+	if h.placement == nil {
+		h.reply(e.Request, h.turnAway(e.Fresh, job.ReasonNoHome, "the agent knows no placement yet"))
 		return
 	}
 	if !h.mayAccept(e.Spec.Key, e.Fresh) {
@@ -67,8 +76,8 @@
 		h.redirectTo(e.Request, m.Incarnation, e.Fresh)
 		return
 	}
-	if e.Age > h.cfg.AcceptWindow {
-		h.reply(e.Request, h.tooOld(e.Fresh))
+	if e.Fresh && h.isTooOld(e.Age) {
+		h.reply(e.Request, h.tooOld(true))
 		return
 	}
 	if old == nil && len(h.records) >= h.cfg.MaxRecords {
@@ -78,6 +87,10 @@
 	h.resolve(now, e, old)
 }
 
+// isTooOld reports whether a job of this age may not be started any more. A
+// former home may still have its answer.
+func (h *Home) isTooOld(age time.Duration) bool { return age > h.cfg.AcceptWindow }
+
 func (h *Home) tooOld(fresh bool) job.Outcome {
 	if fresh {
 		return h.signed(job.Refuse(job.ReasonTooOld, 0, "the first attempt is older than the accept window"))
@@ -85,17 +98,6 @@
 	return h.signed(job.Fail(job.ReasonTooOld, 0, "the first attempt is older than the accept window and there is no record"))
 }
 
-// closed returns why this home takes no unknown key at all.
-func (h *Home) closed() (job.Reason, string) {
-	switch {
-	case h.leaving:
-		return job.ReasonStopping, "the agent is leaving"
-	case h.placement == nil:
-		return job.ReasonNoHome, "the agent knows no placement yet"
-	}
-	return "", ""
-}
-
 // permitted reports whether a key may be accepted now. Invariant: a key is
 // accepted only under a live permit that names the newest epoch known here.
 // After a change of the epoch the permit follows within a heartbeat, so a job
@@ -124,8 +126,8 @@
 }
 
 // resolve makes a record and asks the other places that could have started the
-// job. A job that is fresh has been nowhere else; it only has to be kept from
-// starting at a place whose permit for an earlier epoch may still be live.
+// job. For a fresh one these are the places of epochs that a permit could still
+// name after the caller's first attempt: before it the job did not exist.
 func (h *Home) resolve(now time.Duration, e Submit, old *record) {
 	r := &record{
 		key:      e.Spec.Key,
@@ -133,6 +135,8 @@
 		spec:     e.Spec,
 		phase:    phaseResolving,
 		fresh:    e.Fresh,
+		exists:   now - e.Age - h.cfg.FreshSkew,
+		tooOld:   h.isTooOld(e.Age),
 		waiters:  []ident.RequestID{e.Request},
 		arrived:  now,
 		deadline: now + e.Spec.Deadline,
@@ -144,25 +148,20 @@
 	}
 	h.records[r.key] = r
 	h.active = append(h.active, r)
-	h.openAsks(now, r)
+	h.openAsks(r)
 	h.settle(now, r)
 }
 
 // openAsks determines whom to ask and asks those that were not asked yet. It is
 // repeated when the placement moves, since a home of an epoch in between may
 // have accepted the key.
-func (h *Home) openAsks(now time.Duration, r *record) {
+func (h *Home) openAsks(r *record) {
 	asked := len(r.asks)
-	from, until := h.oldestLapsing(now)
-	r.startable = until
-	if r.fresh && until <= now {
-		return
-	}
+	var from ident.Epoch
 	to := h.placement.Epoch
 	if r.fresh {
+		from = h.oldestLapsing(r.exists)
 		to--
-	} else {
-		from = 0
 	}
 	for _, m := range h.placement.Places(r.key, from, to) {
 		h.addAsk(r, m)
@@ -185,7 +184,7 @@
 
 // ask sends one question, unless the peer handed its records over to this home.
 func (h *Home) ask(r *record, a *ask) {
-	if h.vouched[a.peer.Incarnation] && h.inherits(h.cfg.Self, a.peer, r.key) {
+	if h.inherits(h.vouches, h.cfg.Self, a.peer.Incarnation, r.key) {
 		a.state = askSealed
 		return
 	}
@@ -193,24 +192,15 @@
 	h.emit(AskSeal{Peer: a.peer, Key: r.key, Epoch: h.placement.Epoch})
 }
 
-// inherits reports whether the heir was the key's home in the epoch in which the
-// peer left, so that it has every record of the key that the peer had.
-func (h *Home) inherits(heir ident.Incarnation, peer placement.Member, key ident.JobKey) bool {
-	if peer.Left == 0 {
-		return false
-	}
-	m, ok := h.placement.HomeAt(peer.Left, key)
-	return ok && m.Incarnation == heir
-}
-
-// oldestLapsing returns the oldest epoch that a permit may still name, and when
-// the last such permit lapses.
-func (h *Home) oldestLapsing(now time.Duration) (ident.Epoch, time.Duration) {
-	h.lapsing = slices.DeleteFunc(h.lapsing, func(l lapsing) bool { return l.until <= now })
-	if len(h.lapsing) == 0 {
-		return 0, 0
+// oldestLapsing returns the oldest epoch that a permit could name after the
+// given moment, or the newest known epoch if permits could name no other.
+func (h *Home) oldestLapsing(moment time.Duration) ident.Epoch {
+	for _, l := range h.lapsing {
+		if l.until > moment {
+			return l.epoch
+		}
 	}
-	return h.lapsing[0].epoch, h.lapsing[len(h.lapsing)-1].until
+	return h.placement.Epoch
 }
 
 // sealAnswered takes the answer of a former home.
@@ -241,8 +231,7 @@
 // applyVouches marks peers as sealed whose records the answering peer inherited.
 func (h *Home) applyVouches(r *record, e SealAnswered) {
 	for i := range r.asks {
-		peer := r.asks[i].peer
-		if slices.Contains(e.Vouches, peer.Incarnation) && h.inherits(e.Peer, peer, r.key) {
+		if h.inherits(e.Vouches, e.Peer, r.asks[i].peer.Incarnation, r.key) {
 			r.asks[i].state = askSealed
 		}
 	}
@@ -292,13 +281,15 @@
 	}
 	open, vanished := r.openAsks()
 	switch {
-	case !h.leaving && !h.permitted(now):
+	case !h.left && !h.permitted(now):
 		// Wait for the permit, or for the time to give up.
 	case open == 0 && vanished == 0:
 		h.begin(now, r)
-	case r.fresh && now >= r.startable:
-		h.begin(now, r)
-	case !r.fresh && open == 0:
+	case open == 0 && r.isFirst():
+		// The caller may have resubmitted while this sending was on its way,
+		// so the job can't start; on account of this sending it never has.
+		h.discard(now, r, job.Refuse(job.ReasonHomeLost, h.cfg.RetryAfter, "a former home of the key was lost a moment ago"))
+	case open == 0:
 		h.conclude(now, r, job.Fail(job.ReasonHomeLost, 0, "a home that may have run the job is gone"))
 	}
 }
@@ -322,7 +313,7 @@
 	if r.phase != phaseResolving {
 		return
 	}
-	if now >= r.giveUp && !(r.fresh && r.startable > now) {
+	if now >= r.giveUp {
 		h.giveUp(now, r)
 		return
 	}
@@ -337,10 +328,10 @@
 // giveUp ends a job that could not be resolved in time.
 func (h *Home) giveUp(now time.Duration, r *record) {
 	if !h.permitted(now) {
-		h.discard(now, r, h.turnAway(r.fresh, job.ReasonNoPermit, "the agent has no permit for the newest epoch"))
+		h.discard(now, r, h.turnAway(r.isFirst(), job.ReasonNoPermit, "the agent has no permit for the newest epoch"))
 		return
 	}
-	h.discard(now, r, h.turnAway(r.fresh, job.ReasonUnresolved, "a former home of the job does not answer"))
+	h.discard(now, r, h.turnAway(r.isFirst(), job.ReasonUnresolved, "a former home of the job does not answer"))
 }
 
 // sealAsked answers a newer home. Invariant: once Sealed is answered, this home
@@ -381,15 +372,5 @@
 		r.sealEpoch = e.Epoch
 	}
 	h.touch(now, r)
-	h.emit(AnswerSeal{Request: e.Request, Verdict: Sealed, Vouches: h.vouchers()})
-}
-
-// vouchers lists the incarnations whose records this home inherited.
-func (h *Home) vouchers() []ident.Incarnation {
-	ids := make([]ident.Incarnation, 0, len(h.vouched))
-	for id := range h.vouched {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	h.emit(AnswerSeal{Request: e.Request, Verdict: Sealed, Vouches: slices.Clone(h.vouches)})
 }
--- a/home/run.go
+++ b/home/run.go
@@ -13,15 +13,15 @@
 
 // begin accepts a resolved job: its tasks join the queue.
 func (h *Home) begin(now time.Duration, r *record) {
-	if reason, detail := h.closed(); reason != "" {
-		h.discard(now, r, h.signed(job.Refuse(reason, h.cfg.RetryAfter, detail)))
-		return
-	}
 	if !h.mayAccept(r.key, r.fresh) {
 		m, _ := h.placement.Home(r.key)
 		h.passOn(now, r, m.Incarnation)
 		return
 	}
+	if r.tooOld {
+		h.discard(now, r, h.tooOld(r.isFirst()))
+		return
+	}
 	if reason, detail := h.cannotRun(r.spec); reason != "" {
 		h.discard(now, r, h.signed(job.Refuse(reason, h.cfg.RetryAfter, detail)))
 		return
@@ -210,7 +210,7 @@
 // abandon ends an active job: refused if nothing of it can have started, failed
 // otherwise.
 func (h *Home) abandon(now time.Duration, r *record, reason job.Reason, detail string) {
-	if r.sent() > 0 || (r.phase == phaseResolving && !r.fresh) {
+	if r.sent() > 0 || (r.phase == phaseResolving && !r.isFirst()) {
 		h.fail(now, r, reason, detail)
 		return
 	}
@@ -231,7 +231,7 @@
 		h.discard(now, r, h.signed(job.Refuse(job.ReasonDeadline, h.cfg.RetryAfter, detail)))
 		return
 	}
-	h.discard(now, r, h.turnAway(r.fresh, job.ReasonDeadline, detail))
+	h.discard(now, r, h.turnAway(r.isFirst(), job.ReasonDeadline, detail))
 }
 
 // withdrawTasks drops waiting tasks here and at the gates.
