--- a/gate/gate.go
+++ b/gate/gate.go
@@ -240,7 +240,11 @@
 // attempts were refused.
 func (g *Gate) admit(now time.Duration, e *Execute, t *Task, id ident.TaskID) {
 	if len(g.notes) >= g.cfg.MaxNotes && g.notes[id] == nil {
-		g.refuseUnnoted(e, t, id)
+		g.refuseUnnoted(e, t, id, job.ReasonOverloaded)
+		return
+	}
+	if e.Age > g.cfg.MaxAge {
+		g.refuseUnnoted(e, t, id, job.ReasonTooOld)
 		return
 	}
 	n := &note{
@@ -262,13 +266,13 @@
 	g.queue.push(id, n.rank)
 }
 
-// refuseUnnoted refuses when there is no room for a note. Without a note the
-// attempt is not sealed, so the verdict has to be the cautious one unless the
-// request can only be the first: the home gives the job up.
-func (g *Gate) refuseUnnoted(e *Execute, t *Task, id ident.TaskID) {
+// refuseUnnoted refuses a task without a note, since there is no room for one or
+// since an earlier copy may have run and been forgotten. Such an attempt is not
+// sealed, so the verdict is the cautious one: the home gives the job up.
+func (g *Gate) refuseUnnoted(e *Execute, t *Task, id ident.TaskID, r job.Reason) {
 	g.stats.Refused++
-	g.emit(Answer{Request: e.Request, Task: id, Attempt: t.Attempt, Verdict: Ran, Reason: job.ReasonOverloaded,
-		Detail: "the gate has no room for another note"})
+	g.emit(Answer{Request: e.Request, Task: id, Attempt: t.Attempt, Verdict: Ran, Reason: r,
+		Detail: "the gate can't promise that the task has not started"})
 }
 
 // refusal returns why a task can't be taken now, or "".
@@ -277,8 +281,6 @@
 		return r
 	}
 	switch {
-	case e.Age > g.cfg.MaxAge:
-		return job.ReasonTooOld
 	case now >= e.Deadline:
 		return job.ReasonDeadline
 	case !slices.Contains(g.services, e.Service):
--- /dev/null
+++ b/gate/notes_test.go
@@ -0,0 +1,33 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/job"
+	"foxtaildock.example/dock/permit"
+)
+
+// TestTooOldIsNoSeal checks that a request older than the notes may be is never
+// answered "not started": an earlier copy of it may have run and been forgotten.
+func TestTooOldIsNoSeal(t *testing.T) {
+	cfg := DefaultConfig()
+	g := New(cfg)
+	now := 2 * cfg.Retention
+	g.Step(now, SetBackend{Services: []ident.Service{"stamp"}, Slots: 1})
+	g.Step(now, SetPermit{Permit: permit.Permit{InService: true, Until: now + permit.Lease}})
+	actions := g.Step(now, Execute{
+		Request:  1,
+		Home:     "home",
+		Key:      ident.JobKey{Team: "tills", Key: "k"},
+		Service:  "stamp",
+		Tasks:    []Task{{Task: job.Task{Index: 0}}},
+		Deadline: now + time.Minute,
+		Age:      cfg.MaxAge + 1,
+	})
+	a, ok := actions[0].(Answer)
+	if !ok || a.Verdict != Ran || a.Reason != job.ReasonTooOld {
+		t.Fatalf("got %+v", actions)
+	}
+}
--- a/home/home.go
+++ b/home/home.go
@@ -27,7 +27,7 @@
 	// Self is the home's own incarnation.
 	Self ident.Incarnation
 	// MaxRecords bounds the records, finished ones included. At the bound new
-	// jobs are refused.
+	// jobs are refused; at twice the bound no more seals are given.
 	MaxRecords int
 	// MaxResultBytes bounds the results of finished jobs. Beyond it the
 	// oldest answers are dropped; their records stay, so nothing runs again.
@@ -259,6 +259,17 @@
 	h.order = append(h.order, aged{key: r.key, at: now})
 }
 
+// usesNoted is the number of times that the use of a record is noted within the
+// retention time. More would take memory for every look-up.
+const usesNoted = 16
+
+// use keeps a record that is asked for.
+func (h *Home) use(now time.Duration, r *record) {
+	if now-r.changed >= h.cfg.Retention/usesNoted {
+		h.touch(now, r)
+	}
+}
+
 func (h *Home) lookup(now time.Duration, e Lookup) {
 	r := h.records[e.Key]
 	switch {
@@ -267,7 +278,7 @@
 	case r.phase == phaseSealed:
 		h.redirectTo(e.Request, r.sealedTo, false)
 	case r.phase == phaseDone:
-		h.touch(now, r)
+		h.use(now, r)
 		h.reply(e.Request, r.outcome)
 	case e.Wait:
 		r.waiters = append(r.waiters, e.Request)
--- a/home/resolve.go
+++ b/home/resolve.go
@@ -41,7 +41,7 @@
 		h.reply(e.Request, h.keyReused())
 	case r.phase == phaseDone:
 		h.stats.Attached++
-		h.touch(now, r)
+		h.use(now, r)
 		h.reply(e.Request, r.outcome)
 	default:
 		h.stats.Attached++
@@ -339,6 +339,8 @@
 func (h *Home) sealAsked(now time.Duration, e SealAsked) {
 	r := h.records[e.Key]
 	switch {
+	case r == nil && len(h.records) >= 2*h.cfg.MaxRecords:
+		h.emit(AnswerSeal{Request: e.Request, Verdict: Unreachable})
 	case r == nil:
 		r = &record{key: e.Key}
 		h.records[e.Key] = r
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -288,6 +288,7 @@
 		r.finish(f, job.Fail(job.ReasonHomeLost, 0, "the home that may have run the job is gone"))
 		return
 	}
+	f.maybeSent = false
 	r.wait(now, f)
 }
 
