--- a/bench/model/network.go
+++ b/bench/model/network.go
@@ -87,10 +87,15 @@
 	}
 }
 
-// send brings the request to the target.
+// send brings the request to the target. One that is held up for longer than a
+// connection may be silent arrives after its caller has given the connection up.
 func (k *call) send() {
 	target := k.target
-	target.after(k.from.cluster.delay(), func() { k.arrive(target) })
+	delay := k.from.cluster.delay()
+	if delay > silence {
+		k.broken = true
+	}
+	target.after(delay, func() { k.arrive(target) })
 }
 
 func (k *call) arrive(target *process) {
