--- /dev/null
+++ b/bench/model/trace_test.go
@@ -0,0 +1,79 @@
+package model
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+var logEvents = flag.Bool("events", false, "print the events of replayed traces")
+
+// saveTrace keeps a failed run for replay and returns the file's name. Its
+// stated outcome becomes "breaks nothing" in the commit that mends the fault.
+func saveTrace(t *testing.T, trace Trace, rule Rule) string {
+	t.Helper()
+	return store(t, fmt.Sprintf("failed-%s-%d.jsonl", rule, trace.Seed), Stored{Trace: trace, Breaks: rule})
+}
+
+// store writes a trace into testdata.
+func store(t *testing.T, name string, s Stored) string {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	f, err := os.Create(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	if err := WriteStored(f, s); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// load reads a trace.
+func load(t *testing.T, path string) Stored {
+	t.Helper()
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	stored, err := ReadStored(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return stored
+}
+
+// TestReplay replays every stored trace against its stated outcome.
+func TestReplay(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) { replay(t, load(t, path)) })
+	}
+}
+
+func replay(t *testing.T, stored Stored) {
+	var broke Rule
+	broken := stored.Replay(eventLog(t))
+	if broken != nil {
+		broke = broken.Rule
+	}
+	if broke != stored.Breaks {
+		t.Fatalf("%s: broke %q, stated %q: %v", stored.About, broke, stored.Breaks, broken)
+	}
+}
+
+// eventLog returns where the events of a replay go.
+func eventLog(t *testing.T) io.Writer {
+	if !*logEvents {
+		return nil
+	}
+	return t.Output()
+}
--- a/home/record.go
+++ b/home/record.go
@@ -24,20 +24,24 @@
 
 // record is what a home knows of one key.
 type record struct {
-	key      ident.JobKey
-	digest   uint64
-	spec     *job.Spec
-	phase    phase
-	fresh    bool
+	key    ident.JobKey
+	digest uint64
+	spec   *job.Spec
+	phase  phase
+	fresh  bool
+	// resubmitted is true if a waiter's request was not a first attempt.
+	resubmitted bool
+	// exists is a moment before which the job did not exist, if it is fresh.
+	exists   time.Duration
+	tooOld   bool // to be looked up, not started
 	waiters  []ident.RequestID
 	arrived  time.Duration
 	deadline time.Duration
 	changed  time.Duration
 
 	// While resolving.
-	asks      []ask
-	startable time.Duration // when a fresh job needs no more seals
-	giveUp    time.Duration // when the caller is told that it is unresolved
+	asks   []ask
+	giveUp time.Duration // when the caller is told that it is unresolved
 
 	// While running.
 	tasks []task
@@ -74,6 +78,9 @@
 
 func (r *record) isActive() bool { return r.phase == phaseResolving || r.phase == phaseRunning }
 
+// isFirst reports whether everybody who waits made a first attempt.
+func (r *record) isFirst() bool { return r.fresh && !r.resubmitted }
+
 // sent counts the tasks that may have started.
 func (r *record) sent() int {
 	n := 0
