--- a/agent/backend.go
+++ b/agent/backend.go
@@ -193,6 +193,15 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// isOwn reports whether an answer names the task it was given for. A backend
+// server repeats the three headers of the task, so that an answer which it gives
+// to the wrong request is noticed.
+func isOwn(h http.Header, s gate.Send) bool {
+	return h.Get(headerTeam) == string(s.Task.Job.Team) &&
+		h.Get(headerJob) == s.Task.Job.Key &&
+		h.Get(headerIndex) == strconv.Itoa(s.Task.Index)
+}
+
 // outcome reads the answer of the backend server. Anything but a whole answer
 // with status 200 means that the task ran without a usable result.
 func outcome(s gate.Send, resp *http.Response, err error) gate.Finished {
@@ -206,6 +215,8 @@
 		return gate.Finished{Task: s.Task, Detail: "the answer broke off: " + err.Error()}
 	case len(body) > maxResult:
 		return gate.Finished{Task: s.Task, Detail: "the answer is too long"}
+	case !isOwn(resp.Header, s):
+		return gate.Finished{Task: s.Task, Detail: "the answer does not name this task"}
 	case resp.StatusCode != http.StatusOK:
 		return gate.Finished{Task: s.Task, Detail: fmt.Sprintf("the backend server answered %d", resp.StatusCode)}
 	}
--- a/bench/cmd/foxbench/prove.go
+++ b/bench/cmd/foxbench/prove.go
@@ -7,6 +7,8 @@
 	"os"
 	"path/filepath"
 
+	"golang.org/x/sync/errgroup"
+
 	"foxtaildock.example/bench/proof"
 )
 
@@ -14,6 +16,7 @@
 	Only   string `arg:"--only" help:"run only proofs whose name contains this"`
 	List   bool   `arg:"--list" help:"list the proofs and run none"`
 	Seed   uint64 `arg:"--seed" default:"1" help:"seed of the load"`
+	Jobs   int    `arg:"--jobs" default:"4" help:"proofs that run at a time; each needs about one core"`
 	Daemon string `arg:"--daemon" help:"path of foxtaildockd [default: beside foxbench]"`
 	Dir    string `arg:"--dir" help:"directory for settings, logs and ledgers [default: a new one]"`
 }
@@ -34,13 +37,12 @@
 		return err
 	}
 	counts := make(map[proof.Verdict]int)
-	for _, p := range proofs {
-		report := proof.Execute(ctx, opts, p)
+	for report := range executeAll(ctx, opts, proofs, c.Jobs) {
 		fmt.Println(report.Text())
 		counts[report.Verdict]++
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
 	}
 	fmt.Printf("%d proofs: %d held, %d fell short, %d not run\n",
 		len(proofs), counts[proof.Held], counts[proof.FellShort], counts[proof.NotRun])
@@ -50,6 +52,26 @@
 	return nil
 }
 
+// executeAll runs proofs side by side and yields their reports as they end.
+func executeAll(ctx context.Context, opts proof.Options, proofs []proof.Proof, jobs int) <-chan proof.Report {
+	reports := make(chan proof.Report)
+	var group errgroup.Group
+	group.SetLimit(max(1, jobs))
+	go func() {
+		defer close(reports)
+		for _, p := range proofs {
+			group.Go(func() error {
+				if ctx.Err() == nil {
+					reports <- proof.Execute(ctx, opts, p)
+				}
+				return nil
+			})
+		}
+		_ = group.Wait()
+	}()
+	return reports
+}
+
 // proofOptions finds the binaries and the directory.
 func proofOptions(daemon, dir string, seed uint64) (proof.Options, error) {
 	bench, err := os.Executable()
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -46,6 +46,9 @@
 	c.mu.Lock()
 	c.starts[id]++
 	c.mu.Unlock()
+	for _, name := range []string{"Dock-Team", "Dock-Job", "Dock-Index"} {
+		w.Header().Set(name, r.Header.Get(name))
+	}
 	_, _ = w.Write([]byte(id))
 }
 
