admission: bound the handicap of a flooding team at 15 s

Cause: the handicap followed the team's rate up to a minute, so that the order among its own jobs changed from second to second and expected waits were wrong. Change: longestOveruse.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -24,6 +24,10 @@
 	// overuseHandicap sets the jobs of a team back at their homes for each time
 	// that it exceeds its fair part, while tasks wait for slots.
 	overuseHandicap = 2 * time.Second
+	// longestOveruse is longer than the backlog, so that no job of a team far above
+	// its part goes before a small job of another. It is no longer than needed:
+	// jobs at the bound keep their order, which makes their wait predictable.
+	longestOveruse = backlogTime + 5*time.Second
 	// loadDelay is how old the numbers of heartbeats are when they are used.
 	loadDelay = 500 * time.Millisecond
 	// demandMemory is the time over which demand is measured.
@@ -296,7 +300,7 @@
 		return 0
 	}
 	excess := t.used.rate(now)/fair - 1
-	return min(longestHandicap, time.Duration(max(0, excess)*float64(overuseHandicap)))
+	return min(longestOveruse, time.Duration(max(0, excess)*float64(overuseHandicap)))
 }
 
 // drop takes a job out of its queue.
