--- a/bench/model/caller.go
+++ b/bench/model/caller.go
@@ -41,11 +41,19 @@
 func (c *Cluster) submitNew(entry, shape int) {
 	tasks := 1 + index(shape, maxTasks)
 	deadline := minDeadline + time.Duration(index(shape/maxTasks, 8))*time.Second
-	j := &callerJob{spec: c.newSpec(tasks, min(deadline, maxDeadline)), first: c.wallClock()}
+	j := &callerJob{spec: c.newSpec(tasks, min(deadline, maxDeadline)), first: c.wallClock().Add(c.skew())}
 	c.jobs = append(c.jobs, j)
 	c.request(j, entry, routing.OpSubmit, true)
 }
 
+// maxSkew is how far a caller's clock may be off; home.Config.FreshSkew is more.
+const maxSkew = 900 * time.Millisecond
+
+// skew draws how far the clock of one caller is ahead.
+func (c *Cluster) skew() time.Duration {
+	return time.Duration(c.random.Int64N(int64(2*maxSkew))) - maxSkew
+}
+
 func (c *Cluster) newSpec(tasks int, deadline time.Duration) *job.Spec {
 	key := ident.JobKey{Team: "tills", Key: fmt.Sprintf("job-%d", len(c.jobs))}
 	spec := &job.Spec{Key: key, Service: service, Deadline: deadline}
--- a/bench/model/checks.go
+++ b/bench/model/checks.go
@@ -174,6 +174,11 @@
 	return now > max(limit, s.entry.wasPaused+answerSlack)
 }
 
+// epochQuiet is the time after a change of the epoch in which a first attempt may
+// still be refused, since a former home of its key is gone: the time to learn of
+// the epoch, a lease, and twice the difference of clocks.
+const epochQuiet = warmUp + 3*time.Second
+
 // settle ends all faults and checks that everything comes to an end and that
 // the system works again.
 func (c *Cluster) settle() {
@@ -191,7 +196,7 @@
 		}
 	}
 	c.replaceRemoved()
-	c.advance(warmUp)
+	c.advance(epochQuiet)
 	c.checkWorks()
 }
 
