--- a/agent/decode.go
+++ b/agent/decode.go
@@ -34,6 +34,7 @@
 		Service:  ident.Service(m.GetService()),
 		Tasks:    make([]job.Task, len(m.GetTasks())),
 		Deadline: boundedDeadline(m.GetDeadlineMs()),
+		Handicap: rpc.Duration(m.GetHandicapMs()),
 	}
 	for i, t := range m.GetTasks() {
 		spec.Tasks[i] = rpc.TaskFromProto(t)
