--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -152,8 +152,14 @@
 	if !known || m.Left == 0 {
 		t.Error("the earlier incarnation is no longer in the row")
 	}
-	f.wall = f.wall.Add(DefaultConfig().Retention + time.Minute)
+	// A wall clock that is stepped must not make an entry forget who may still
+	// have records.
+	f.wall = f.wall.Add(DefaultConfig().Retention + time.Hour)
 	f.pass(5*time.Second, append(agentsFrom(1, 5), back)...)
+	if _, known := f.current.Member("a0000"); !known {
+		t.Error("a stepped wall clock removed the earlier incarnation from the row")
+	}
+	f.pass(DefaultConfig().Retention+time.Minute, append(agentsFrom(1, 5), back)...)
 	if _, known := f.current.Member("a0000"); known {
 		t.Error("the earlier incarnation is still in the row after the retention")
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -27,7 +27,7 @@
 	// Left is the first epoch that no longer lists the member; zero while it
 	// is listed.
 	Left ident.Epoch `json:"left,omitempty"`
-	// LeftUnix is the wall-clock second of leaving, for pruning.
+	// LeftUnix is the wall-clock second of leaving, for people.
 	LeftUnix int64 `json:"left_unix,omitempty"`
 }
 
