control: decide changes only upon the table's own rows

Cause: an entry that had learned a document version from another entry took that copy for the table's. It lacks owners, authors and dates, so a refusal named no winner, and a team could have been refused its own section.

What failed first: TestRacingOperators, once in some twenty runs; TestStoreDecidesUponTheTable, every time.

Ruled out: a wrong grant of rights; an empty owner equals no team.

--- a/control/cell_scenarios_test.go
+++ b/control/cell_scenarios_test.go
@@ -345,6 +345,27 @@
 	})
 }
 
+// A document that was learned from another entry lacks owners, authors and dates.
+// Once the platform answers, changes are decided upon the table's own rows.
+func TestStoreDecidesUponTheTable(t *testing.T) {
+	run(t, 2, 3, func(t *testing.T, c *cell) {
+		time.Sleep(time.Second)
+		c.entries[1].table.set(func(f *faulty) { f.down = true })
+		done := c.mustApply(0, "domain/lulea", 0, inService)
+		time.Sleep(3 * time.Second)
+		if v := c.entries[1].View().Version; v != done.Version {
+			t.Fatalf("the cut entry is at version %d", v)
+		}
+		c.entries[1].table.set(func(f *faulty) { f.down = false })
+		time.Sleep(3 * time.Second)
+		_, err := c.apply(1, "domain/lulea", 0, withdrawn)
+		var clash *document.ConflictError
+		if !errors.As(err, &clash) || clash.Winner.By != operator.String() || clash.Winner.Owner != document.OperatorsTeam {
+			t.Errorf("the refusal is %v, the winner %+v", err, clash)
+		}
+	})
+}
+
 // The time from the answer "accepted" until every agent acts under the change.
 // Calls take no time here, so it is what the intervals alone cost.
 func TestChangeIsInForceEverywhere(t *testing.T) {
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -80,14 +80,15 @@
 
 // load reads a whole snapshot. Sections are read between two reads of the head:
 // every change of a section raises the head, so equal heads mean that the
-// sections belong to it. A known document of that version saves the sections.
+// sections belong to it. A known document of that version saves the sections if it
+// was read from the table; other entries pass on neither owners nor authors.
 func load(ctx context.Context, t platform.Table, cell string, known *snapshot) (*snapshot, error) {
 	before, err := readHeads(ctx, t, cell)
 	if err != nil {
 		return nil, err
 	}
 	for range loadTries {
-		if known != nil && known.document.Version == before.head.Version {
+		if known != nil && known.fromTable && known.document.Version == before.head.Version {
 			return join(before, known.document, known.view), nil
 		}
 		sections, err := readSections(ctx, t)
