--- a/bench/cluster/spec.go
+++ b/bench/cluster/spec.go
@@ -17,10 +17,15 @@
 	Domains []string
 	Entries int
 	Agents  int
+	// LateAgents is the number of agents, the last ones, that Start leaves out.
+	LateAgents int
 	// Services are announced by every backend server.
 	Services    []string
 	Slots       int
 	Connections int
+	// CallerLinks puts links between the callers and the entries. Without them
+	// a stopped entry refuses connections; a link accepts and then closes them.
+	CallerLinks bool
 	// DirectBackends leaves out the links to the backend servers, so that a
 	// killed one refuses connections. A link accepts and then closes them.
 	DirectBackends bool
