Callers keep the mark of a first attempt after a true refusal; deadlines, sizes

Cause, found by the command line's trials: a job that was refused came back unmarked, lost the second in rank, and could fail as home-lost although it had never run. A refusal is a promise about that sending, so the mark may stay; the new test failed before (attempt 2 unmarked). Also: an entry answered 'failed, deadline' at the very deadline, before the home could say 'refused', so it now waits 200 ms longer; a task too large for any worker is refused without a time to come back; a body without a length counts as the largest; servers no longer ping every 0.5 s, and the metrics listener serves profiles.

--- a/api/client_test.go
+++ b/api/client_test.go
@@ -188,3 +188,17 @@
 		t.Error("five first sendings earn one retry")
 	}
 }
+
+func TestSubmitKeepsTheMarkWhileNothingCanHaveRun(t *testing.T) {
+	refused := answerWith(429, JobAnswer{Outcome: OutcomeRefused, RetryAfterMS: 1})
+	failed := answerWith(502, JobAnswer{Outcome: OutcomeFailed, MayHaveRun: true, RetryAfterMS: 1})
+	e := newFakeEntry(t, refused, failed, refused, completeAnswer)
+	if _, err := newTestClient(t, ClientOptions{Entries: []string{e.URL}}).Submit(context.Background(), testJob()); err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []bool{true, true, false, false} {
+		if got := e.received()[i].FirstAttempt; got != want {
+			t.Errorf("attempt %d: first_attempt is %v, want %v", i+1, got, want)
+		}
+	}
+}
--- a/api/submit.go
+++ b/api/submit.go
@@ -34,7 +34,7 @@
 		if err == nil && !comeBack(answer) {
 			return answer, nil
 		}
-		if mayHaveArrived(err) {
+		if mayHaveRun(answer, err) {
 			request.FirstAttempt = false
 		}
 		pause := retryPause(answer, err)
@@ -79,10 +79,15 @@
 	return defaultRetryPause
 }
 
-// mayHaveArrived reports whether an attempt may have reached an entry. Only a
-// connection that was never opened proves that it did not; everything else,
-// refusals included, ends the right to mark a first attempt.
-func mayHaveArrived(err error) bool {
+// mayHaveRun reports whether an attempt may lead to a start, which ends the right
+// to mark a first attempt. It can't if the job was refused as not run, if the
+// entry turned the request away unread, or if no connection was opened.
+func mayHaveRun(answer *JobAnswer, err error) bool {
+	if answer != nil {
+		return answer.Outcome != OutcomeRefused || answer.MayHaveRun
+	}
+	var away *turnedAwayError
 	var op *net.OpError
-	return !(errors.As(err, &op) && op.Op == "dial")
+	dial := errors.As(err, &op) && op.Op == "dial"
+	return !dial && !errors.As(err, &away)
 }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -49,7 +49,7 @@
 // submit takes a job and answers with its final outcome.
 func (c *callers) submit(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	size := max(r.ContentLength, 0)
+	size := bodySize(r)
 	if !c.enter(w, size) {
 		return
 	}
@@ -71,6 +71,15 @@
 	c.finish(r.Context(), w, spec.Key, &o, time.Since(began))
 }
 
+// bodySize is the size that a request may have. One that does not name its length
+// counts as the largest.
+func bodySize(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return api.MaxBodyBytes
+	}
+	return min(r.ContentLength, api.MaxBodyBytes)
+}
+
 // run admits a job, routes it and returns its outcome.
 func (c *callers) run(ctx context.Context, spec *job.Spec, mark api.Mark) job.Outcome {
 	done, refusal, ok := c.entry.cfg.Gatekeeper.Admit(ctx, spec)
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -51,7 +51,7 @@
 
 // call makes one call and reports its end to the routing duty.
 func (c *caller) call(a routing.Call) {
-	ctx, cancel := context.WithTimeout(context.Background(), a.Deadline-c.entry.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), a.GiveUp-c.entry.Now())
 	c.mu.Lock()
 	c.cancels[a.ID] = cancel
 	c.mu.Unlock()
--- a/home/run.go
+++ b/home/run.go
@@ -22,8 +22,8 @@
 		h.discard(now, r, h.tooOld(r.isFirst()))
 		return
 	}
-	if reason, detail := h.cannotRun(r.spec); reason != "" {
-		h.discard(now, r, h.signed(job.Refuse(reason, h.cfg.RetryAfter, detail)))
+	if o, ok := h.cannotRun(r.spec); ok {
+		h.discard(now, r, h.signed(o))
 		return
 	}
 	h.stats.Accepted++
@@ -34,8 +34,9 @@
 	h.waiting.PushJob(r.key, r.spec.Service, r.arrived, r.spec.Handicap, len(r.tasks))
 }
 
-// cannotRun returns why no executor known here could run the job.
-func (h *Home) cannotRun(s *job.Spec) (job.Reason, string) {
+// cannotRun refuses a job that no executor known here could run. Only the lack of
+// a backend server may pass, so only then is it worth coming back.
+func (h *Home) cannotRun(s *job.Spec) (job.Outcome, bool) {
 	largest := 0
 	for i := range h.executors {
 		if slices.Contains(h.executors[i].Services, s.Service) {
@@ -43,14 +44,15 @@
 		}
 	}
 	if largest == 0 {
-		return job.ReasonCannotRun, fmt.Sprintf("no backend server offers service %q now", s.Service)
+		return job.Refuse(job.ReasonCannotRun, h.cfg.RetryAfter, fmt.Sprintf("no backend server offers service %q now", s.Service)), true
 	}
 	for i := range s.Tasks {
 		if s.Tasks[i].Size > largest {
-			return job.ReasonCannotRun, fmt.Sprintf("task %d needs %d slots, the largest backend server has %d", i, s.Tasks[i].Size, largest)
+			detail := fmt.Sprintf("task %d needs %d slots, the largest backend server has %d", i, s.Tasks[i].Size, largest)
+			return job.Refuse(job.ReasonCannotRun, 0, detail), true
 		}
 	}
-	return "", ""
+	return job.Outcome{}, false
 }
 
 // place hands waiting tasks to executors while the pool has room.
--- a/routing/events.go
+++ b/routing/events.go
@@ -107,8 +107,10 @@
 	Fresh bool
 	// FirstAttempt is passed on from the request.
 	FirstAttempt time.Time
-	// Deadline is the end of the request on the core's clock.
+	// Deadline is the end of the job's time on the core's clock, GiveUp that
+	// of the call.
 	Deadline time.Duration
+	GiveUp   time.Duration
 }
 
 // Reply answers the caller with a final outcome.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -32,6 +32,10 @@
 	GiveUpGone time.Duration
 	// RetryAfter is when callers are told to come back.
 	RetryAfter time.Duration
+	// AnswerGrace is how long after a job's deadline its home may still say
+	// what became of it. Without it the entry, which knows less, would be the
+	// first to answer.
+	AnswerGrace time.Duration
 }
 
 // DefaultConfig returns the bounds that a daemon uses unless its settings say
@@ -43,6 +47,7 @@
 		GiveUpSilent: 20 * time.Second,
 		GiveUpGone:   time.Second,
 		RetryAfter:   time.Second,
+		AnswerGrace:  200 * time.Millisecond,
 	}
 }
 
@@ -58,7 +63,8 @@
 // flight is one request on its way.
 type flight struct {
 	req      Request
-	deadline time.Duration
+	deadline time.Duration // of the job
+	giveUp   time.Duration // of the request
 	target   placement.Member
 	calls    int // calls made in all
 	toTarget int // calls made to the present target
@@ -126,7 +132,7 @@
 
 func (r *Routing) request(now time.Duration, e Request) {
 	r.stats.Requests++
-	f := &flight{req: e, deadline: now + e.Deadline, fresh: e.First && e.Op == OpSubmit, troubled: -1}
+	f := &flight{req: e, deadline: now + e.Deadline, giveUp: now + e.Deadline + r.cfg.AnswerGrace, fresh: e.First && e.Op == OpSubmit, troubled: -1}
 	r.flights[e.ID] = f
 	r.order = append(r.order, e.ID)
 	r.aim(now, f)
@@ -159,7 +165,7 @@
 	f.open = true
 	r.stats.Calls++
 	r.out = append(r.out, Call{ID: f.req.ID, Call: f.calls, Op: f.req.Op, To: f.target, Key: f.req.Key, Spec: f.req.Spec, Fresh: f.fresh,
-		FirstAttempt: f.req.FirstAttempt, Deadline: f.deadline})
+		FirstAttempt: f.req.FirstAttempt, Deadline: f.deadline, GiveUp: f.giveUp})
 }
 
 // wait notes trouble and schedules the next call.
@@ -310,7 +316,7 @@
 
 func (r *Routing) check(now time.Duration, f *flight) {
 	switch {
-	case now >= f.deadline:
+	case now >= f.giveUp:
 		r.finish(f, r.unsettled(f, job.ReasonDeadline, "the deadline passed"))
 	case f.open:
 		return
--- a/rpc/transport.go
+++ b/rpc/transport.go
@@ -15,8 +15,11 @@
 // Times of the health check of a connection. A connection that is silent for
 // their sum is closed, its calls end, and the next call opens a new one.
 const (
-	pingAfter   = 500 * time.Millisecond
+	pingAfter   = 750 * time.Millisecond
 	pingTimeout = 1 * time.Second
+	// serverPingAfter is long: it is the caller that has to notice a silent
+	// connection soon, the server only frees what a vanished caller held.
+	serverPingAfter = 15 * time.Second
 	dialTimeout = 500 * time.Millisecond
 )
 
@@ -49,7 +52,7 @@
 		Protocols: p,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams,
-			SendPingTimeout:      pingAfter,
+			SendPingTimeout:      serverPingAfter,
 			PingTimeout:          pingTimeout,
 		},
 		ReadHeaderTimeout: 5 * time.Second,
--- a/telemetry/health.go
+++ b/telemetry/health.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 )
 
 // Paths of the metrics listener.
@@ -28,9 +29,18 @@
 	mux.HandleFunc("GET "+PathReady, func(w http.ResponseWriter, _ *http.Request) {
 		serveReady(w, ready())
 	})
+	handleProfiles(mux)
 	return mux
 }
 
+// handleProfiles serves the runtime's profiles, so that the processor time and
+// memory of a running process can be looked into.
+func handleProfiles(mux *http.ServeMux) {
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+}
+
 func serveLive(w http.ResponseWriter, _ *http.Request) {
 	writeLine(w, http.StatusOK, "live")
 }
