--- a/api/client_test.go
+++ b/api/client_test.go
@@ -196,9 +196,14 @@
 	if _, err := newTestClient(t, ClientOptions{Entries: []string{e.URL}}).Submit(context.Background(), testJob()); err != nil {
 		t.Fatal(err)
 	}
-	for i, want := range []bool{true, true, false, false} {
-		if got := e.received()[i].FirstAttempt; got != want {
-			t.Errorf("attempt %d: first_attempt is %v, want %v", i+1, got, want)
+	want := []bool{true, true, false, false}
+	got := e.received()
+	if len(got) != len(want) {
+		t.Fatalf("%d attempts, want %d", len(got), len(want))
+	}
+	for i := range want {
+		if got[i].FirstAttempt != want[i] {
+			t.Errorf("attempt %d: first_attempt is %v, want %v", i+1, got[i].FirstAttempt, want[i])
 		}
 	}
 }
--- a/rpc/transport.go
+++ b/rpc/transport.go
@@ -20,7 +20,7 @@
 	// serverPingAfter is long: it is the caller that has to notice a silent
 	// connection soon, the server only frees what a vanished caller held.
 	serverPingAfter = 15 * time.Second
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout     = 500 * time.Millisecond
 )
 
 // maxStreams is the number of calls on one connection.
