membership: an agent whose address a later incarnation announces is gone at once

Change: two processes can't listen at one address, so the older one is gone when the later one announces itself; both changes make one epoch. Safety doesn't rest on it. The client's own retries after a refusal now carry a time of their own.

--- a/api/client_test.go
+++ b/api/client_test.go
@@ -205,5 +205,8 @@
 		if got[i].FirstAttempt != want[i] {
 			t.Errorf("attempt %d: first_attempt is %v, want %v", i+1, got[i].FirstAttempt, want[i])
 		}
+		if i > 0 && got[i].FirstAttemptAt.After(got[i-1].FirstAttemptAt) != want[i] {
+			t.Errorf("attempt %d: first_attempt_at went from %v to %v", i+1, got[i-1].FirstAttemptAt, got[i].FirstAttemptAt)
+		}
 	}
 }
--- a/api/submit.go
+++ b/api/submit.go
@@ -37,6 +37,10 @@
 		if mayHaveRun(answer, err) {
 			request.FirstAttempt = false
 		}
+		if request.FirstAttempt {
+			// Nothing sent so far can start, so the job begins anew.
+			request.FirstAttemptAt = time.Now().UTC()
+		}
 		pause := retryPause(answer, err)
 		if allowed-time.Since(received) <= pause || !t.again(err, pause) {
 			return lastAnswer(answer, t.sent, err)
--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -83,6 +83,8 @@
 	entry   int
 	result  Result
 	backoff time.Duration
+	// marked is true while nothing that was sent can start.
+	marked bool
 	// sent is when the attempt under way was sent.
 	sent time.Time
 	// duplicate yields the time of a refused duplicate, or nothing.
@@ -115,6 +117,7 @@
 		entry:   firstEntry,
 		result:  result,
 		first:   result.FirstSent,
+		marked:  result.Attempts == 0,
 		began:   time.Now(),
 		backoff: firstBackoff,
 	}
@@ -150,6 +153,8 @@
 	a.result.Attempts++
 	a.sent = time.Now()
 	answer, err := c.send(ctx, a)
+	// Only a refusal proves that nothing sent so far can start.
+	a.marked = a.marked && err == nil && answer.Outcome == api.OutcomeRefused && !a.result.Duplicated
 	if err != nil {
 		a.result.Detail = err.Error()
 		if isCut(err) {
@@ -207,6 +212,9 @@
 		return true
 	}
 	pause(ctx, retry+rand.N(retry/2+1))
+	if a.marked {
+		a.request.FirstAttemptAt = time.Now()
+	}
 	return false
 }
 
@@ -221,7 +229,7 @@
 	}
 	request := a.request
 	request.DeadlineMS = left.Milliseconds()
-	request.FirstAttempt = a.result.Attempts == 1
+	request.FirstAttempt = a.marked
 	body, err := json.Marshal(request)
 	if err != nil {
 		return api.JobAnswer{}, err
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -77,6 +77,7 @@
 	}
 	a.Announcement = n
 	a.announced = true
+	a.superseded = false
 	a.HeardAt = now
 	t.judgeService(a)
 	return t.move(now, a, stateOf(n))
@@ -170,8 +171,8 @@
 }
 
 // supersede marks older incarnations at the address of a new one. Two processes
-// can't listen at one address, so they are given less time: a restart then
-// frees its place early. If one of them is heard again, that counts as usual.
+// can't listen at one address, so the older ones are gone: a restart then frees
+// its place in the same epoch. If one of them is heard again, that counts as usual.
 func (t *Tracker) supersede(by *Agent) {
 	if by.Address == "" {
 		return
@@ -226,10 +227,10 @@
 }
 
 func (t *Tracker) isGone(now time.Duration, a *Agent, silence time.Duration) bool {
-	limit := t.cfg.GoneAfter
 	if a.superseded {
-		limit = t.cfg.SuspectAfter
+		return true
 	}
+	limit := t.cfg.GoneAfter
 	if silence < limit {
 		return false
 	}
