home: a replaced peer that was gone before a first attempt counts as sealed

Ruled out: taking every replaced peer for sealed, since it may have run the job before it died. Change: the new incarnation says for how long it has certainly served its address, counted from its first call; a peer gone for longer than the job exists never had it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,6 +62,16 @@
 	permit  atomic.Pointer[permit.Permit]
 	leaving atomic.Bool
 	handler http.Handler
+	// serving is when the first call of another process arrived. From then on
+	// no earlier process can have served the address.
+	serving     time.Time
+	servingOnce sync.Once
+}
+
+// servedFor returns for how long this process has certainly served its address.
+func (a *Agent) servedFor() time.Duration {
+	a.servingOnce.Do(func() { a.serving = time.Now() })
+	return time.Since(a.serving)
 }
 
 // New returns an agent that does nothing until Run.
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -136,6 +136,7 @@
 	switch {
 	case rpc.IsReplaced(err):
 		e.Verdict = home.Replaced
+		e.GoneFor = rpc.GoneFor(err)
 	case err != nil:
 		e.Verdict = home.Unreachable
 	default:
--- a/agent/server.go
+++ b/agent/server.go
@@ -19,7 +19,10 @@
 var _ dockpbconnect.AgentServiceHandler = (*server)(nil)
 
 // meant reports whether a call was meant for this incarnation.
-func (s *server) meant(to string) bool { return ident.Incarnation(to) == s.agent.cfg.Self }
+func (s *server) meant(to string) bool {
+	s.agent.servedFor()
+	return ident.Incarnation(to) == s.agent.cfg.Self
+}
 
 // Submit hands a job, or a look-up of one, to the home.
 func (s *server) Submit(ctx context.Context, req *connect.Request[dockpb.SubmitRequest]) (*connect.Response[dockpb.SubmitResponse], error) {
@@ -101,7 +104,7 @@
 func (s *server) Seal(ctx context.Context, req *connect.Request[dockpb.SealRequest]) (*connect.Response[dockpb.SealResponse], error) {
 	m := req.Msg
 	if !s.meant(m.GetTo()) {
-		return nil, rpc.Replaced()
+		return nil, rpc.ReplacedFor(s.agent.servedFor())
 	}
 	action, err := s.askHome(ctx, func(id ident.RequestID) home.Event {
 		return home.SealAsked{
--- a/bench/model/agentcalls.go
+++ b/bench/model/agentcalls.go
@@ -41,7 +41,7 @@
 	}
 	k.end = func(err callError) {
 		if err == errReplaced {
-			verdict(home.Replaced, nil)
+			a.homeStep(home.SealAnswered{Key: q.Key, Peer: q.Peer.Incarnation, Verdict: home.Replaced, GoneFor: k.goneFor})
 			return
 		}
 		verdict(home.Unreachable, nil)
--- a/bench/model/network.go
+++ b/bench/model/network.go
@@ -51,6 +51,8 @@
 	ended  bool
 	broken bool
 	served bool
+	// goneFor is how long a replaced incarnation has been gone at least.
+	goneFor time.Duration
 	// turnedAway is true if the target was too busy to look at the call.
 	turnedAway bool
 	bad        int
@@ -105,7 +107,11 @@
 		return
 	}
 	if k.meant != "" && endpointID(target.incarnation) != k.meant {
-		k.respond(func() { k.finish(errReplaced) })
+		served := target.now()
+		k.respond(func() {
+			k.goneFor = served
+			k.finish(errReplaced)
+		})
 		return
 	}
 	if k.turnedAway {
--- a/home/events.go
+++ b/home/events.go
@@ -73,6 +73,8 @@
 	Peer    ident.Incarnation
 	Verdict SealVerdict
 	Vouches []Vouch
+	// GoneFor is how long a replaced peer has been gone at least.
+	GoneFor time.Duration
 }
 
 // Vouch says that the heir has every record of the peer whose key has the heir
--- a/home/resolve.go
+++ b/home/resolve.go
@@ -221,7 +221,7 @@
 		h.passOn(now, r, e.Peer)
 		return
 	case Replaced:
-		h.vanish(&r.asks[i])
+		h.replaced(now, r, &r.asks[i], e.GoneFor)
 	case Unreachable:
 		h.unreachable(now, &r.asks[i])
 	}
@@ -237,6 +237,16 @@
 	}
 }
 
+// replaced takes a peer that is gone. One that was gone before a fresh job existed
+// can't have started it.
+func (h *Home) replaced(now time.Duration, r *record, a *ask, goneFor time.Duration) {
+	if r.fresh && now-goneFor <= r.exists {
+		a.state = askSealed
+		return
+	}
+	h.vanish(a)
+}
+
 func (h *Home) vanish(a *ask) {
 	if a.state != askSealed {
 		a.state = askVanished
--- a/rpc/transport.go
+++ b/rpc/transport.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
@@ -63,6 +64,31 @@
 // another incarnation.
 func Replaced() error { return connect.NewError(connect.CodeFailedPrecondition, errReplaced) }
 
+// headerServing carries how long the answering process has served.
+const headerServing = "Dock-Serving-Ms"
+
+// ReplacedFor is Replaced by a process that has served its address for the given
+// time, so that the one that was meant has been gone for at least as long.
+func ReplacedFor(d time.Duration) error {
+	err := connect.NewError(connect.CodeFailedPrecondition, errReplaced)
+	err.Meta().Set(headerServing, strconv.FormatInt(d.Milliseconds(), 10))
+	return err
+}
+
+// GoneFor returns how long the meant process has been gone at least, if the error
+// says so, else zero.
+func GoneFor(err error) time.Duration {
+	var e *connect.Error
+	if !IsReplaced(err) || !errors.As(err, &e) {
+		return 0
+	}
+	ms, err := strconv.ParseUint(e.Meta().Get(headerServing), 10, 31)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // IsReplaced reports whether a call ended since another incarnation answered, so
 // that the one that was meant is gone for good.
 func IsReplaced(err error) bool { return connect.CodeOf(err) == connect.CodeFailedPrecondition }
