--- a/bench/model/caller.go
+++ b/bench/model/caller.go
@@ -70,7 +70,7 @@
 	j := c.jobs[len(c.jobs)-1-index(cmd.A, min(len(c.jobs), recentJobs))]
 	switch cmd.Op {
 	case OpResubmit:
-		c.request(j, cmd.B, routing.OpSubmit, c.mutated(MutationAllFirst))
+		c.resubmit(j, cmd.B)
 	case OpReuse:
 		other := *j.spec
 		other.Tasks = []job.Task{{Payload: []byte("another body")}}
@@ -88,6 +88,27 @@
 	}
 }
 
+// resubmit submits a job again. If every submission so far was refused nothing
+// has started, so this one is a first attempt made now.
+func (c *Cluster) resubmit(j *callerJob, entry int) {
+	first := c.mutated(MutationAllFirst)
+	if j.wasRefused() {
+		first = true
+		j.first = c.wallClock().Add(c.skew())
+	}
+	c.request(j, entry, routing.OpSubmit, first)
+}
+
+// wasRefused reports whether every submission so far was refused.
+func (j *callerJob) wasRefused() bool {
+	for _, s := range j.submissions {
+		if !s.answered || s.outcome.Kind != job.Refused || s.outcome.Reason == job.ReasonKeyReused {
+			return false
+		}
+	}
+	return true
+}
+
 // recentJobs is how far back commands reach.
 const recentJobs = 6
 
