api: a marked attempt after a refusal carries its own time

Cause: homes judge a first attempt by its time. One that was refused since a former home was lost came back with the old time and would be refused until the accept window ended. Every earlier sending was refused or not sent, so the job exists from the new sending on (the model submits so too, and keeps every promise). The new test failed before: the second marked attempt has the time of the first. Ruled out: renewing the time in the entry, which can't know that its caller has not given up and resubmitted elsewhere.

--- a/api/client_test.go
+++ b/api/client_test.go
@@ -103,6 +103,29 @@
 	}
 }
 
+// A first attempt that is sent again after a refusal is one made now. With the old
+// time a home would go on refusing it for the sake of one that was lost since.
+func TestSubmitRenewsTheTimeOfAMarkedAttempt(t *testing.T) {
+	refused := answerWith(429, JobAnswer{Outcome: OutcomeRefused, RetryAfterMS: 1})
+	failed := answerWith(502, JobAnswer{Outcome: OutcomeFailed, MayHaveRun: true, RetryAfterMS: 1})
+	e := newFakeEntry(t, refused, failed, refused, completeAnswer)
+	if _, err := newTestClient(t, ClientOptions{Entries: []string{e.URL}}).Submit(context.Background(), testJob()); err != nil {
+		t.Fatal(err)
+	}
+	got := e.received()
+	if len(got) != 4 {
+		t.Fatalf("%d attempts, want 4", len(got))
+	}
+	if !got[1].FirstAttemptAt.After(got[0].FirstAttemptAt) {
+		t.Error("the second marked attempt has the time of the first")
+	}
+	for i := 2; i < len(got); i++ {
+		if !got[i].FirstAttemptAt.Equal(got[1].FirstAttemptAt) {
+			t.Errorf("attempt %d changed the time of the last marked attempt", i+1)
+		}
+	}
+}
+
 func TestSubmitKeepsTheMarkIfNothingWasSent(t *testing.T) {
 	e := newFakeEntry(t, completeAnswer)
 	c := newTestClient(t, ClientOptions{Entries: []string{closedAddress(t), e.URL}})
--- a/api/submit.go
+++ b/api/submit.go
@@ -41,6 +41,9 @@
 		if allowed-time.Since(received) <= pause || !t.again(err, pause) {
 			return lastAnswer(answer, t.sent, err)
 		}
+		if request.FirstAttempt {
+			request.FirstAttemptAt = time.Now().UTC()
+		}
 		request.DeadlineMS = max((allowed - time.Since(received)).Milliseconds(), 1)
 	}
 }
