--- a/bench/model/property_test.go
+++ b/bench/model/property_test.go
@@ -18,6 +18,7 @@
 		if !checkRound(t, round, traces(MutationNone), &total) {
 			return
 		}
+		t.Logf("%d steps so far", total.Steps)
 	}
 	t.Logf("%d steps, %d events, %d starts, outcomes %+v", total.Steps, total.Events, total.Starts, total.Outcomes)
 }
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -97,7 +97,7 @@
 	if m.GetRedirect() != "" {
 		return redirected(a, m.GetRedirect(), m.GetRedirectAddress())
 	}
-	return routing.Answered{ID: a.ID, Call: a.Call, Outcome: rpc.OutcomeFromProto(m.GetOutcome())}
+	return answered(a, rpc.OutcomeFromProto(m.GetOutcome()))
 }
 
 func submitRequest(a *routing.Call, now time.Duration) *dockpb.SubmitRequest {
@@ -137,11 +137,18 @@
 	return answered(a, rpc.OutcomeFromProto(m.GetOutcome()))
 }
 
-// answered checks that a complete answer is whole before it is passed on. One
-// that is not breaks an invariant of the home; the caller must not see it.
+// answered checks an answer before it is passed on. One that is not whole, or not
+// final, breaks an invariant of the home; the caller must not see it.
 func answered(a *routing.Call, o job.Outcome) routing.Event {
-	if o.Kind == job.Complete && !isWhole(a, &o) {
-		o = job.Fail(job.ReasonUnresolved, 0, "the home sent a partial answer")
+	switch o.Kind {
+	case job.Complete:
+		if !isWhole(a, &o) {
+			o = job.Fail(job.ReasonUnresolved, 0, "the home sent a partial answer")
+		}
+	case job.Failed, job.Refused:
+		o.Results = nil
+	default:
+		o = job.Fail(job.ReasonUnresolved, 0, "the home sent no outcome")
 	}
 	return routing.Answered{ID: a.ID, Call: a.Call, Outcome: o}
 }
