agent: a backend server may promise that it has not started a task

Change: a 503 with 'Dock-Not-Started: true' seals the attempt like one that was never sent, and the task goes elsewhere.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -27,6 +27,9 @@
 	headerTeam  = "Dock-Team"
 	headerJob   = "Dock-Job"
 	headerIndex = "Dock-Index"
+	// headerNotStarted with the value true on a 503 is the backend server's
+	// promise that it has not started the task.
+	headerNotStarted = "Dock-Not-Started"
 )
 
 // Bounds on what a backend server may say.
@@ -173,9 +176,20 @@
 		b.gate.box.Put(gate.NotSent{Task: s.Task, Reason: job.ReasonWorkerFailing})
 		return
 	}
+	if err == nil && isNotStarted(resp) {
+		_ = resp.Body.Close()
+		b.gate.box.Put(gate.NotSent{Task: s.Task, Reason: job.ReasonWorkerFailing})
+		return
+	}
 	b.gate.box.Put(outcome(s, resp, err))
 }
 
+// isNotStarted reports whether the backend server promises that it has not
+// started the task and never will, so that it may go elsewhere.
+func isNotStarted(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerNotStarted) == "true"
+}
+
 func newRun(ctx context.Context, address string, s gate.Send) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathRun, bytes.NewReader(s.Payload))
 	if err != nil {
--- a/agent/backend_test.go
+++ b/agent/backend_test.go
@@ -44,3 +44,24 @@
 		}
 	}
 }
+
+func TestOnlyAPromiseOnA503MeansNotStarted(t *testing.T) {
+	cases := []struct {
+		status  int
+		promise string
+		want    bool
+	}{
+		{503, "true", true},
+		{503, "", false},
+		{503, "no", false},
+		{500, "true", false},
+		{200, "true", false},
+	}
+	for _, c := range cases {
+		resp := answerOf(c.status, "till", "book", "2")
+		resp.Header.Set(headerNotStarted, c.promise)
+		if got := isNotStarted(resp); got != c.want {
+			t.Errorf("status %d, promise %q: %v, want %v", c.status, c.promise, got, c.want)
+		}
+	}
+}
