--- a/agent/calls.go
+++ b/agent/calls.go
@@ -36,21 +36,19 @@
 // caller makes the calls to other agents, each in a goroutine of its own.
 type caller struct {
 	agent   *Agent
-	http    connect.HTTPClient
+	clients *rpc.AgentClients
 	running sync.WaitGroup
 	handing atomic.Int64
 
-	mu      sync.Mutex
-	clients map[string]dockpbconnect.AgentServiceClient
-	lost    map[ident.Incarnation]context.CancelFunc
-	alive   map[ident.Incarnation]context.Context
+	mu    sync.Mutex
+	lost  map[ident.Incarnation]context.CancelFunc
+	alive map[ident.Incarnation]context.Context
 }
 
 func newCaller(a *Agent) *caller {
 	return &caller{
 		agent:   a,
-		http:    rpc.NewClient(),
-		clients: make(map[string]dockpbconnect.AgentServiceClient),
+		clients: rpc.NewAgentClients(),
 		lost:    make(map[ident.Incarnation]context.CancelFunc),
 		alive:   make(map[ident.Incarnation]context.Context),
 	}
@@ -69,25 +67,13 @@
 	}()
 }
 
-// client returns the client of an address.
-func (c *caller) client(address string) dockpbconnect.AgentServiceClient {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cl, ok := c.clients[address]
-	if !ok {
-		cl = dockpbconnect.NewAgentServiceClient(c.http, "http://"+address, rpc.ClientOptions())
-		c.clients[address] = cl
-	}
-	return cl
-}
-
 // to returns the client of an incarnation.
 func (c *caller) to(id ident.Incarnation) (dockpbconnect.AgentServiceClient, bool) {
 	address, ok := c.agent.peers.address(id)
 	if !ok {
 		return nil, false
 	}
-	return c.client(address), true
+	return c.clients.At(address), true
 }
 
 // context returns a context that ends when the incarnation is declared gone.
@@ -121,7 +107,7 @@
 	c.start(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), sealTimeout)
 		defer cancel()
-		resp, err := c.client(a.Peer.Address).Seal(ctx, connect.NewRequest(&dockpb.SealRequest{
+		resp, err := c.clients.At(a.Peer.Address).Seal(ctx, connect.NewRequest(&dockpb.SealRequest{
 			Key:   rpc.KeyToProto(a.Key),
 			From:  string(c.agent.cfg.Self),
 			To:    string(a.Peer.Incarnation),
@@ -218,7 +204,7 @@
 func (c *caller) handoverOnce(to placement.Member, req *dockpb.HandoverRequest) error {
 	ctx, cancel := context.WithTimeout(c.context(to.Incarnation), handoverTimeout)
 	defer cancel()
-	_, err := c.client(to.Address).Handover(ctx, connect.NewRequest(req))
+	_, err := c.clients.At(to.Address).Handover(ctx, connect.NewRequest(req))
 	return err
 }
 
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -12,6 +12,7 @@
 	"foxtaildock.example/dock/home"
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/job"
+	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb"
 	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
@@ -54,7 +55,7 @@
 		if x.end(err) {
 			return
 		}
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
 
@@ -168,13 +169,3 @@
 	t := &e.Tasks[i]
 	return home.NotSent{Agent: e.Agent, Task: ident.TaskID{Job: e.Key, Index: t.Index}, Attempt: t.Attempt}
 }
-
-// pause waits or returns early when the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/api/operators_client.go
+++ b/api/operators_client.go
@@ -15,6 +15,7 @@
 
 	"foxtaildock.example/dock/audit"
 	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/pause"
 )
 
 // Times and bounds of OperatorsClient.
@@ -168,7 +169,7 @@
 	}
 	var err error
 	for try := range operatorAttempts {
-		if try > 0 && !pause(ctx, operatorPause) {
+		if try > 0 && !pause.For(ctx, operatorPause) {
 			return nil, err
 		}
 		answer := new(A)
@@ -185,17 +186,6 @@
 	return nil, err
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // send makes one attempt.
 func (c *OperatorsClient) send(ctx context.Context, method, target string, body []byte, answer any) error {
 	ctx, stop := context.WithTimeout(ctx, operatorPatience)
--- a/bench/load/driver.go
+++ b/bench/load/driver.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"foxtaildock.example/dock/pause"
 )
 
 // Driver runs a workload with a number of callers side by side.
@@ -33,7 +35,7 @@
 	for i := 0; i < d.Workload.Jobs && ctx.Err() == nil; i++ {
 		slots <- struct{}{}
 		if d.Interval > 0 {
-			pause(ctx, d.Interval)
+			pause.For(ctx, d.Interval)
 		}
 		wg.Go(func() {
 			defer func() { <-slots }()
--- a/bench/proof/again.go
+++ b/bench/proof/again.go
@@ -10,6 +10,7 @@
 	"foxtaildock.example/bench/cluster"
 	"foxtaildock.example/bench/load"
 	"foxtaildock.example/dock/job"
+	"foxtaildock.example/dock/pause"
 )
 
 const (
@@ -78,7 +79,7 @@
 	if err := change(ctx); err != nil {
 		return err
 	}
-	hold(ctx, settleTime)
+	pause.For(ctx, settleTime)
 	err := checkAgain(b.submitAgain(ctx), accepted)
 	return errors.Join(err, b.Verify())
 }
--- a/bench/proof/backends.go
+++ b/bench/proof/backends.go
@@ -9,6 +9,8 @@
 	"foxtaildock.example/bench/backend"
 	"foxtaildock.example/bench/cluster"
 	"foxtaildock.example/bench/load"
+
+	"foxtaildock.example/dock/pause"
 )
 
 const (
@@ -52,7 +54,7 @@
 				if err := b.Cluster.SetBackendFaults(ctx, target, faults); err != nil {
 					return err
 				}
-				hold(ctx, faultTime)
+				pause.For(ctx, faultTime)
 				return b.Cluster.SetBackendFaults(ctx, target, backend.Faults{})
 			})
 		},
@@ -65,7 +67,7 @@
 		if err := target.Kill(); err != nil {
 			return err
 		}
-		hold(ctx, downTime)
+		pause.For(ctx, downTime)
 		return target.Start()
 	})
 	return errors.Join(err, b.failedOnlyOn(target))
--- a/bench/proof/demo.go
+++ b/bench/proof/demo.go
@@ -11,6 +11,8 @@
 
 	"foxtaildock.example/bench/backend"
 	"foxtaildock.example/bench/load"
+
+	"foxtaildock.example/dock/pause"
 )
 
 // The demo: jobs, and the numbers of answered jobs at which things happen.
@@ -88,7 +90,7 @@
 		return times, err
 	}
 	step("%s withdrawn", domain)
-	hold(ctx, demoOutTime)
+	pause.For(ctx, demoOutTime)
 	times.out = window{from: accepted.Add(forceLimit), to: time.Now()}
 	if _, err := b.Operators.SetDomain(ctx, domain, true); err != nil {
 		return times, err
--- a/bench/proof/domains.go
+++ b/bench/proof/domains.go
@@ -11,6 +11,8 @@
 	"foxtaildock.example/bench/cluster"
 	"foxtaildock.example/bench/link"
 	"foxtaildock.example/bench/platformd"
+
+	"foxtaildock.example/dock/pause"
 )
 
 func domainProofs() []Proof {
@@ -71,7 +73,7 @@
 var domainAgentPaused = around{
 	before: func(_ context.Context, _ *Bed, a *cluster.Agent) error { return a.Pause() },
 	after: func(ctx context.Context, _ *Bed, a *cluster.Agent) error {
-		hold(ctx, forceLimit+time.Second)
+		pause.For(ctx, forceLimit+time.Second)
 		return a.Resume()
 	},
 	heal: nothing,
@@ -119,7 +121,7 @@
 	if err := harm.after(ctx, b, agent); err != nil {
 		return window{}, err
 	}
-	hold(ctx, outTime)
+	pause.For(ctx, outTime)
 	if err := harm.heal(ctx, b, agent); err != nil {
 		return window{}, err
 	}
@@ -146,7 +148,7 @@
 				return err
 			}
 		}
-		hold(ctx, outTime)
+		pause.For(ctx, outTime)
 		for _, a := range members {
 			if err := errors.Join(a.Backend.Start(), a.Start()); err != nil {
 				return err
@@ -175,7 +177,7 @@
 		if err != nil {
 			return err
 		}
-		hold(ctx, outTime)
+		pause.For(ctx, outTime)
 		out = window{from: accepted.Add(forceLimit), to: time.Now()}
 		_, err = b.Operators.SetDomain(ctx, domain, true)
 		return err
@@ -200,7 +202,7 @@
 	if errs[0] != nil && errs[1] != nil {
 		return fmt.Errorf("both racing changes were refused: %w", errors.Join(errs...))
 	}
-	hold(ctx, forceLimit)
+	pause.For(ctx, forceLimit)
 	first, err := b.Operators.DomainState(ctx, domain)
 	if err != nil {
 		return err
--- a/bench/proof/leave.go
+++ b/bench/proof/leave.go
@@ -8,6 +8,8 @@
 
 	"foxtaildock.example/bench/backend"
 	"foxtaildock.example/bench/cluster"
+
+	"foxtaildock.example/dock/pause"
 )
 
 const (
@@ -114,7 +116,7 @@
 		if err != nil {
 			return err
 		}
-		hold(ctx, outTime)
+		pause.For(ctx, outTime)
 		out = window{from: accepted.Add(forceLimit), to: time.Now()}
 		_, err = b.Operators.Drain(ctx, agent, false)
 		return err
--- a/bench/proof/links.go
+++ b/bench/proof/links.go
@@ -8,6 +8,8 @@
 
 	"foxtaildock.example/bench/cluster"
 	"foxtaildock.example/bench/link"
+
+	"foxtaildock.example/dock/pause"
 )
 
 // cutTime is how long a link is cut.
@@ -76,7 +78,7 @@
 					return err
 				}
 			}
-			hold(ctx, silenceGap)
+			pause.For(ctx, silenceGap)
 		}
 		return nil
 	})
@@ -106,7 +108,7 @@
 		if err := b.Cluster.SetLink(ctx, name, link.State{Cut: true}); err != nil {
 			return err
 		}
-		hold(ctx, cutTime)
+		pause.For(ctx, cutTime)
 		return b.Cluster.SetLink(ctx, name, link.State{})
 	})
 	return errors.Join(err, b.AllComplete())
--- a/bench/proof/loads.go
+++ b/bench/proof/loads.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"foxtaildock.example/bench/load"
+
+	"foxtaildock.example/dock/pause"
 )
 
 const (
@@ -82,7 +84,7 @@
 			defer close(ended)
 			driver.Run(ctx)
 		}()
-		hold(ctx, cancelDelay)
+		pause.For(ctx, cancelDelay)
 		err := cancelAll(ctx, driver.Caller)
 		<-ended
 		return err
--- a/bench/proof/operators.go
+++ b/bench/proof/operators.go
@@ -10,6 +10,7 @@
 	"foxtaildock.example/bench/cluster"
 	"foxtaildock.example/dock/api"
 	"foxtaildock.example/dock/document"
+	"foxtaildock.example/dock/pause"
 )
 
 // changeReason is shown in the audit trail of the system under test.
@@ -78,7 +79,7 @@
 			if ctx.Err() != nil {
 				return fmt.Errorf("the operators' token is not known at %s: %w", address, err)
 			}
-			hold(ctx, pollInterval)
+			pause.For(ctx, pollInterval)
 		}
 	}
 	return nil
--- a/bench/proof/platform.go
+++ b/bench/proof/platform.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"foxtaildock.example/bench/platformd"
+
+	"foxtaildock.example/dock/pause"
 )
 
 const (
@@ -51,7 +53,7 @@
 		Run: func(ctx context.Context, b *Bed) error {
 			err := b.RunUnderLoad(ctx, func(ctx context.Context) error {
 				return b.duringPlatformFaults(ctx, faults, func(ctx context.Context) error {
-					hold(ctx, outageTime)
+					pause.For(ctx, outageTime)
 					return nil
 				})
 			})
@@ -84,9 +86,9 @@
 			if err := errors.Join(agent.Kill(), agent.Backend.Kill()); err != nil {
 				return err
 			}
-			hold(ctx, downTime)
+			pause.For(ctx, downTime)
 			err := errors.Join(agent.Backend.Start(), agent.Start())
-			hold(ctx, downTime)
+			pause.For(ctx, downTime)
 			return err
 		})
 		if err != nil {
--- a/bench/proof/process.go
+++ b/bench/proof/process.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"foxtaildock.example/dock/pause"
 )
 
 // pauseTime is how long a process is paused: longer than a permit lasts and than
@@ -66,7 +68,7 @@
 		if err := errors.Join(agent.Kill(), agent.Backend.Kill()); err != nil {
 			return err
 		}
-		hold(ctx, downTime)
+		pause.For(ctx, downTime)
 		if err := errors.Join(agent.Backend.Start(), agent.Start()); err != nil {
 			return err
 		}
@@ -93,7 +95,7 @@
 		if err := entry.Kill(); err != nil {
 			return err
 		}
-		hold(ctx, downTime)
+		pause.For(ctx, downTime)
 		if err := entry.Start(); err != nil {
 			return err
 		}
@@ -108,7 +110,7 @@
 		if err := agent.Pause(); err != nil {
 			return err
 		}
-		hold(ctx, pauseTime)
+		pause.For(ctx, pauseTime)
 		return agent.Resume()
 	})
 }
@@ -119,7 +121,7 @@
 		if err := entry.Pause(); err != nil {
 			return err
 		}
-		hold(ctx, pauseTime)
+		pause.For(ctx, pauseTime)
 		return entry.Resume()
 	})
 	return errors.Join(err, b.AllComplete())
@@ -134,7 +136,7 @@
 		if err := entry.Kill(); err != nil {
 			return err
 		}
-		hold(ctx, pauseTime)
+		pause.For(ctx, pauseTime)
 		if err := agent.Resume(); err != nil {
 			return err
 		}
--- a/control/agentlink/send.go
+++ b/control/agentlink/send.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
 	"foxtaildock.example/dock/telemetry"
@@ -23,18 +24,18 @@
 func (l *Link) send(ctx context.Context, address string) {
 	defer l.senders.Done()
 	transport := l.cfg.NewClient()
-	pause := time.Duration(rand.Int64N(int64(l.cfg.Interval)))
+	rest := time.Duration(rand.Int64N(int64(l.cfg.Interval)))
 	retry := l.cfg.Interval / firstRetry
-	for wait(ctx, pause) {
+	for pause.For(ctx, rest) {
 		started := time.Now()
 		if l.beat(ctx, newClient(transport, address), address) {
-			pause = max(l.cfg.Interval-time.Since(started), 0)
+			rest = max(l.cfg.Interval-time.Since(started), 0)
 			retry = l.cfg.Interval / firstRetry
 			continue
 		}
 		transport.CloseIdleConnections()
 		transport = l.cfg.NewClient()
-		pause = retry
+		rest = retry
 		retry = min(2*retry, l.cfg.RetryMax)
 	}
 	transport.CloseIdleConnections()
@@ -76,7 +77,7 @@
 	defer stop()
 	var found []string
 	// The pause spreads the reads of a cell whose agents all start at once.
-	if wait(ctx, time.Duration(rand.Int64N(int64(l.cfg.Interval)))) {
+	if pause.For(ctx, time.Duration(rand.Int64N(int64(l.cfg.Interval)))) {
 		found = l.readEntries(ctx)
 	}
 	l.box.Put(listed{addresses: found})
@@ -99,15 +100,3 @@
 	}
 	return found
 }
-
-// wait pauses and reports whether the context is still alive.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/control/duty.go
+++ b/control/duty.go
@@ -205,15 +205,3 @@
 	default:
 	}
 }
-
-// wait pauses and reports whether the context is still alive.
-func wait(ctx context.Context, pause time.Duration) bool {
-	t := time.NewTimer(pause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/control/entryrow.go
+++ b/control/entryrow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/platform"
 	"foxtaildock.example/dock/telemetry"
 )
@@ -19,7 +20,7 @@
 			}
 		}
 		d.lookUpEntries(ctx)
-		if !wait(ctx, d.cfg.EntriesInterval) {
+		if !pause.For(ctx, d.cfg.EntriesInterval) {
 			d.removeRow()
 			return
 		}
--- a/control/epoch.go
+++ b/control/epoch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/platform"
 	"foxtaildock.example/dock/telemetry"
@@ -155,7 +156,7 @@
 		case err == nil && ok:
 			return nil
 		}
-		if !wait(ctx, resolveEvery) {
+		if !pause.For(ctx, resolveEvery) {
 			break
 		}
 	}
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -8,6 +8,7 @@
 	"foxtaildock.example/dock/document"
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/membership"
+	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb"
@@ -18,7 +19,7 @@
 // exchangeLoop calls another entry until the context ends.
 func (d *Duty) exchangeLoop(ctx context.Context, address string) {
 	client := dockpbconnect.NewEntryServiceClient(d.cfg.Client, "http://"+address, rpc.ClientOptions())
-	for wait(ctx, d.cfg.ExchangeInterval) {
+	for pause.For(ctx, d.cfg.ExchangeInterval) {
 		e := draftExchange{address: address, reply: make(chan *dockpb.ExchangeRequest, 1)}
 		if !d.box.Put(e) {
 			return
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -19,36 +19,23 @@
 // caller makes the calls to homes, each in a goroutine of its own.
 type caller struct {
 	entry   *Entry
-	http    connect.HTTPClient
+	clients *rpc.AgentClients
 	running sync.WaitGroup
 
 	mu      sync.Mutex
-	clients map[string]dockpbconnect.AgentServiceClient
 	cancels map[ident.RequestID]context.CancelFunc
 }
 
 func newCaller(e *Entry) *caller {
 	return &caller{
 		entry:   e,
-		http:    rpc.NewClient(),
-		clients: make(map[string]dockpbconnect.AgentServiceClient),
+		clients: rpc.NewAgentClients(),
 		cancels: make(map[ident.RequestID]context.CancelFunc),
 	}
 }
 
 func (c *caller) wait() { c.running.Wait() }
 
-func (c *caller) client(address string) dockpbconnect.AgentServiceClient {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cl, ok := c.clients[address]
-	if !ok {
-		cl = dockpbconnect.NewAgentServiceClient(c.http, "http://"+address, rpc.ClientOptions())
-		c.clients[address] = cl
-	}
-	return cl
-}
-
 // call makes one call and reports its end to the routing duty.
 func (c *caller) call(a routing.Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), a.GiveUp-c.entry.Now())
@@ -74,7 +61,7 @@
 }
 
 func (c *caller) perform(ctx context.Context, a *routing.Call) routing.Event {
-	cl := c.client(a.To.Address)
+	cl := c.clients.At(a.To.Address)
 	if a.Op == routing.OpCancel {
 		return c.cancel(ctx, cl, a)
 	}
