--- a/home/home.go
+++ b/home/home.go
@@ -3,7 +3,7 @@
 // the whole answer.
 //
 // The core keeps three promises. A key is accepted only if no other home can
-// have started it, or can start it later (resolve.go). A task is handed to a
+// have started it, or can start it later (submit.go, resolve.go, seal.go). A task is handed to a
 // second executor only after the first has sealed the attempt (run.go). An
 // answer is whole or the job failed (run.go).
 //
--- /dev/null
+++ b/home/seal.go
@@ -0,0 +1,49 @@
+package home
+
+import (
+	"slices"
+	"time"
+)
+
+// sealAsked answers a newer home. Invariant: once Sealed is answered, this home
+// accepts the key only after the asking home has sealed it in turn.
+func (h *Home) sealAsked(now time.Duration, e SealAsked) {
+	r := h.records[e.Key]
+	switch {
+	case r == nil && len(h.records) >= 2*h.cfg.MaxRecords:
+		h.emit(AnswerSeal{Request: e.Request, Verdict: Unreachable})
+	case r == nil:
+		r = &record{key: e.Key}
+		h.records[e.Key] = r
+		h.seal(now, r, e)
+	case r.phase == phaseSealed:
+		h.seal(now, r, e)
+	case r.phase == phaseResolving && h.yields(r, e):
+		h.passOn(now, r, e.From)
+		h.records[e.Key] = r
+		h.seal(now, r, e)
+	default:
+		h.emit(AnswerSeal{Request: e.Request, Verdict: Held})
+	}
+}
+
+// yields reports whether a job that is being resolved here goes to the asking
+// home: one of a newer epoch, or the first in rank of the same epoch.
+func (h *Home) yields(r *record, e SealAsked) bool {
+	if h.placement.Epoch != e.Epoch {
+		return h.placement.Epoch < e.Epoch
+	}
+	m, ok := h.placement.Home(r.key)
+	return ok && m.Incarnation == e.From
+}
+
+func (h *Home) seal(now time.Duration, r *record, e SealAsked) {
+	h.stats.Sealed++
+	r.phase = phaseSealed
+	if e.Epoch >= r.sealEpoch {
+		r.sealedTo = e.From
+		r.sealEpoch = e.Epoch
+	}
+	h.touch(now, r)
+	h.emit(AnswerSeal{Request: e.Request, Verdict: Sealed, Vouches: slices.Clone(h.vouches)})
+}
