gate: a backend server that comes back into service takes up work in steps

Cause: ramp_seconds stood in the operators' document, was checked and shown, and nothing used it: a restored failure domain opened all its slots at once. Change: the permit carries the ramp of its domain, and the gate opens one slot at the start and all of them at the end. A new process starts none.

--- a/bench/model/platform.go
+++ b/bench/model/platform.go
@@ -32,6 +32,9 @@
 type view struct{ withdrawn []ident.FailureDomain }
 
 // InService implements permit.View.
+// Ramp implements permit.View: restored domains take up work at once.
+func (v view) Ramp(ident.FailureDomain) time.Duration { return 0 }
+
 func (v view) InService(domain ident.FailureDomain, _ ident.Incarnation, _ string) bool {
 	return !slices.Contains(v.withdrawn, domain)
 }
--- a/control/agentlink/link.go
+++ b/control/agentlink/link.go
@@ -243,6 +243,7 @@
 	l.holder.Offer(sentAt, now, permit.Fields{
 		State:     rpc.StateFromProto(p.GetVersion(), p.GetEpoch()),
 		InService: p.GetInService(),
+		Ramp:      rpc.Duration(p.GetRampMs()),
 		Remaining: rpc.Duration(p.GetRemainingMs()),
 	})
 	if after := l.holder.Permit(); after != before {
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -117,6 +117,7 @@
 		Version:   uint64(f.State.Version),
 		Epoch:     uint64(f.State.Epoch),
 		InService: f.InService,
+		RampMs:    rpc.Millis(f.Ramp),
 		// Rounded down: a permit must not become longer on its way.
 		RemainingMs: uint32(f.Remaining / time.Millisecond),
 	}
--- a/document/view.go
+++ b/document/view.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"foxtaildock.example/dock/ident"
 )
@@ -112,6 +113,12 @@
 // Domains returns the failure domains that have a section, in order.
 func (v *View) Domains() []ident.FailureDomain { return slices.Sorted(maps.Keys(v.domains)) }
 
+// Ramp is the time over which backend servers of a restored domain take up their
+// full work.
+func (v *View) Ramp(d ident.FailureDomain) time.Duration {
+	return time.Duration(v.Domain(d).RampSeconds) * time.Second
+}
+
 // Drained reports whether the backend server of the agent is drained, by the
 // agent's address or incarnation, and why.
 func (v *View) Drained(agent ident.Incarnation, address string) (DrainContent, bool) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -63,16 +63,19 @@
 	permit   permit.Permit
 	services []ident.Service
 	slots    int
-	running  int
-	leaving  bool
-	notes    map[ident.TaskID]*note
-	queue    rankQueue
-	order    []aged // notes by time of last change, for expiry
-	results  []ident.TaskID
-	bytes    int
-	pace     pace
-	stats    Stats
-	out      []Action
+	// usable is the number of slots that may be busy now; see ramp.
+	usable  int
+	ramp    ramp
+	running int
+	leaving bool
+	notes   map[ident.TaskID]*note
+	queue   rankQueue
+	order   []aged // notes by time of last change, for expiry
+	results []ident.TaskID
+	bytes   int
+	pace    pace
+	stats   Stats
+	out     []Action
 }
 
 // New returns a gate without a backend server and without a permit: it starts
@@ -110,6 +113,7 @@
 func (g *Gate) Step(now time.Duration, e Event) []Action {
 	g.out = g.out[:0]
 	g.pace.advance(now, g.running, g.slots)
+	g.usable = g.ramp.usable(now, g.slots)
 	switch e := e.(type) {
 	case Execute:
 		g.execute(now, e)
@@ -120,10 +124,11 @@
 	case NotSent:
 		g.notSent(now, e)
 	case SetPermit:
-		g.permit = e.Permit
+		g.setPermit(now, e.Permit)
 	case SetBackend:
 		g.services = slices.Clone(e.Services)
 		g.slots = e.Slots
+		g.usable = g.ramp.usable(now, g.slots)
 	case Revoke:
 		g.revoke(now, e)
 	case Leave:
@@ -137,7 +142,7 @@
 
 // free returns the number of idle slots.
 func (g *Gate) free() int {
-	return max(0, g.slots-g.running)
+	return max(0, g.usable-g.running)
 }
 
 // mayStart returns why nothing may start now, or "" if something may. Invariant:
--- a/gate/run.go
+++ b/gate/run.go
@@ -14,7 +14,7 @@
 		g.refuseQueue(now, r)
 		return
 	}
-	for g.queue.Len() > 0 && g.running < g.slots {
+	for g.queue.Len() > 0 && g.running < g.usable {
 		id := g.queue.pop()
 		g.start(now, id, g.notes[id])
 	}
--- a/permit/granter.go
+++ b/permit/granter.go
@@ -11,6 +11,9 @@
 // tasks.
 type View interface {
 	InService(domain ident.FailureDomain, agent ident.Incarnation, address string) bool
+	// Ramp is the time over which a backend server of the domain takes up its
+	// full work when it comes back into service.
+	Ramp(domain ident.FailureDomain) time.Duration
 }
 
 // Mode says what a granter's permits rest on.
@@ -191,6 +194,7 @@
 	f := Fields{
 		State:     g.base.State,
 		InService: g.view.InService(domain, agent, address),
+		Ramp:      g.view.Ramp(domain),
 		Remaining: max(g.base.ReadAt+Lease-now, 0),
 	}
 	return f, f.Remaining > 0
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -39,7 +39,7 @@
 	h.known = h.known.Join(f.State)
 	until := sentAt + min(max(f.Remaining, 0), Lease)
 	if f.State != h.state() {
-		h.permit = Permit{Version: f.State.Version, Epoch: f.State.Epoch, InService: f.InService, Until: until}
+		h.permit = Permit{Version: f.State.Version, Epoch: f.State.Epoch, InService: f.InService, Ramp: f.Ramp, Until: until}
 		return true
 	}
 	// Two entries can't disagree on one version. If a fault makes them, the
--- a/permit/model_test.go
+++ b/permit/model_test.go
@@ -62,6 +62,8 @@
 
 func (everyone) InService(ident.FailureDomain, ident.Incarnation, string) bool { return true }
 
+func (everyone) Ramp(ident.FailureDomain) time.Duration { return 0 }
+
 func newWorld(entries, agents int) *world {
 	w := &world{now: time.Hour, members: make(map[ident.Epoch][]int)}
 	for i := range agents {
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -21,6 +21,9 @@
 	// InService says that the holder's failure domain and backend server are
 	// in service at Version.
 	InService bool
+	// Ramp is the time over which the holder takes up its full work when it
+	// comes back into service.
+	Ramp time.Duration
 	// Until is the end of the lease on the holder's monotonic clock, counted
 	// from the holder's own origin.
 	Until time.Duration
--- a/permit/state.go
+++ b/permit/state.go
@@ -57,6 +57,8 @@
 	// InService says that the receiver's failure domain and backend server
 	// are in service at State.Version.
 	InService bool
+	// Ramp is as in Permit.
+	Ramp time.Duration
 	// Remaining is what is left of the lease. Zero makes the fields mere news
 	// of a newer state.
 	Remaining time.Duration
