--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,8 @@
 # prove runs every failure proof on real processes, one line each.
 prove: build
 	$(BIN)/foxbench prove
+	$(GO) test -count=1 ./permit ./membership ./control
+	cd bench && $(GO) test -count=1 ./model ./sim
 
 # measure prints the slopes behind docs/CAPACITY.md, the simulated figures, and
 # those of real processes. It takes a few minutes.
