entry: give back the room of vanished callers after the step that admitted them

Cause, found by reading: the admitter told the core that a hung-up caller's job is done while it still walked the actions of the step before, which the core reuses. The answers of later jobs in that step were overwritten: their callers waited until they hung up, and others were answered twice. Ruled out: the other duties, which do not step their cores from within an action. Change: the room is given back after the step. The new test failed before (two jobs without an answer) and passes.

--- a/entry/admitter.go
+++ b/entry/admitter.go
@@ -68,21 +68,31 @@
 	a.demand.Store(&demand)
 }
 
+// step performs what the core says. The core's answer is valid only until its next
+// step, so the room of callers that have hung up is given back after all of it.
 func (a *Admitter) step(e admission.Event) {
-	for _, action := range a.core.Step(a.now(), e) {
-		a.perform(action)
+	events := []admission.Event{e}
+	for len(events) > 0 {
+		var done []admission.Event
+		for _, action := range a.core.Step(a.now(), events[0]) {
+			if id, left := a.perform(action); left {
+				done = append(done, admission.Done{ID: id})
+			}
+		}
+		events = append(events[1:], done...)
 	}
 }
 
-func (a *Admitter) perform(action admission.Action) {
+// perform passes an answer on. It returns the id of an admitted job whose caller
+// has hung up.
+func (a *Admitter) perform(action admission.Action) (ident.RequestID, bool) {
 	switch action := action.(type) {
 	case admission.Admit:
-		if !a.answer(action.ID, action) {
-			a.step(admission.Done{ID: action.ID})
-		}
+		return action.ID, !a.answer(action.ID, action)
 	case admission.Refuse:
 		a.answer(action.ID, action)
 	}
+	return 0, false
 }
 
 // answer hands an action to the request that waits for it, and reports whether
--- a/entry/admitter_test.go
+++ b/entry/admitter_test.go
@@ -72,3 +72,41 @@
 		t.Fatalf("admitted %v, %+v", ok, refusal)
 	}
 }
+
+// Several jobs are admitted in one step while the caller of the first has hung up:
+// what its room admits must not overwrite the answers of the others.
+func TestHangUpAmongSeveralAdmitsLosesNoAnswer(t *testing.T) {
+	a := NewAdmitter()
+	wait := func(id ident.RequestID) chan admission.Action {
+		ch := make(chan admission.Action, 1)
+		a.waiting[id] = ch
+		return ch
+	}
+	submit := func(id ident.RequestID, tasks int) {
+		a.step(admission.Submit{ID: id, Team: "a", Tasks: tasks, Deadline: 2 * time.Hour})
+	}
+	a.step(admission.SetLimits{Limits: []admission.Limits{{Team: "a", Running: 12, Queued: 100}}})
+	const blocker, hungUp = 1, 2
+	first := wait(blocker)
+	submit(blocker, 12)
+	<-first
+	submit(hungUp, 10)
+	// Small jobs overtake large ones unless these have waited for long.
+	a.origin = a.origin.Add(-time.Hour)
+	answers := make(map[ident.RequestID]chan admission.Action)
+	for id := ident.RequestID(3); id < 14; id++ {
+		answers[id] = wait(id)
+		submit(id, 1)
+	}
+	a.step(admission.Done{ID: blocker})
+	for id, ch := range answers {
+		select {
+		case got := <-ch:
+			if admit, ok := got.(admission.Admit); !ok || admit.ID != id {
+				t.Errorf("job %d got %+v", id, got)
+			}
+		default:
+			t.Errorf("job %d got no answer", id)
+		}
+	}
+}
