agent: tasks go elsewhere if only another incarnation answered

Cause, found by reading: a task that was sent once, to a worker whose agent had been replaced, ended as worker-lost and failed its job, although the answer of the other incarnation proves that the one that was meant never got it. Ruled out: the same after an earlier call that may have arrived; that still ends as lost.

--- a/agent/execute.go
+++ b/agent/execute.go
@@ -61,18 +61,42 @@
 
 // end deals with a call that left tasks open, and reports whether to stop.
 func (x *execution) end(err error) bool {
-	switch {
-	case rpc.IsReplaced(err):
+	next := endOf(err, x.sent)
+	switch next {
+	case endLost:
 		x.loseAll()
-		return true
-	case rpc.MaybeSent(err):
-		x.sent = true
-		return false
-	case !x.sent:
+	case endUnsent:
 		x.returnAll()
-		return true
 	}
-	return false
+	x.sent = x.sent || rpc.MaybeSent(err)
+	return next != endRetry
+}
+
+// ending is what follows from a call that left tasks open.
+type ending int
+
+const (
+	// endRetry: the incarnation may have the tasks, so it is called again.
+	endRetry ending = iota
+	// endLost: the incarnation is gone and may have run the tasks.
+	endLost
+	// endUnsent: the incarnation never got the tasks, so they may go elsewhere.
+	endUnsent
+)
+
+// endOf judges a call by its error and by whether an earlier call of the same
+// execution may have arrived. An answer of another incarnation proves that the
+// one that was meant did not get this call.
+func endOf(err error, sentBefore bool) ending {
+	switch {
+	case rpc.MaybeSent(err):
+		return endRetry
+	case !sentBefore:
+		return endUnsent
+	case rpc.IsReplaced(err):
+		return endLost
+	}
+	return endRetry
 }
 
 // call makes one call and delivers its answers.
--- a/bench/model/agentcalls.go
+++ b/bench/model/agentcalls.go
@@ -228,7 +228,7 @@
 		return
 	}
 	switch {
-	case err == errReplaced:
+	case err == errReplaced && x.sent:
 		x.loseAll()
 		return
 	case err == errMaybeSent && !x.agent.cluster.mutated(MutationMoveTask):
