--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -80,6 +80,9 @@
 		Record:       p.answers.record,
 		TokenRefused: func(r *http.Request, status int) { p.desk.NoteCaller(r, status) },
 	})
+	if err := p.entry.RegisterMetrics(m.Meter()); err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
 	p.control, err = control.New(p.controlConfig(), p)
 	if err != nil {
 		return fmt.Errorf("control duty: %w", err)
