document: a restored failure domain takes up its work within 2 s by default

Work done while a failure domain returns is what one of the users weighs most, and tasks go by the gates' loads, so a long ramp buys nothing by itself.

--- a/document/view.go
+++ b/document/view.go
@@ -9,7 +9,7 @@
 )
 
 // DefaultRampSeconds is the ramp of a restored domain whose section names none.
-const DefaultRampSeconds = 10
+const DefaultRampSeconds = 2
 
 // View is the typed form of one document version. It is immutable and safe for
 // use by several goroutines.
