--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -199,16 +197,3 @@
 	handed := h.HandedOver || !member
 	return handed && h.Active == 0 && g.Running == 0 && g.Queued == 0 && a.calls.handovers() == 0
 }
-
-// Serve answers the AgentService on the listener until the context ends.
-func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	srv := rpc.NewServer(h)
-	go func() {
-		<-ctx.Done()
-		_ = srv.Close()
-	}()
-	if err := srv.Serve(l); err != nil && ctx.Err() == nil {
-		return fmt.Errorf("internal listener: %w", err)
-	}
-	return nil
-}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -15,12 +15,8 @@
 }
 
 func (g *gateDuty) observed() []telemetry.Observed {
-	counter := func(name, help string, read func(gate.Stats) uint64) telemetry.Observed {
-		return telemetry.Observed{Name: name, Help: help, Counter: true, Read: func() int64 { return int64(read(g.counters())) }}
-	}
-	gauge := func(name, help string, read func(gate.Load) int) telemetry.Observed {
-		return telemetry.Observed{Name: name, Help: help, Read: func() int64 { return int64(read(g.load())) }}
-	}
+	counter := telemetry.Counters(g.counters)
+	gauge := telemetry.Gauges(g.load)
 	return []telemetry.Observed{
 		counter("dock_gate_tasks_started", "Tasks sent to the backend server.", func(s gate.Stats) uint64 { return s.Started }),
 		counter("dock_gate_tasks_finished", "Tasks that the backend server has ended.", func(s gate.Stats) uint64 { return s.Finished }),
@@ -34,12 +30,8 @@
 }
 
 func (h *homeDuty) observed() []telemetry.Observed {
-	counter := func(name, help string, read func(home.Stats) uint64) telemetry.Observed {
-		return telemetry.Observed{Name: name, Help: help, Counter: true, Read: func() int64 { return int64(read(h.counters())) }}
-	}
-	gauge := func(name, help string, read func(home.Load) int) telemetry.Observed {
-		return telemetry.Observed{Name: name, Help: help, Read: func() int64 { return int64(read(h.load())) }}
-	}
+	counter := telemetry.Counters(h.counters)
+	gauge := telemetry.Gauges(h.load)
 	return []telemetry.Observed{
 		counter("dock_home_jobs_accepted", "Jobs accepted by this home.", func(s home.Stats) uint64 { return s.Accepted }),
 		counter("dock_home_jobs_complete", "Jobs answered whole.", func(s home.Stats) uint64 { return s.Complete }),
--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -390,28 +390,12 @@
 	return httpjson.Call(ctx, c.client, http.MethodPut, url, f, nil)
 }
 
-// PlatformStats returns the counts of the platform.
-func (c *Cluster) PlatformStats(ctx context.Context) (platformd.Stats, error) {
-	var stats platformd.Stats
-	url := "http://" + c.platformAddress + platformd.PathStats
-	err := httpjson.Call(ctx, c.client, http.MethodGet, url, nil, &stats)
-	return stats, err
-}
-
 // SetBackendFaults replaces the faults of one backend server.
 func (c *Cluster) SetBackendFaults(ctx context.Context, b *Backend, f backend.Faults) error {
 	url := "http://" + b.Address + backend.PathFaults
 	return httpjson.Call(ctx, c.client, http.MethodPut, url, f, nil)
 }
 
-// BackendStarts returns the counts of one backend server.
-func (c *Cluster) BackendStarts(ctx context.Context, b *Backend) (backend.Starts, error) {
-	var starts backend.Starts
-	url := "http://" + b.Address + backend.PathStarts
-	err := httpjson.Call(ctx, c.client, http.MethodGet, url, nil, &starts)
-	return starts, err
-}
-
 // SetLink replaces the state of a link.
 func (c *Cluster) SetLink(ctx context.Context, name string, state link.State) error {
 	url := "http://" + c.linkAdmin + link.PathLink + name
--- a/document/view.go
+++ b/document/view.go
@@ -129,9 +129,6 @@
 	return c, ok
 }
 
-// Drains returns the addresses and incarnations that are drained, in order.
-func (v *View) Drains() []string { return slices.Sorted(maps.Keys(v.drains)) }
-
 // InService reports whether the backend server of the agent may start tasks.
 func (v *View) InService(d ident.FailureDomain, agent ident.Incarnation, address string) bool {
 	if v.Domain(d).State != DomainInService {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -9,9 +9,7 @@
 
 // RegisterMetrics makes the entry's instruments.
 func (e *Entry) RegisterMetrics(m metric.Meter) error {
-	counter := func(name, help string, read func(routing.Stats) uint64) telemetry.Observed {
-		return telemetry.Observed{Name: name, Help: help, Counter: true, Read: func() int64 { return int64(read(e.counters())) }}
-	}
+	counter := telemetry.Counters(e.counters)
 	_, err := telemetry.Observe(m, []telemetry.Observed{
 		counter("dock_entry_requests", "Requests of callers that were routed.", func(s routing.Stats) uint64 { return s.Requests }),
 		counter("dock_entry_calls", "Calls to homes.", func(s routing.Stats) uint64 { return s.Calls }),
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -23,6 +23,7 @@
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
 	"foxtaildock.example/dock/routing"
+	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -103,7 +104,9 @@
 	})
 	p.agents = append(p.agents, a)
 	go a.Run(ctx)
-	go func() { _ = agent.Serve(ctx, l, a.Handler()) }()
+	srv := rpc.NewServer(a.Handler())
+	t.Cleanup(func() { _ = srv.Close() })
+	go func() { _ = srv.Serve(l) }()
 	return placement.Member{Incarnation: self, Address: l.Addr().String(), Domain: "north", Joined: 1}
 }
 
--- a/gate/events.go
+++ b/gate/events.go
@@ -37,9 +37,6 @@
 	Age time.Duration
 }
 
-// Gone says that nobody waits for the answers of the request any longer.
-type Gone struct{ Request ident.RequestID }
-
 // Finished says that the backend server has answered, or never will.
 type Finished struct {
 	Task ident.TaskID
@@ -80,7 +77,6 @@
 type Tick struct{}
 
 func (Execute) isGateEvent()    {}
-func (Gone) isGateEvent()       {}
 func (Finished) isGateEvent()   {}
 func (NotSent) isGateEvent()    {}
 func (SetPermit) isGateEvent()  {}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -117,8 +117,6 @@
 	switch e := e.(type) {
 	case Execute:
 		g.execute(now, e)
-	case Gone:
-		// Answers to a request that is gone are kept with their notes.
 	case Finished:
 		g.finished(now, e)
 	case NotSent:
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -160,6 +160,3 @@
 	// superseded is true once a later incarnation announced the same address.
 	superseded bool
 }
-
-// Announced reports whether the agent has been heard by this process at all.
-func (a *Agent) Announced() bool { return a.announced }
--- a/telemetry/observe.go
+++ b/telemetry/observe.go
@@ -48,3 +48,18 @@
 	}
 	return m.Int64ObservableGauge(o.Name, metric.WithDescription(o.Help))
 }
+
+// Counters returns a function that makes counters out of the fields of one
+// snapshot, such as the statistics of a core.
+func Counters[S any](snapshot func() S) func(name, help string, field func(S) uint64) Observed {
+	return func(name, help string, field func(S) uint64) Observed {
+		return Observed{Name: name, Help: help, Counter: true, Read: func() int64 { return int64(field(snapshot())) }}
+	}
+}
+
+// Gauges is Counters for numbers that go up and down.
+func Gauges[S any](snapshot func() S) func(name, help string, field func(S) int) Observed {
+	return func(name, help string, field func(S) int) Observed {
+		return Observed{Name: name, Help: help, Read: func() int64 { return int64(field(snapshot())) }}
+	}
+}
