--- a/bench/platformd/server.go
+++ b/bench/platformd/server.go
@@ -12,8 +12,8 @@
 
 	"foxtaildock.example/bench/httpjson"
 	"foxtaildock.example/dock/pause"
-	"foxtaildock.example/dock/platform"
-	"foxtaildock.example/dock/platform/memory"
+	"foxtaildock.example/dock/store"
+	"foxtaildock.example/dock/store/memory"
 )
 
 // Paths of the admin interface.
@@ -41,8 +41,8 @@
 
 // Server is the stand-in. It is an http.Handler.
 type Server struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 	reads   *bucket
 	writes  *bucket
 	mux     *http.ServeMux
@@ -75,12 +75,12 @@
 }
 
 func (s *Server) routes() {
-	s.mux.HandleFunc("POST "+platform.PathGet, s.get)
-	s.mux.HandleFunc("POST "+platform.PathScan, s.scan)
-	s.mux.HandleFunc("POST "+platform.PathCommit, s.commit)
-	s.mux.HandleFunc("PUT "+platform.PathObject, s.putObject)
-	s.mux.HandleFunc("GET "+platform.PathObject, s.getObject)
-	s.mux.HandleFunc("POST "+platform.PathObjectList, s.listObjects)
+	s.mux.HandleFunc("POST "+store.PathGet, s.get)
+	s.mux.HandleFunc("POST "+store.PathScan, s.scan)
+	s.mux.HandleFunc("POST "+store.PathCommit, s.commit)
+	s.mux.HandleFunc("PUT "+store.PathObject, s.putObject)
+	s.mux.HandleFunc("GET "+store.PathObject, s.getObject)
+	s.mux.HandleFunc("POST "+store.PathObjectList, s.listObjects)
 	s.mux.HandleFunc("GET "+PathFaults, s.getFaults)
 	s.mux.HandleFunc("PUT "+PathFaults, s.putFaults)
 	s.mux.HandleFunc("GET "+PathStats, s.getStats)
@@ -151,7 +151,7 @@
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	var req platform.GetRequest
+	var req store.GetRequest
 	if !httpjson.Read(w, r, &req) || !s.admit(w, r, s.reads, len(req.Keys)) {
 		return
 	}
@@ -160,7 +160,7 @@
 }
 
 func (s *Server) scan(w http.ResponseWriter, r *http.Request) {
-	var req platform.ScanRequest
+	var req store.ScanRequest
 	if !httpjson.Read(w, r, &req) || !s.admit(w, r, s.reads, 1) {
 		return
 	}
@@ -168,18 +168,18 @@
 	s.answerRows(w, r, rows, err)
 }
 
-func (s *Server) answerRows(w http.ResponseWriter, r *http.Request, rows []platform.Row, err error) {
+func (s *Server) answerRows(w http.ResponseWriter, r *http.Request, rows []store.Row, err error) {
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
 	s.count(func(st *Stats) { st.Reads += int64(max(len(rows), 1)) })
 	pause.For(r.Context(), s.currentFaults().halfLatency())
-	httpjson.Write(w, http.StatusOK, platform.RowsAnswer{Rows: rows})
+	httpjson.Write(w, http.StatusOK, store.RowsAnswer{Rows: rows})
 }
 
 func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
-	var req platform.CommitRequest
+	var req store.CommitRequest
 	if !httpjson.Read(w, r, &req) || !s.admit(w, r, s.writes, len(req.Writes)) {
 		return
 	}
@@ -188,10 +188,10 @@
 	if !s.finishWrite(r) {
 		panic(http.ErrAbortHandler)
 	}
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		s.count(func(st *Stats) { st.Conflicts++ })
-		httpjson.Write(w, http.StatusConflict, platform.ConflictAnswer(*conflict))
+		httpjson.Write(w, http.StatusConflict, store.ConflictAnswer(*conflict))
 		return
 	}
 	httpjson.Write(w, http.StatusOK, struct{}{})
@@ -206,7 +206,7 @@
 	if !s.admit(w, r, s.writes, 1) {
 		return
 	}
-	_ = s.objects.Put(r.Context(), r.URL.Query().Get(platform.ObjectNameParam), body)
+	_ = s.objects.Put(r.Context(), r.URL.Query().Get(store.ObjectNameParam), body)
 	s.count(func(st *Stats) { st.Writes++ })
 	if !s.finishWrite(r) {
 		panic(http.ErrAbortHandler)
@@ -218,7 +218,7 @@
 	if !s.admit(w, r, s.reads, 1) {
 		return
 	}
-	body, found, _ := s.objects.Get(r.Context(), r.URL.Query().Get(platform.ObjectNameParam))
+	body, found, _ := s.objects.Get(r.Context(), r.URL.Query().Get(store.ObjectNameParam))
 	s.count(func(st *Stats) { st.Reads++ })
 	pause.For(r.Context(), s.currentFaults().halfLatency())
 	if !found {
@@ -229,14 +229,14 @@
 }
 
 func (s *Server) listObjects(w http.ResponseWriter, r *http.Request) {
-	var req platform.ScanRequest
+	var req store.ScanRequest
 	if !httpjson.Read(w, r, &req) || !s.admit(w, r, s.reads, 1) {
 		return
 	}
 	names, _ := s.objects.List(r.Context(), req.Prefix, req.After, req.Limit)
 	s.count(func(st *Stats) { st.Reads++ })
 	pause.For(r.Context(), s.currentFaults().halfLatency())
-	httpjson.Write(w, http.StatusOK, platform.NamesAnswer{Names: names})
+	httpjson.Write(w, http.StatusOK, store.NamesAnswer{Names: names})
 }
 
 func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) {
--- a/bench/platformd/server_test.go
+++ b/bench/platformd/server_test.go
@@ -9,18 +9,18 @@
 	"time"
 
 	"foxtaildock.example/bench/platformd"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 )
 
 // callTimeout is short, since two cases wait for it.
 const callTimeout = 300 * time.Millisecond
 
-func start(t *testing.T, opts platformd.Options) (*platformd.Server, *platform.Client) {
+func start(t *testing.T, opts platformd.Options) (*platformd.Server, *store.Client) {
 	t.Helper()
 	srv := platformd.New(opts)
 	web := httptest.NewServer(srv)
 	t.Cleanup(web.Close)
-	client := platform.NewClient(web.Listener.Addr().String(), callTimeout)
+	client := store.NewClient(web.Listener.Addr().String(), callTimeout)
 	t.Cleanup(client.Close)
 	return srv, client
 }
@@ -28,13 +28,13 @@
 func TestCommitIsAllOrNothing(t *testing.T) {
 	_, client := start(t, platformd.Options{})
 	ctx, table := context.Background(), client.Table()
-	if err := table.Commit(ctx, platform.Write{Key: "a/1", Value: []byte("x")}); err != nil {
+	if err := table.Commit(ctx, store.Write{Key: "a/1", Value: []byte("x")}); err != nil {
 		t.Fatal(err)
 	}
 	err := table.Commit(ctx,
-		platform.Write{Key: "a/2", Value: []byte("y")},
-		platform.Write{Key: "a/1", Expect: 7, Value: []byte("z")})
-	conflict, ok := platform.IsConflict(err)
+		store.Write{Key: "a/2", Value: []byte("y")},
+		store.Write{Key: "a/1", Expect: 7, Value: []byte("z")})
+	conflict, ok := store.IsConflict(err)
 	if !ok || conflict.Key != "a/1" || conflict.Have != 1 || conflict.Want != 7 {
 		t.Fatalf("commit = %v, want the conflict on a/1", err)
 	}
@@ -75,16 +75,16 @@
 		get     error
 		effects bool
 	}{
-		{"down", platformd.Faults{Down: true}, platform.ErrUnavailable, platform.ErrUnavailable, false},
-		{"silent", platformd.Faults{Silent: true}, platform.ErrUnknown, platform.ErrUnavailable, false},
-		{"lost answer", platformd.Faults{LoseEvery: 1}, platform.ErrUnknown, nil, true},
+		{"down", platformd.Faults{Down: true}, store.ErrUnavailable, store.ErrUnavailable, false},
+		{"silent", platformd.Faults{Silent: true}, store.ErrUnknown, store.ErrUnavailable, false},
+		{"lost answer", platformd.Faults{LoseEvery: 1}, store.ErrUnknown, nil, true},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			srv, client := start(t, platformd.Options{})
 			ctx, table := context.Background(), client.Table()
 			srv.SetFaults(tc.faults)
-			if err := table.Commit(ctx, platform.Write{Key: "k"}); !errors.Is(err, tc.commit) {
+			if err := table.Commit(ctx, store.Write{Key: "k"}); !errors.Is(err, tc.commit) {
 				t.Errorf("commit = %v, want %v", err, tc.commit)
 			}
 			if _, err := table.Get(ctx, "k"); !errors.Is(err, tc.get) {
@@ -109,9 +109,9 @@
 	}
 	address := closed.Addr().String()
 	_ = closed.Close()
-	client := platform.NewClient(address, callTimeout)
-	err = client.Table().Commit(context.Background(), platform.Write{Key: "k"})
-	if !errors.Is(err, platform.ErrUnavailable) {
+	client := store.NewClient(address, callTimeout)
+	err = client.Table().Commit(context.Background(), store.Write{Key: "k"})
+	if !errors.Is(err, store.ErrUnavailable) {
 		t.Fatalf("commit = %v, want ErrUnavailable", err)
 	}
 }
--- a/cmd/foxtaildock/operators_test.go
+++ b/cmd/foxtaildock/operators_test.go
@@ -17,7 +17,7 @@
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/platform/memory"
+	"foxtaildock.example/dock/store/memory"
 	"foxtaildock.example/dock/telemetry"
 )
 
--- a/control/agentlink/config.go
+++ b/control/agentlink/config.go
@@ -12,7 +12,7 @@
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -45,7 +45,7 @@
 	Seeds []string
 	// Table is where entries are listed. Nil means that only the seeds and
 	// the answers of entries are used.
-	Table platform.Table
+	Table store.Table
 	// Interval is the time between two heartbeats to one entry. A permit
 	// outlives it by less than one lease, so it must be well below that;
 	// shorter costs more messages.
--- a/control/audit.go
+++ b/control/audit.go
@@ -10,7 +10,7 @@
 	"foxtaildock.example/dock/document"
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/pause"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -35,7 +35,7 @@
 func (s *Store) Record(row audit.Row) {
 	ctx, stop := context.WithTimeout(context.Background(), s.cfg.ReadTimeout)
 	defer stop()
-	err := s.cfg.Table.Commit(ctx, platform.Write{Key: row.Key(), Expect: platform.AnyVersion, Value: encodeRow(row)})
+	err := s.cfg.Table.Commit(ctx, store.Write{Key: row.Key(), Expect: store.AnyVersion, Value: encodeRow(row)})
 	if err != nil {
 		s.cfg.Log.Error("an audit row was not written: "+string(encodeRow(row)), telemetry.Err(err))
 	}
@@ -54,7 +54,7 @@
 		return audit.Forbidden
 	case errors.Is(err, ErrUnannounced):
 		return audit.Unannounced
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		return audit.Unknown
 	}
 	return audit.Unavailable
@@ -108,13 +108,13 @@
 }
 
 // archive puts a row into the object store and then deletes it.
-func (s *Store) archive(ctx context.Context, r platform.Row) error {
+func (s *Store) archive(ctx context.Context, r store.Row) error {
 	if s.cfg.Objects != nil {
 		if err := s.cfg.Objects.Put(ctx, "archive/"+r.Key, r.Value); err != nil {
 			return fmt.Errorf("archive %s: %w", r.Key, err)
 		}
 	}
-	if err := s.cfg.Table.Commit(ctx, platform.Write{Key: r.Key, Expect: r.Version, Delete: true}); err != nil {
+	if err := s.cfg.Table.Commit(ctx, store.Write{Key: r.Key, Expect: r.Version, Delete: true}); err != nil {
 		return fmt.Errorf("delete archived %s: %w", r.Key, err)
 	}
 	return nil
@@ -166,7 +166,7 @@
 		if keep {
 			err = s.archive(ctx, r)
 		} else {
-			err = s.cfg.Table.Commit(ctx, platform.Write{Key: r.Key, Expect: r.Version, Delete: true})
+			err = s.cfg.Table.Commit(ctx, store.Write{Key: r.Key, Expect: r.Version, Delete: true})
 		}
 		if err != nil {
 			return err
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -14,7 +14,7 @@
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/platform/memory"
+	"foxtaildock.example/dock/store/memory"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb"
 	"foxtaildock.example/dock/telemetry"
--- a/control/cell_scenarios_test.go
+++ b/control/cell_scenarios_test.go
@@ -11,7 +11,7 @@
 	"foxtaildock.example/dock/document"
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/permit"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 )
 
 // watch samples every 50 ms of simulated time whether any agent of the domain
@@ -83,7 +83,7 @@
 				t.Fatalf("%d of 4 agents may start in an outage", got)
 			}
 		}
-		if _, err := c.apply(0, "domain/umea", 0, inService); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := c.apply(0, "domain/umea", 0, inService); !errors.Is(err, store.ErrUnavailable) {
 			t.Errorf("a change in an outage ended with %v", err)
 		}
 		time.Sleep(5 * time.Second)
--- a/control/cell_test.go
+++ b/control/cell_test.go
@@ -21,8 +21,8 @@
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/platform"
-	"foxtaildock.example/dock/platform/memory"
+	"foxtaildock.example/dock/store"
+	"foxtaildock.example/dock/store/memory"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb"
 	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
@@ -90,7 +90,7 @@
 
 // faulty is a table service with outages and lost answers.
 type faulty struct {
-	platform.Table
+	store.Table
 	mu sync.Mutex
 	// down makes every call fail without effect.
 	down bool
@@ -111,23 +111,23 @@
 	return f.down
 }
 
-func (f *faulty) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (f *faulty) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	if f.isDown() {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
 	return f.Table.Get(ctx, keys...)
 }
 
-func (f *faulty) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (f *faulty) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	if f.isDown() {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
 	return f.Table.Scan(ctx, prefix, after, limit)
 }
 
-func (f *faulty) Commit(ctx context.Context, writes ...platform.Write) error {
+func (f *faulty) Commit(ctx context.Context, writes ...store.Write) error {
 	if f.isDown() {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	f.mu.Lock()
 	lose, drop := touches(writes, f.lose), touches(writes, f.drop)
@@ -139,16 +139,16 @@
 	}
 	f.mu.Unlock()
 	if drop {
-		return platform.ErrUnknown
+		return store.ErrUnknown
 	}
 	err := f.Table.Commit(ctx, writes...)
 	if lose {
-		return platform.ErrUnknown
+		return store.ErrUnknown
 	}
 	return err
 }
 
-func touches(writes []platform.Write, prefix string) bool {
+func touches(writes []store.Write, prefix string) bool {
 	for _, w := range writes {
 		if prefix != "" && strings.HasPrefix(w.Key, prefix) {
 			return true
--- a/control/config.go
+++ b/control/config.go
@@ -17,7 +17,7 @@
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -57,8 +57,8 @@
 	// Domain is the failure domain of the entry.
 	Domain ident.FailureDomain
 	// Table and Objects are the platform's services.
-	Table   platform.Table
-	Objects platform.Objects
+	Table   store.Table
+	Objects store.Objects
 	// Client makes calls to agents and other entries. Its connections must
 	// have health checks of their own.
 	Client *http.Client
--- a/control/entryrow.go
+++ b/control/entryrow.go
@@ -6,7 +6,7 @@
 
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/pause"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -34,8 +34,8 @@
 		Incarnation: d.cfg.Self, Address: d.cfg.Address, Domain: d.cfg.Domain, RenewedUnix: time.Now().Unix(),
 	})
 	if err == nil {
-		err = d.cfg.Table.Commit(ctx, platform.Write{
-			Key: membership.EntryKey(d.cfg.Cell, d.cfg.Self), Expect: platform.AnyVersion, Value: value,
+		err = d.cfg.Table.Commit(ctx, store.Write{
+			Key: membership.EntryKey(d.cfg.Cell, d.cfg.Self), Expect: store.AnyVersion, Value: value,
 		})
 	}
 	if err != nil {
@@ -48,8 +48,8 @@
 func (d *Duty) removeRow() {
 	ctx, stop := context.WithTimeout(context.Background(), d.cfg.CallTimeout)
 	defer stop()
-	err := d.cfg.Table.Commit(ctx, platform.Write{
-		Key: membership.EntryKey(d.cfg.Cell, d.cfg.Self), Expect: platform.AnyVersion, Delete: true,
+	err := d.cfg.Table.Commit(ctx, store.Write{
+		Key: membership.EntryKey(d.cfg.Cell, d.cfg.Self), Expect: store.AnyVersion, Delete: true,
 	})
 	if err != nil {
 		d.cfg.Log.Warn("this entry's row can't be removed and will expire", telemetry.Err(err))
@@ -73,7 +73,7 @@
 		}
 		// Whoever comes first deletes an expired row; the version check
 		// spares one that has been renewed meanwhile.
-		if err := d.cfg.Table.Commit(ctx, platform.Write{Key: row.Key, Expect: row.Version, Delete: true}); err != nil {
+		if err := d.cfg.Table.Commit(ctx, store.Write{Key: row.Key, Expect: row.Version, Delete: true}); err != nil {
 			d.cfg.Log.Debug("an expired entry row can't be deleted", telemetry.Err(err))
 		}
 	}
--- a/control/epoch.go
+++ b/control/epoch.go
@@ -9,7 +9,7 @@
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/permit"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -61,7 +61,7 @@
 	c := commit{
 		table: d.cfg.Table, tell: d.announcer(), id: d.cfg.NewID(), base: s, after: after, forced: forced,
 		timeout: d.cfg.ReadTimeout, settlements: d.settlements,
-		writes: []platform.Write{
+		writes: []store.Write{
 			{Key: membership.PlacementKey(d.cfg.Cell), Expect: s.placementRow, Value: value},
 			{Key: headKey, Expect: s.headRow, CheckOnly: true},
 		},
@@ -85,12 +85,12 @@
 
 // commit is one announced change of the state: announce, commit, settle.
 type commit struct {
-	table   platform.Table
+	table   store.Table
 	tell    *announcer
 	id      string
 	base    *snapshot
 	after   permit.State
-	writes  []platform.Write
+	writes  []store.Write
 	forced  bool
 	timeout time.Duration
 	// settlements takes the outcome for the members.
@@ -102,8 +102,8 @@
 var errCancelled = errors.New("the change took too long and was cancelled")
 
 // run carries the change out. Its error wraps ErrUnannounced, errCancelled, a
-// *platform.ConflictError or platform.ErrUnavailable if the change has no effect
-// and never will have, and platform.ErrUnknown if that is open.
+// *store.ConflictError or store.ErrUnavailable if the change has no effect
+// and never will have, and store.ErrUnknown if that is open.
 func (c *commit) run(ctx context.Context) error {
 	members := c.base.placement.Current()
 	if !c.forced {
@@ -113,21 +113,21 @@
 		}
 	}
 	row := intentRow{Version: c.after.Version, Epoch: c.after.Epoch}
-	writes := append([]platform.Write{{Key: intentKey(c.id), Expect: 0, Value: encodeRow(row)}}, c.writes...)
+	writes := append([]store.Write{{Key: intentKey(c.id), Expect: 0, Value: encodeRow(row)}}, c.writes...)
 	err := c.commitOnce(ctx, writes)
-	if errors.Is(err, platform.ErrUnknown) || isConflict(err, intentKey(c.id)) {
+	if errors.Is(err, store.ErrUnknown) || isConflict(err, intentKey(c.id)) {
 		err = c.resolve(ctx, err)
 	}
 	switch {
 	case err == nil:
 		c.settleLater(c.after)
-	case !errors.Is(err, platform.ErrUnknown):
+	case !errors.Is(err, store.ErrUnknown):
 		c.settleLater(permit.State{})
 	}
 	return err
 }
 
-func (c *commit) commitOnce(ctx context.Context, writes []platform.Write) error {
+func (c *commit) commitOnce(ctx context.Context, writes []store.Write) error {
 	ctx, stop := context.WithTimeout(ctx, c.timeout)
 	defer stop()
 	return c.table.Commit(ctx, writes...)
@@ -135,7 +135,7 @@
 
 // isConflict reports whether a commit failed on the given row.
 func isConflict(err error, key string) bool {
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	return errors.As(err, &conflict) && conflict.Key == key
 }
 
--- a/control/intents.go
+++ b/control/intents.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"foxtaildock.example/dock/permit"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -106,7 +106,7 @@
 // it makes sure of one: a commit writes the intent's row as new, so once
 // somebody else has written it the commit can't take effect any more, however
 // long it is under way.
-func resolveIntent(ctx context.Context, t platform.Table, id string, cancel bool, timeout time.Duration) (intentRow, bool, error) {
+func resolveIntent(ctx context.Context, t store.Table, id string, cancel bool, timeout time.Duration) (intentRow, bool, error) {
 	ctx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
 	key := intentKey(id)
@@ -115,8 +115,8 @@
 		return row, found, err
 	}
 	cancelled := intentRow{Cancelled: true}
-	err = t.Commit(ctx, platform.Write{Key: key, Expect: 0, Value: encodeRow(cancelled)})
-	var conflict *platform.ConflictError
+	err = t.Commit(ctx, store.Write{Key: key, Expect: 0, Value: encodeRow(cancelled)})
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		return getRow[intentRow](ctx, t, key)
 	}
@@ -127,7 +127,7 @@
 }
 
 // getRow reads one row; found is false if it does not exist.
-func getRow[T any](ctx context.Context, t platform.Table, key string) (row T, found bool, err error) {
+func getRow[T any](ctx context.Context, t store.Table, key string) (row T, found bool, err error) {
 	rows, err := t.Get(ctx, key)
 	if err != nil {
 		return row, false, fmt.Errorf("read %s: %w", key, err)
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -9,7 +9,7 @@
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 )
 
 // scanPage is the number of rows of one page of a scan.
@@ -56,7 +56,7 @@
 }
 
 // readHeads reads document head and placement together.
-func readHeads(ctx context.Context, t platform.Table, cell string) (*heads, error) {
+func readHeads(ctx context.Context, t store.Table, cell string) (*heads, error) {
 	key := membership.PlacementKey(cell)
 	rows, err := t.Get(ctx, headKey, key)
 	if err != nil {
@@ -82,7 +82,7 @@
 // every change of a section raises the head, so equal heads mean that the
 // sections belong to it. A known document of that version saves the sections if it
 // was read from the table; other entries pass on neither owners nor authors.
-func load(ctx context.Context, t platform.Table, cell string, known *snapshot) (*snapshot, error) {
+func load(ctx context.Context, t store.Table, cell string, known *snapshot) (*snapshot, error) {
 	before, err := readHeads(ctx, t, cell)
 	if err != nil {
 		return nil, err
@@ -139,9 +139,9 @@
 	return &next
 }
 
-func readSections(ctx context.Context, t platform.Table) ([]document.Section, error) {
+func readSections(ctx context.Context, t store.Table) ([]document.Section, error) {
 	var sections []document.Section
-	err := scanAll(ctx, t, sectionPrefix, func(r platform.Row) error {
+	err := scanAll(ctx, t, sectionPrefix, func(r store.Row) error {
 		s, err := decodeRow[document.Section](r.Key, r.Value)
 		if err == nil {
 			sections = append(sections, s)
@@ -152,7 +152,7 @@
 }
 
 // scanAll walks all rows with a prefix in pages.
-func scanAll(ctx context.Context, t platform.Table, prefix string, visit func(platform.Row) error) error {
+func scanAll(ctx context.Context, t store.Table, prefix string, visit func(store.Row) error) error {
 	after := ""
 	for {
 		rows, err := t.Scan(ctx, prefix, after, scanPage)
--- a/control/store.go
+++ b/control/store.go
@@ -12,7 +12,7 @@
 	"foxtaildock.example/dock/document"
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/permit"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -51,8 +51,8 @@
 
 // Apply carries out a change, or says why not: document.ErrForbidden, a
 // *document.ConflictError, a *document.CheckError, ErrUnannounced, or an error
-// that wraps platform.ErrUnavailable (nothing was changed) or
-// platform.ErrUnknown (ask again with the same change id). Accepted and refused
+// that wraps store.ErrUnavailable (nothing was changed) or
+// store.ErrUnknown (ask again with the same change id). Accepted and refused
 // changes leave an audit row. With forced the change does without the
 // announcement.
 func (s *Store) Apply(ctx context.Context, c document.Change, forced bool) (Applied, error) {
@@ -87,12 +87,12 @@
 			s.install(ctx, next)
 			return Applied{ChangeID: c.ID, Section: c.Section, Version: section.Version}, nil
 		}
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
 			return Applied{}, err
 		}
 	}
-	return Applied{}, fmt.Errorf("%w: other changes came first %d times", platform.ErrUnavailable, applyTries)
+	return Applied{}, fmt.Errorf("%w: other changes came first %d times", store.ErrUnavailable, applyTries)
 }
 
 // install puts an accepted change in force at this entry before it is answered.
@@ -172,16 +172,16 @@
 	row := s.row(c, forced)
 	row.Outcome = audit.Accepted
 	row.Version = next.Version
-	writes := []platform.Write{
+	writes := []store.Write{
 		{Key: headKey, Expect: snap.headRow, Value: encodeRow(headRow{Version: next.Version})},
 		{Key: placementKeyOf(s.cfg), Expect: snap.placementRow, CheckOnly: true},
-		{Key: sectionKey(next.Name), Expect: platform.AnyVersion, Value: encodeRow(next)},
+		{Key: sectionKey(next.Name), Expect: store.AnyVersion, Value: encodeRow(next)},
 		{Key: changeKey(c.ID), Expect: 0, Value: encodeRow(changeRow{Section: next.Name, Version: next.Version, By: c.By.String()})},
 		{Key: row.Key(), Expect: 0, Value: encodeRow(row)},
 	}
 	if last, ok := snap.document.Last(next.Name); ok {
-		writes = append(writes, platform.Write{
-			Key: historyKey(last.Name, last.Version), Expect: platform.AnyVersion, Value: encodeRow(last),
+		writes = append(writes, store.Write{
+			Key: historyKey(last.Name, last.Version), Expect: store.AnyVersion, Value: encodeRow(last),
 		})
 	}
 	change := commit{
@@ -220,7 +220,7 @@
 		return nil, err
 	}
 	var all []document.Section
-	err = scanAll(ctx, s.cfg.Table, historyDir(n), func(r platform.Row) error {
+	err = scanAll(ctx, s.cfg.Table, historyDir(n), func(r store.Row) error {
 		old, err := decodeRow[document.Section](r.Key, r.Value)
 		all = append(all, old)
 		return err
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -15,7 +15,7 @@
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb"
 	"foxtaildock.example/dock/settings"
@@ -208,7 +208,7 @@
 	c := agentlink.DefaultConfig()
 	c.Self = self
 	c.Cell = p.set.Process.Cell
-	c.Table = platform.NewClient(p.set.Platform.Address.String(), p.set.Platform.Timeout).Table()
+	c.Table = store.NewClient(p.set.Platform.Address.String(), p.set.Platform.Timeout).Table()
 	c.NewClient = rpc.NewClient
 	c.Log = p.log.With(telemetry.Incarnation(self))
 	for _, s := range p.set.Entries.Seeds {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -15,7 +15,7 @@
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/routing"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
@@ -105,7 +105,7 @@
 }
 
 func (p *entryProcess) controlConfig() control.Config {
-	client := platform.NewClient(p.set.Platform.Address.String(), p.set.Platform.Timeout)
+	client := store.NewClient(p.set.Platform.Address.String(), p.set.Platform.Timeout)
 	c := control.DefaultConfig()
 	c.Self = p.self
 	c.Cell = p.set.Process.Cell
--- a/entry/operators_document.go
+++ b/entry/operators_document.go
@@ -13,7 +13,7 @@
 	"foxtaildock.example/dock/control"
 	"foxtaildock.example/dock/document"
 	"foxtaildock.example/dock/ident"
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 )
 
 // defaultHistory is the number of states that a history shows if no limit is
@@ -225,7 +225,7 @@
 		r.Problems = faults.Problems
 		r.Error = fmt.Sprintf("%d problem(s) in the document", len(faults.Problems))
 	}
-	r.MayBeAccepted = errors.Is(err, platform.ErrUnknown)
+	r.MayBeAccepted = errors.Is(err, store.ErrUnknown)
 	return statusOf(r.Outcome), r
 }
 
--- a/platform/client.go
+++ b/store/client.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
--- a/platform/memory/memory.go
+++ b/store/memory/memory.go
@@ -9,60 +9,60 @@
 	"strings"
 	"sync"
 
-	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/store"
 )
 
 // Store holds rows and objects. The zero value is not usable; call New.
 type Store struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	objects map[string][]byte
 }
 
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		rows:    make(map[string]platform.Row),
+		rows:    make(map[string]store.Row),
 		objects: make(map[string][]byte),
 	}
 }
 
 // Table returns the table service of the store.
-func (s *Store) Table() platform.Table { return table{s} }
+func (s *Store) Table() store.Table { return table{s} }
 
 // Objects returns the object store.
-func (s *Store) Objects() platform.Objects { return objects{s} }
+func (s *Store) Objects() store.Objects { return objects{s} }
 
 type table struct{ s *Store }
 
-func (t table) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (t table) Get(_ context.Context, keys ...string) ([]store.Row, error) {
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
-	out := make([]platform.Row, 0, len(keys))
+	out := make([]store.Row, 0, len(keys))
 	for _, key := range keys {
 		out = append(out, t.s.row(key))
 	}
 	return out, nil
 }
 
-func (t table) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t table) Scan(_ context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
 	keys := page(t.s.rows, prefix, after, limit)
-	out := make([]platform.Row, 0, len(keys))
+	out := make([]store.Row, 0, len(keys))
 	for _, key := range keys {
 		out = append(out, t.s.row(key))
 	}
 	return out, nil
 }
 
-func (t table) Commit(_ context.Context, writes ...platform.Write) error {
+func (t table) Commit(_ context.Context, writes ...store.Write) error {
 	t.s.mu.Lock()
 	defer t.s.mu.Unlock()
 	for _, w := range writes {
 		have := t.s.rows[w.Key].Version
-		if w.Expect != platform.AnyVersion && w.Expect != have {
-			return &platform.ConflictError{Key: w.Key, Want: w.Expect, Have: have}
+		if w.Expect != store.AnyVersion && w.Expect != have {
+			return &store.ConflictError{Key: w.Key, Want: w.Expect, Have: have}
 		}
 	}
 	for _, w := range writes {
@@ -72,19 +72,19 @@
 }
 
 // row returns a copy of the row, with version 0 if it does not exist.
-func (s *Store) row(key string) platform.Row {
+func (s *Store) row(key string) store.Row {
 	row := s.rows[key]
-	return platform.Row{Key: key, Version: row.Version, Value: bytes.Clone(row.Value)}
+	return store.Row{Key: key, Version: row.Version, Value: bytes.Clone(row.Value)}
 }
 
-func (s *Store) apply(w platform.Write) {
+func (s *Store) apply(w store.Write) {
 	switch {
 	case w.CheckOnly:
 	case w.Delete:
 		delete(s.rows, w.Key)
 	default:
 		version := s.rows[w.Key].Version + 1
-		s.rows[w.Key] = platform.Row{Key: w.Key, Version: version, Value: bytes.Clone(w.Value)}
+		s.rows[w.Key] = store.Row{Key: w.Key, Version: version, Value: bytes.Clone(w.Value)}
 	}
 }
 
--- a/platform/platform.go
+++ b/store/platform.go
@@ -1,7 +1,7 @@
-// Package platform is the interface to the two services that the platform gives
+// Package store is the interface to the two services that the platform gives
 // to every process: a transactional table service and an object store. Nothing
 // on the path of a task uses it.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/wire.go
+++ b/store/wire.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // Paths of the platform's HTTP interface. Every table call is a POST with a
 // JSON body. Objects are raw bytes under PathObject with the name in the query
