Entry and agent for the users' platform: the path of a job, first form

Cores run (agent) and schedule (entry), the session between them, the adapter platform/, and the roles put together in daemon/.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	@command -v protoc >/dev/null || { apt-get update -q && apt-get install -yq protobuf-compiler; }
 	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
 	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc -I proto --go_out=. --go_opt=module=foxtaildock.example/dock \
-	  --connect-go_out=. --connect-go_opt=module=foxtaildock.example/dock proto/dock/v1/dock.proto
+	  --connect-go_out=. --connect-go_opt=module=foxtaildock.example/dock proto/dock/v1/dock.proto proto/link/v1/link.proto
 
 # demo starts a small system on loopback and reports; exit 0 only if all held.
 demo: build
--- a/cmd/foxtaildockd/main.go
+++ b/cmd/foxtaildockd/main.go
@@ -12,6 +12,7 @@
 	"github.com/alexflint/go-arg"
 
 	"foxtaildock.example/dock/daemon"
+	"foxtaildock.example/dock/platform"
 	"foxtaildock.example/dock/settings"
 	"foxtaildock.example/dock/telemetry"
 )
@@ -25,7 +26,7 @@
 
 // roleArgs are the arguments of a role.
 type roleArgs struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"the TOML settings file; docs/examples has one for each role"`
+	Settings string `arg:"--settings" placeholder:"FILE" help:"the TOML settings file; docs/examples has one for each role. Without it the process runs on the users' platform, with the file that FOXTAILDOCK_NODE_FILE names"`
 }
 
 // checkArgs are the arguments of check-settings.
@@ -65,6 +66,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	switch {
+	case args.Entry != nil && args.Entry.Settings == "":
+		return runOnPlatform(ctx, telemetry.RoleEntry, daemon.RunPlatformEntry)
+	case args.Agent != nil && args.Agent.Settings == "":
+		return runOnPlatform(ctx, telemetry.RoleAgent, daemon.RunPlatformAgent)
 	case args.Entry != nil:
 		return runEntry(ctx, args.Entry.Settings)
 	case args.Agent != nil:
@@ -76,6 +81,32 @@
 	return exitSettings
 }
 
+// platformRole runs a role on the users' platform.
+type platformRole func(context.Context, *platform.Settings, string, *telemetry.Logger) error
+
+// runOnPlatform runs a role with the settings file that the platform names.
+func runOnPlatform(ctx context.Context, role telemetry.Role, run platformRole) int {
+	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return fail(fmt.Errorf("no settings: give --settings, or name the file in %s", platform.SettingsVariable), exitSettings)
+	}
+	set, err := platform.LoadSettings(path)
+	if err != nil {
+		return fail(err, exitSettings)
+	}
+	lines := telemetry.NewBoundedWriter(os.Stdout)
+	defer lines.Close()
+	log, err := telemetry.NewLogger(role, "info", lines)
+	if err != nil {
+		return fail(err, exitSettings)
+	}
+	if err := run(ctx, set, path, log); err != nil {
+		log.Error("process failed", telemetry.Err(err))
+		return exitFailed
+	}
+	return exitOK
+}
+
 func runEntry(ctx context.Context, path string) int {
 	set, err := settings.LoadEntry(path)
 	if err != nil {
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -14,9 +14,9 @@
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/store/memory"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb"
+	"foxtaildock.example/dock/store/memory"
 	"foxtaildock.example/dock/telemetry"
 )
 
--- a/control/cell_test.go
+++ b/control/cell_test.go
@@ -21,11 +21,11 @@
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/store"
-	"foxtaildock.example/dock/store/memory"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb"
 	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
+	"foxtaildock.example/dock/store"
+	"foxtaildock.example/dock/store/memory"
 	"foxtaildock.example/dock/telemetry"
 )
 
--- a/control/fuzz_test.go
+++ b/control/fuzz_test.go
@@ -9,8 +9,8 @@
 	"foxtaildock.example/dock/document"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/store/memory"
 	"foxtaildock.example/dock/rpc/dockpb"
+	"foxtaildock.example/dock/store/memory"
 	"foxtaildock.example/dock/telemetry"
 )
 
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -15,10 +15,10 @@
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/permit"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb"
 	"foxtaildock.example/dock/settings"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/telemetry"
 )
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -15,11 +15,11 @@
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/membership"
 	"foxtaildock.example/dock/placement"
-	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/routing"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/dockpb/dockpbconnect"
 	"foxtaildock.example/dock/settings"
+	"foxtaildock.example/dock/store"
 	"foxtaildock.example/dock/telemetry"
 )
 
--- /dev/null
+++ b/daemon/platform_entry.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"foxtaildock.example/dock/directory"
+	"foxtaildock.example/dock/dispatcher"
+	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/linkpb/linkpbconnect"
+	"foxtaildock.example/dock/telemetry"
+)
+
+// balancerNotices is how long the balancer may go on sending new connections to
+// an entry that isn't ready any more: two of its checks, once a second, and the
+// time of one.
+const balancerNotices = 3 * time.Second
+
+// RunPlatformEntry runs an entry on the users' platform until the context ends,
+// then stops gracefully.
+func RunPlatformEntry(ctx context.Context, set *platform.Settings, path string, log *telemetry.Logger) error {
+	p, err := newProcess(telemetry.RoleEntry, set, path, log)
+	if err != nil {
+		return err
+	}
+	counters, err := dispatcher.NewMetrics(p.metrics.Meter())
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	d := dispatcher.New(dispatcher.Config{
+		Self: directory.Member{
+			Incarnation: p.self, Role: directory.Entry, Address: set.Internal.String(), Domain: set.Domain,
+		},
+		Terms: p.terms, RemoteFactor: set.Bounds.RemoteFactor, Grace: set.Bounds.Grace, Seeds: p.seeds(),
+		Store: p.store, Members: p.store.Members(), Log: p.log, Metrics: counters,
+	})
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	d.Start(running)
+	if err := p.serveEntry(d); err != nil {
+		return err
+	}
+	go p.watchSettings(running)
+	p.log.Info("entry started", telemetry.Address(set.Callers), telemetry.Elapsed(time.Since(p.started)))
+	err = p.await(ctx)
+	d.Leave()
+	p.finish(balancerNotices, d.Idle)
+	p.close()
+	p.log.Info("entry ended", telemetry.Elapsed(time.Since(p.started)))
+	return err
+}
+
+func (p *process) serveEntry(d *dispatcher.Dispatcher) error {
+	internal := http.NewServeMux()
+	internal.Handle(linkpbconnect.NewEntryPeerHandler(dispatcher.Peer{Dispatcher: d}, rpc.HandlerOptions()))
+	if err := p.listen("internal", p.set.Internal, rpc.NewServer(internal)); err != nil {
+		return err
+	}
+	if err := p.listen("callers", p.set.Callers, plainServer(platform.NewCallerHandler(d))); err != nil {
+		return err
+	}
+	if err := p.listen("readiness", p.set.Readiness, plainServer(platform.NewReadinessHandler(d))); err != nil {
+		return err
+	}
+	return p.listenMetrics(d.Observed(), d.Ready)
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,35 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever a site's figures, runs end before their job can come again, or the
+// terms are refused.
+func TestRunsEndBeforeAJobComesAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		resend := time.Duration(rapid.IntRange(1, 10_000).Draw(t, "resend_ms")) * time.Millisecond
+		serverMax := time.Duration(rapid.IntRange(1, 10_000).Draw(t, "server_max_ms")) * time.Millisecond
+		stop := time.Duration(rapid.IntRange(0, 500).Draw(t, "stop_ms")) * time.Millisecond
+		terms, err := New(resend, serverMax, stop)
+		if err != nil {
+			return
+		}
+		end := terms.Entry + time.Duration(float64(terms.Server)*(1+ClockDrift)) + stop
+		if end >= resend {
+			t.Fatalf("runs end after %v, jobs come again after %v", end, resend)
+		}
+		if terms.Server > serverMax {
+			t.Fatalf("lease %v above the longest that is granted, %v", terms.Server, serverMax)
+		}
+	})
+}
+
+func TestTermsOfTheUsersSites(t *testing.T) {
+	if _, err := New(1300*time.Millisecond, time.Second, 50*time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/link/convert.go
@@ -0,0 +1,154 @@
+// Package link carries the session between an entry and an agent, and converts
+// between the messages of the protocol and the values of the product.
+package link
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"foxtaildock.example/dock/directory"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/operator"
+	"foxtaildock.example/dock/rpc/linkpb"
+	"foxtaildock.example/dock/run"
+	"foxtaildock.example/dock/work"
+)
+
+// KeyOf returns the message form of a run.
+func KeyOf(r work.Run) *linkpb.TaskKey {
+	return &linkpb.TaskKey{
+		Job: string(r.Task.Job), Step: uint32(r.Task.Step), Index: uint32(r.Task.Index), Run: uint32(r.ID),
+	}
+}
+
+// KeysOf returns the message form of runs.
+func KeysOf(runs []work.Run) []*linkpb.TaskKey {
+	keys := make([]*linkpb.TaskKey, len(runs))
+	for i, r := range runs {
+		keys[i] = KeyOf(r)
+	}
+	return keys
+}
+
+// RunOf reads the message form of a run.
+func RunOf(k *linkpb.TaskKey) work.Run {
+	return work.Run{
+		Task: work.Task{Job: work.JobID(k.GetJob()), Step: int(k.GetStep()), Index: int(k.GetIndex())},
+		ID:   work.RunID(k.GetRun()),
+	}
+}
+
+// RunsOf reads the message form of runs.
+func RunsOf(keys []*linkpb.TaskKey) []work.Run {
+	runs := make([]work.Run, len(keys))
+	for i, k := range keys {
+		runs[i] = RunOf(k)
+	}
+	return runs
+}
+
+// DemandMessage returns the message form of a demand.
+func DemandMessage(d work.Demand) *linkpb.Demand {
+	return &linkpb.Demand{CpuMilli: d.CPUMilli, MemoryMb: d.MemoryMB, Gpus: d.GPUs}
+}
+
+// DemandOf reads the message form of a demand.
+func DemandOf(d *linkpb.Demand) work.Demand {
+	return work.Demand{CPUMilli: d.GetCpuMilli(), MemoryMB: d.GetMemoryMb(), GPUs: d.GetGpus()}
+}
+
+// RoomMessage returns the message form of an agent's room.
+func RoomMessage(r run.Room) *linkpb.Room {
+	return &linkpb.Room{
+		Incarnation: r.Server.Incarnation, Service: string(r.Server.Service),
+		Domain: string(r.Server.Domain), Labels: r.Server.Labels,
+		Capacity: DemandMessage(r.Server.Capacity), Used: DemandMessage(r.Used),
+		Queued: DemandMessage(r.Queued), Draining: r.Server.Draining || r.Closed,
+	}
+}
+
+// ServerOf reads the backend server out of an agent's room.
+func ServerOf(r *linkpb.Room) work.Server {
+	return work.Server{
+		Incarnation: r.GetIncarnation(), Service: ident.Service(r.GetService()),
+		Domain: ident.FailureDomain(r.GetDomain()), Labels: r.GetLabels(),
+		Capacity: DemandOf(r.GetCapacity()), Draining: r.GetDraining(),
+	}
+}
+
+var outcomes = map[work.Outcome]linkpb.Outcome{
+	work.Done:       linkpb.Outcome_OUTCOME_DONE,
+	work.Failed:     linkpb.Outcome_OUTCOME_FAILED,
+	work.Lost:       linkpb.Outcome_OUTCOME_LOST,
+	work.NotStarted: linkpb.Outcome_OUTCOME_NOT_STARTED,
+}
+
+// ResultMessage returns the message form of a run's end.
+func ResultMessage(sequence uint64, r run.Report) *linkpb.Result {
+	return &linkpb.Result{
+		Sequence: sequence, Task: KeyOf(r.Run), Outcome: outcomes[r.Outcome],
+		RanMs: r.Ran.Milliseconds(), Reason: r.Reason,
+	}
+}
+
+// OutcomeOf reads the message form of an outcome.
+func OutcomeOf(o linkpb.Outcome) (work.Outcome, error) {
+	for value, message := range outcomes {
+		if message == o {
+			return value, nil
+		}
+	}
+	return 0, fmt.Errorf("outcome %v is not known", o)
+}
+
+// OperatorMessage returns the message form of operators' rows.
+func OperatorMessage(r *operator.Rows) (*linkpb.OperatorRows, error) {
+	manifest, err := operator.EncodeManifest(r.Manifest)
+	if err != nil {
+		return nil, err
+	}
+	m := &linkpb.OperatorRows{Version: r.Version, Manifest: manifest}
+	for _, d := range r.Withdrawn {
+		m.WithdrawnDomains = append(m.WithdrawnDomains, string(d))
+	}
+	return m, nil
+}
+
+// OperatorOf reads the message form of operators' rows.
+func OperatorOf(m *linkpb.OperatorRows) (operator.Rows, error) {
+	manifest, err := operator.DecodeManifest(m.GetManifest())
+	if err != nil {
+		return operator.Rows{}, err
+	}
+	r := operator.Rows{Version: m.GetVersion(), Manifest: manifest}
+	for _, d := range m.GetWithdrawnDomains() {
+		r.Withdrawn = append(r.Withdrawn, ident.FailureDomain(d))
+	}
+	slices.Sort(r.Withdrawn)
+	return r, nil
+}
+
+// MemberMessage returns the message form of a member.
+func MemberMessage(m *directory.Member) *linkpb.Member {
+	role := linkpb.Role_ROLE_AGENT
+	if m.Role == directory.Entry {
+		role = linkpb.Role_ROLE_ENTRY
+	}
+	return &linkpb.Member{Incarnation: string(m.Incarnation), Address: m.Address, Domain: string(m.Domain), Role: role}
+}
+
+// MemberOf reads the message form of a member.
+func MemberOf(m *linkpb.Member) directory.Member {
+	role := directory.Agent
+	if m.GetRole() == linkpb.Role_ROLE_ENTRY {
+		role = directory.Entry
+	}
+	return directory.Member{
+		Incarnation: ident.Incarnation(m.GetIncarnation()), Role: role,
+		Address: m.GetAddress(), Domain: ident.FailureDomain(m.GetDomain()),
+	}
+}
+
+// Millis converts a time of a message.
+func Millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/runner/metrics.go
@@ -0,0 +1,59 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"foxtaildock.example/dock/telemetry"
+	"foxtaildock.example/dock/work"
+)
+
+// Metrics are the counters and histograms of an agent. A nil value counts nothing.
+type Metrics struct {
+	runs     metric.Int64Counter
+	duration metric.Float64Histogram
+	calls    metric.Float64Histogram
+}
+
+// NewMetrics makes the instruments.
+func NewMetrics(m metric.Meter) (*Metrics, error) {
+	runs, errRuns := m.Int64Counter("foxtaildock.runs", metric.WithDescription("Runs ended, by outcome."))
+	duration, errDuration := m.Float64Histogram("foxtaildock.run.duration",
+		metric.WithUnit("s"), metric.WithDescription("Time from the order to start to the end of a run."),
+		metric.WithExplicitBucketBoundaries(telemetry.DurationBounds()...))
+	calls, errCalls := m.Float64Histogram("foxtaildock.backend.call.duration",
+		metric.WithUnit("s"), metric.WithDescription("Time of the orders to the backend server, by order."),
+		metric.WithExplicitBucketBoundaries(telemetry.DurationBounds()...))
+	return &Metrics{runs: runs, duration: duration, calls: calls}, errors.Join(errRuns, errDuration, errCalls)
+}
+
+func (m *Metrics) ended(outcome work.Outcome, ran time.Duration) {
+	if m == nil {
+		return
+	}
+	m.runs.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome.String())))
+	if outcome == work.Done {
+		m.duration.Record(context.Background(), ran.Seconds())
+	}
+}
+
+func (m *Metrics) called(order string, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.calls.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("order", order)))
+}
+
+// Observed returns the numbers of the agent that are read at a scrape.
+func (r *Runner) Observed() []telemetry.Observed {
+	return []telemetry.Observed{
+		{Name: "foxtaildock.agent.entries", Help: "Entries with a session.", Read: func() int64 { return r.attached.Load() }},
+		{Name: "foxtaildock.agent.events.rejected", Help: "Reports turned away by a busy agent.", Counter: true, Read: func() int64 { return int64(r.rejected.Load()) }},
+		{Name: "foxtaildock.operator.version", Help: "Store's version of the operators' rows.", Read: func() int64 { return int64(r.version.Load()) }},
+		{Name: "foxtaildock.operator.age", Help: "Milliseconds since the store confirmed the operators' rows.", Read: func() int64 { return r.OperatorAge().Milliseconds() }},
+	}
+}
--- /dev/null
+++ b/schedule/place.go
@@ -0,0 +1,176 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/work"
+)
+
+// dispatch offers waiting tasks, in order, while there is room. It stops for a
+// service at the first task that finds none, so that no less urgent task takes
+// the room that a more urgent one waits for.
+func (c *Core) dispatch() {
+	if len(c.waiting) == 0 {
+		return
+	}
+	full := map[ident.Service]bool{}
+	for _, j := range slices.Clone(c.waiting) {
+		if full[j.Route.Service] {
+			continue
+		}
+		if !c.dispatchJob(j) {
+			full[j.Route.Service] = true
+		}
+	}
+}
+
+// dispatchJob offers the waiting tasks of a job. It returns false if one found
+// no room.
+func (c *Core) dispatchJob(j *jobState) bool {
+	offers := map[*agentState][]OfferedTask{}
+	roomy := true
+	left := false
+	for s := range j.steps {
+		if !j.ready(s) {
+			left = true
+			continue
+		}
+		st := &j.steps[s]
+		for st.next < len(st.tasks) && roomy {
+			t := &st.tasks[st.next]
+			if t.phase == taskWaiting {
+				a := c.choose(j, s, t)
+				if a == nil {
+					roomy = false
+					break
+				}
+				c.place(j, s, st.next, a, offers)
+			}
+			st.next++
+		}
+		left = left || st.next < len(st.tasks)
+	}
+	c.send(j, offers)
+	if !left || !c.anyReady(j) {
+		c.dequeue(j)
+	}
+	return roomy
+}
+
+// anyReady reports whether a task waits that could be offered now.
+func (c *Core) anyReady(j *jobState) bool {
+	for s := range j.steps {
+		if j.ready(s) && j.steps[s].next < len(j.steps[s].tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) place(j *jobState, step, index int, a *agentState, offers map[*agentState][]OfferedTask) {
+	t := &j.steps[step].tasks[index]
+	t.phase = taskPlaced
+	t.run++
+	t.agent = a
+	t.placed = c.now
+	task := work.Task{Job: j.ID, Step: step, Index: index}
+	demand := j.Steps[step].Demand
+	a.runs[task] = t.run
+	a.inFlight = append(a.inFlight, sentOffer{sequence: a.sequence + 1, demand: demand})
+	offers[a] = append(offers[a], OfferedTask{Run: work.Run{Task: task, ID: t.run}, Demand: demand})
+	if !j.offered {
+		j.offered = true
+		j.first = c.now
+	}
+	j.runs++
+}
+
+func (c *Core) send(j *jobState, offers map[*agentState][]OfferedTask) {
+	for _, a := range c.order {
+		tasks := offers[a]
+		if len(tasks) == 0 {
+			continue
+		}
+		a.sequence++
+		c.do(SendOffers{
+			Agent: a.id, Sequence: a.sequence, Job: j.ID, Spec: j.Spec,
+			Service: j.Route.Service, Priority: j.Route.Priority, Tasks: tasks,
+		})
+	}
+}
+
+// choose returns the agent at which the task is expected to end first, or nil if
+// there is no room. An agent may get one task more than it has room for, so that
+// no core waits for the round trip between the end of one task and the offer of
+// the next.
+func (c *Core) choose(j *jobState, step int, t *taskState) *agentState {
+	s := &j.Steps[step]
+	expected := c.expectedTask(j.Route.Name, s)
+	var best *agentState
+	var bestCost time.Duration
+	for _, a := range c.order {
+		if !c.usable(a, j, s) {
+			continue
+		}
+		cost, ok := c.cost(a, s, expected)
+		if !ok {
+			continue
+		}
+		if t.avoid == a.id {
+			cost += avoidPenalty
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = a, cost
+		}
+	}
+	return best
+}
+
+// avoidPenalty sends a task that failed at an agent elsewhere if anything else
+// has room.
+const avoidPenalty = time.Minute
+
+// usable reports whether the agent may get the task at all.
+func (c *Core) usable(a *agentState, j *jobState, s *Step) bool {
+	switch {
+	case !c.fresh(a), a.server.Incarnation == "", a.server.Draining, c.now < a.cooling:
+		return false
+	case a.server.Service != j.Route.Service, c.operator.IsWithdrawn(a.server.Domain):
+		return false
+	case s.Requires != "" && !slices.Contains(a.server.Labels, s.Requires):
+		return false
+	}
+	return a.health.mayTake(c.now, len(a.runs))
+}
+
+// loadWeight is the share of a task's time by which a full backend server is
+// taken for slower than an empty one. It spreads work, so that fewer tasks are
+// hit when one server fails.
+const loadWeight = 0.2
+
+// cost is when the task is expected to end at the agent, from now. ok is false if
+// the agent has no room for it.
+func (c *Core) cost(a *agentState, s *Step, expected time.Duration) (cost time.Duration, ok bool) {
+	free := a.free()
+	if !s.Demand.Fits(free.Plus(s.Demand)) || !s.Demand.Fits(a.server.Capacity) {
+		return 0, false
+	}
+	d := float64(expected) * a.speed.factor()
+	if s.Near != "" && !slices.Contains(a.server.Labels, s.Near) {
+		d *= c.cfg.RemoteFactor
+	}
+	if capacity := a.server.Capacity.CPUMilli; capacity > 0 {
+		used := float64(capacity-free.CPUMilli) / float64(capacity)
+		d *= 1 + loadWeight*used
+	}
+	if !s.Demand.Fits(free) {
+		d += float64(expected) * queueShare
+	}
+	return time.Duration(d), true
+}
+
+// queueShare is the part of a task's time that the one task which waits at a full
+// agent is expected to wait: of many tasks that run there, the first ends soon.
+const queueShare = 0.25
--- a/telemetry/jobs.go
+++ b/telemetry/jobs.go
@@ -19,6 +19,9 @@
 	.005, .01, .025, .05, .075, .1, .15, .2, .3, .5, .75, 1, 1.5, 2.5, 5, 10, 30, 60, 300,
 }
 
+// DurationBounds returns the buckets of histograms of task and job times, in seconds.
+func DurationBounds() []float64 { return jobDurationBounds }
+
 // JobMetrics counts the answers that one process gave to callers.
 type JobMetrics struct {
 	answers  metric.Int64Counter
--- /dev/null
+++ b/work/work.go
@@ -0,0 +1,110 @@
+// Package work holds the values that entries and agents share about jobs which
+// are answered at their end: identifiers, demands, outcomes of runs.
+package work
+
+import (
+	"cmp"
+	"fmt"
+
+	"foxtaildock.example/dock/ident"
+)
+
+// JobID identifies a job. The caller chooses it.
+type JobID string
+
+// Task names one task of a job.
+type Task struct {
+	Job   JobID
+	Step  int
+	Index int
+}
+
+// String formats the task for logs.
+func (t Task) String() string { return fmt.Sprintf("%s/%d/%d", t.Job, t.Step, t.Index) }
+
+// Compare orders tasks by job, step and index.
+func (t Task) Compare(o Task) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
+// RunID numbers the starts of a task, from 1 and rising. A backend server
+// refuses a run that is not above one that it has seen end.
+type RunID int
+
+// Run names one start of a task.
+type Run struct {
+	Task Task
+	ID   RunID
+}
+
+// String formats the run for logs.
+func (r Run) String() string { return fmt.Sprintf("%s#%d", r.Task, r.ID) }
+
+// Demand is what a task needs, or what a backend server has.
+type Demand struct {
+	CPUMilli int64 // thousandths of a core
+	MemoryMB int64
+	GPUs     int64
+}
+
+// Plus returns the sum.
+func (d Demand) Plus(o Demand) Demand {
+	return Demand{CPUMilli: d.CPUMilli + o.CPUMilli, MemoryMB: d.MemoryMB + o.MemoryMB, GPUs: d.GPUs + o.GPUs}
+}
+
+// Minus returns the difference, which may be negative.
+func (d Demand) Minus(o Demand) Demand {
+	return Demand{CPUMilli: d.CPUMilli - o.CPUMilli, MemoryMB: d.MemoryMB - o.MemoryMB, GPUs: d.GPUs - o.GPUs}
+}
+
+// Fits reports whether the demand fits into the room.
+func (d Demand) Fits(room Demand) bool {
+	return d.CPUMilli <= room.CPUMilli && d.MemoryMB <= room.MemoryMB && d.GPUs <= room.GPUs
+}
+
+// Outcome is how a run ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Done means that the task has ended successfully.
+	Done Outcome = iota + 1
+	// Failed means that the run ended with a failure, by its own fault or by the
+	// backend server's.
+	Failed
+	// Lost means that the run was stopped or its lease lapsed. Nothing of it runs.
+	Lost
+	// NotStarted means that the run never started and never will.
+	NotStarted
+)
+
+// String names the outcome for logs.
+func (o Outcome) String() string {
+	switch o {
+	case Done:
+		return "done"
+	case Failed:
+		return "failed"
+	case Lost:
+		return "lost"
+	case NotStarted:
+		return "not started"
+	}
+	return fmt.Sprintf("outcome %d", int(o))
+}
+
+// Priority orders jobs. 0 comes first.
+type Priority int
+
+// Server describes a backend server that is in use.
+type Server struct {
+	// Incarnation is new with each start of the backend server.
+	Incarnation string
+	Service     ident.Service
+	Domain      ident.FailureDomain
+	Labels      []string
+	Capacity    Demand
+	// Draining is true once the backend server has said that it leaves. It then
+	// gets no new work.
+	Draining bool
+}
