--- /dev/null
+++ b/bench/sitesim/faults.go
@@ -0,0 +1,86 @@
+package sitesim
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"foxtaildock.example/dock/ident"
+)
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// strike does one fault, and undoes it when its time is over.
+func (s *Site) strike(f Fault) {
+	v := s.vms[f.Index%len(s.vms)]
+	e := s.entries[f.Index%len(s.entries)]
+	switch f.Kind {
+	case KillAgent:
+		v.kill(f.For)
+	case KillEntry:
+		e.kill(f.For)
+	case FreezeAgent:
+		v.frozen = s.now() + f.For
+	case FreezeEntry:
+		e.frozen = s.now() + f.For
+	case DarkServer:
+		v.state.dark = true
+		s.after(f.For, func() { v.state.dark = false })
+	case CrashServer:
+		v.crash(f.For)
+	case SlowServer:
+		v.state.slow = f.X
+		s.after(f.For, func() { v.state.slow = 1 })
+	case StuckServer:
+		v.state.stuck = true
+		s.after(f.For, func() { v.state.stuck = false })
+	case FailingServer:
+		v.state.failing = true
+		s.after(f.For, func() { v.state.failing = false })
+	case CutLink:
+		s.cut([2]int{f.Index % len(s.entries), f.Index % len(s.vms)}, f.For)
+	case LateOrders:
+		s.orders.late = f.X
+		s.after(f.For, func() { s.orders.late = 0 })
+	case LostAnswers:
+		s.orders.lost = f.X
+		s.after(f.For, func() { s.orders.lost = 0 })
+	case DrainServer:
+		v.state.draining = true
+		s.after(f.For, func() { v.crash(time.Second) })
+	case WithdrawDomain:
+		s.withdraw(s.domain(f.Index), f.For)
+	case LeaveCallers:
+		s.callers.leaveShare = f.X
+		s.after(f.For, func() { s.callers.leaveShare = 0 })
+	}
+}
+
+func (s *Site) cut(pair [2]int, length time.Duration) {
+	s.cuts[pair] = true
+	s.after(length, func() { delete(s.cuts, pair) })
+}
+
+// learnDelay is how long entries take to learn of an operators' row.
+const learnDelay = 50 * time.Millisecond
+
+// withdraw takes a failure domain out of service for a while.
+func (s *Site) withdraw(d ident.FailureDomain, length time.Duration) {
+	s.operator.Withdrawn = append(slices.Clone(s.operator.Withdrawn), d)
+	s.checks.withdrawn[d] = s.now()
+	s.tellOperator()
+	s.after(length, func() {
+		s.operator.Withdrawn = slices.DeleteFunc(slices.Clone(s.operator.Withdrawn), func(o ident.FailureDomain) bool { return o == d })
+		delete(s.checks.withdrawn, d)
+		s.tellOperator()
+	})
+}
+
+func (s *Site) tellOperator() {
+	s.operator.Version++
+	rows := s.operator
+	for _, e := range s.entries {
+		e.later(learnDelay, func() { e.step(operatorChanged(rows)) })
+	}
+}
--- /dev/null
+++ b/bench/sitesim/session.go
@@ -0,0 +1,346 @@
+package sitesim
+
+import (
+	"slices"
+	"time"
+
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/run"
+	"foxtaildock.example/dock/schedule"
+	"foxtaildock.example/dock/work"
+)
+
+// channel is one connection between an entry and an agent. Once a message is lost
+// on it, everything after it is lost as well.
+type channel struct {
+	entry, agent int
+	dead         bool
+}
+
+// carry delivers a message over the channel in order, unless it is lost.
+func (s *Site) carry(c *channel, to *process, f func()) {
+	life := to.life
+	s.after(s.cfg.Delay, func() {
+		if c.dead || s.cuts[[2]int{c.entry, c.agent}] || !to.alive || to.life != life {
+			c.dead = true
+			return
+		}
+		to.deliver(life, f)
+	})
+}
+
+// agentSession is the agent's end of a session, as package runner keeps it.
+type agentSession struct {
+	entry   *entryNode
+	name    ident.Incarnation
+	channel *channel
+	ended   bool
+	results []numbered
+	last    uint64
+	taken   uint64
+	beat    uint64
+	dirty   bool
+	room    run.Room
+	news    []numbered
+	stalls  []work.Run
+}
+
+type numbered struct {
+	sequence uint64
+	report   run.Report
+}
+
+// toEntry is a message of an agent.
+type toEntry struct {
+	welcome bool
+	agent   ident.Incarnation
+	held    []work.Run
+	results []numbered
+	taken   uint64
+	beat    uint64
+	room    run.Room
+	stalls  []work.Run
+}
+
+// attach opens a session; one of the same entry incarnation is replaced.
+func (v *vm) attach(e *entryNode, name ident.Incarnation, c *channel, agent ident.Incarnation, seen uint64) {
+	s := &agentSession{entry: e, name: name, channel: c}
+	if old := v.sessions[name]; old != nil {
+		old.ended = true
+		s.results, s.last = old.results, old.last
+	}
+	v.sessions[name] = s
+	v.step(run.EntryHeard{Entry: name})
+	if agent == v.self {
+		s.seen(seen)
+	}
+	m := toEntry{welcome: true, agent: v.self, held: v.core.Held(name), results: slices.Clone(s.results), room: v.core.Room()}
+	s.room = m.room
+	v.send(s, m)
+	v.flush()
+}
+
+func (s *agentSession) seen(sequence uint64) {
+	s.results = slices.DeleteFunc(s.results, func(n numbered) bool { return n.sequence <= sequence })
+}
+
+func (v *vm) send(s *agentSession, m toEntry) {
+	e := s.entry
+	c := s.channel
+	v.site.carry(c, &e.process, func() { e.receive(v.index, c, m) })
+}
+
+func (v *vm) reported(a run.Report) {
+	s := v.sessions[a.Entry]
+	if s == nil {
+		return
+	}
+	s.last++
+	n := numbered{s.last, a}
+	s.results = append(s.results, n)
+	s.news = append(s.news, n)
+}
+
+func (v *vm) stalled(a run.ReportStalled) {
+	if s := v.sessions[a.Entry]; s != nil {
+		s.stalls = append(s.stalls, a.Run)
+	}
+}
+
+// flush tells each entry what it has to know.
+func (v *vm) flush() {
+	room := v.core.Room()
+	for _, name := range sortedKeys(v.sessions) {
+		s := v.sessions[name]
+		same := s.room.Used == room.Used && s.room.Queued == room.Queued && s.room.Closed == room.Closed &&
+			s.room.Server.Incarnation == room.Server.Incarnation && s.room.Server.Draining == room.Server.Draining
+		if s.ended || same && !s.dirty && len(s.news) == 0 && len(s.stalls) == 0 {
+			continue
+		}
+		m := toEntry{agent: v.self, results: s.news, taken: s.taken, beat: s.beat, room: room, stalls: s.stalls}
+		s.news, s.stalls, s.dirty, s.room = nil, nil, false, room
+		v.send(s, m)
+	}
+}
+
+// message takes a message of an entry.
+func (v *vm) message(name ident.Incarnation, c *channel, f func(*agentSession)) {
+	s := v.sessions[name]
+	if s == nil || s.ended || s.channel != c {
+		return
+	}
+	f(s)
+	v.flush()
+}
+
+// breakSessions tells the entries that the connections of a process are gone.
+func (s *Site) breakSessions(sessions map[ident.Incarnation]*agentSession) {
+	for _, name := range sortedKeys(sessions) {
+		c, e := sessions[name].channel, sessions[name].entry
+		life := e.life
+		c.dead = true
+		s.after(s.cfg.Delay, func() {
+			if !s.cuts[[2]int{c.entry, c.agent}] {
+				e.deliver(life, func() { e.broken(c) })
+			}
+		})
+	}
+}
+
+// entryNode is an entry with its sessions, as package dispatcher keeps them.
+type entryNode struct {
+	process
+	index int
+	self  ident.Incarnation
+	core  *schedule.Core
+	links []*entryLink
+}
+
+type entryLink struct {
+	channel *channel
+	agent   ident.Incarnation
+	open    bool
+	asked   time.Duration
+	heard   time.Duration
+	seen    uint64
+	beat    uint64
+	sent    map[uint64]time.Duration
+}
+
+// Times of an entry.
+const (
+	entryTick = 10 * time.Millisecond
+	redial    = 100 * time.Millisecond
+	silence   = 3 // heartbeats
+)
+
+func newEntryNode(s *Site, index int) *entryNode {
+	return &entryNode{process: process{site: s}, index: index}
+}
+
+func (e *entryNode) start() {
+	e.life++
+	e.alive = true
+	e.self = e.site.incarnation("entry", e.index)
+	e.core = schedule.New(schedule.Config{Terms: e.site.terms, RemoteFactor: 1.5})
+	e.links = make([]*entryLink, len(e.site.vms))
+	e.step(schedule.OperatorChanged{Rows: e.site.operator})
+	for i := range e.site.vms {
+		e.links[i] = &entryLink{sent: map[uint64]time.Duration{}}
+		e.dial(i)
+		e.beats(i)
+	}
+	e.tick()
+}
+
+func (e *entryNode) tick() {
+	e.step(schedule.Tick{})
+	e.later(entryTick, e.tick)
+}
+
+// dial opens a session with an agent.
+func (e *entryNode) dial(i int) {
+	l := e.links[i]
+	v := e.site.vms[i]
+	c := &channel{entry: e.index, agent: i}
+	l.channel, l.open = c, false
+	l.asked, l.heard = e.site.now(), e.site.now()
+	agent, seen, self := l.agent, l.seen, e.self
+	e.site.carry(c, &v.process, func() { v.attach(e, self, c, agent, seen) })
+}
+
+// beats sends heartbeats to an agent, and gives up a silent session.
+func (e *entryNode) beats(i int) {
+	l := e.links[i]
+	if e.site.now()-l.heard > silence*e.site.terms.Beat {
+		e.detach(i, "no word from the agent")
+		e.dial(i)
+	}
+	if l.open {
+		l.beat++
+		number, seen := l.beat, l.seen
+		l.sent[number] = e.site.now()
+		delete(l.sent, number-16)
+		withdrawn := e.site.operator.IsWithdrawn(e.site.domain(i))
+		e.toAgent(i, func(v *vm, s *agentSession) {
+			s.seen(seen)
+			s.beat, s.dirty = number, true
+			v.step(run.EntryHeard{Entry: s.name})
+			v.step(run.DomainWithdrawn{Withdrawn: withdrawn})
+		})
+	}
+	e.later(e.site.terms.Beat, func() { e.beats(i) })
+}
+
+func (e *entryNode) toAgent(i int, f func(*vm, *agentSession)) {
+	v, c, self := e.site.vms[i], e.links[i].channel, e.self
+	e.site.carry(c, &v.process, func() {
+		v.message(self, c, func(s *agentSession) { f(v, s) })
+	})
+}
+
+func (e *entryNode) detach(i int, reason string) {
+	l := e.links[i]
+	if l.open {
+		l.open = false
+		e.step(schedule.AgentDetached{Agent: l.agent, Reason: reason})
+	}
+}
+
+// broken takes the end of a connection that the other side has closed.
+func (e *entryNode) broken(c *channel) {
+	l := e.links[c.agent]
+	if l.channel != c {
+		return
+	}
+	e.detach(c.agent, "connection closed")
+	e.later(redial, func() {
+		if l.channel == c {
+			e.dial(c.agent)
+		}
+	})
+}
+
+// receive takes a message of an agent.
+func (e *entryNode) receive(i int, c *channel, m toEntry) {
+	l := e.links[i]
+	if l.channel != c {
+		return
+	}
+	l.heard = e.site.now()
+	if m.welcome && l.agent != m.agent {
+		l.agent, l.seen = m.agent, 0
+	}
+	for _, n := range m.results {
+		if n.sequence <= l.seen {
+			continue
+		}
+		l.seen = n.sequence
+		e.step(schedule.RunEnded{Agent: m.agent, Run: n.report.Run, Outcome: n.report.Outcome, Ran: n.report.Ran, Reason: n.report.Reason})
+	}
+	if m.welcome {
+		l.open = true
+		e.step(schedule.AgentAttached{Agent: m.agent, Address: string(rune('a' + i)), Domain: e.site.domain(i), Held: m.held, Asked: l.asked})
+	}
+	if sent, known := l.sent[m.beat]; known {
+		e.step(schedule.AgentHeard{Agent: m.agent, Sent: sent})
+	}
+	room := m.room
+	room.Server.Draining = room.Server.Draining || room.Closed
+	e.step(schedule.AgentRoom{Agent: m.agent, Server: room.Server, Used: room.Used, Queued: room.Queued, Taken: m.taken})
+	for _, r := range m.stalls {
+		e.step(schedule.RunStalled{Agent: m.agent, Run: r})
+	}
+}
+
+func (e *entryNode) linkOf(agent ident.Incarnation) (int, bool) {
+	for i, l := range e.links {
+		if l.open && l.agent == agent {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func (e *entryNode) step(ev schedule.Event) {
+	for _, a := range e.core.Step(e.site.now(), ev) {
+		switch a := a.(type) {
+		case schedule.SendOffers:
+			e.offer(a)
+		case schedule.SendStops:
+			if i, open := e.linkOf(a.Agent); open {
+				e.toAgent(i, func(v *vm, s *agentSession) {
+					for _, r := range a.Runs {
+						v.step(run.StopAsked{Entry: s.name, Run: r})
+					}
+				})
+			}
+		case schedule.Answer:
+			e.site.callers.answered(e, a)
+		}
+	}
+}
+
+func (e *entryNode) offer(a schedule.SendOffers) {
+	i, open := e.linkOf(a.Agent)
+	if !open {
+		return
+	}
+	e.toAgent(i, func(v *vm, s *agentSession) {
+		for _, t := range a.Tasks {
+			v.step(run.Offered{Entry: s.name, Run: t.Run, Spec: a.Spec, Service: a.Service, Priority: a.Priority, Demand: t.Demand})
+		}
+		s.taken = max(s.taken, a.Sequence)
+	})
+}
+
+// kill ends the entry; another one starts after a while.
+func (e *entryNode) kill(after time.Duration) {
+	e.alive = false
+	e.site.callers.entryLost(e)
+	e.site.after(after, func() {
+		if !e.alive {
+			e.start()
+		}
+	})
+}
--- /dev/null
+++ b/bench/sitesim/vm.go
@@ -0,0 +1,298 @@
+package sitesim
+
+import (
+	"fmt"
+	"time"
+
+	"foxtaildock.example/bench/runserver"
+	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/run"
+	"foxtaildock.example/dock/work"
+)
+
+// vm is the VM of a backend server, with the agent beside it.
+type vm struct {
+	process
+	index    int
+	self     ident.Incarnation
+	core     *run.Core
+	sessions map[ident.Incarnation]*agentSession
+	server   *runserver.Server
+	live     *liveRuns
+	born     int64
+	sequence int64
+	state    serverState
+	drained  time.Duration // when the agent was told that the server leaves
+	holds    []waitingHold
+}
+
+// serverState is what is wrong with a backend server.
+type serverState struct {
+	dark, stuck, failing, draining bool
+	slow                           float64
+}
+
+// waitingHold is a call that waits for an end.
+type waitingHold struct {
+	call   run.CallHold
+	until  time.Duration
+	answer func()
+}
+
+// Times of a VM.
+const (
+	localDelay = 100 * time.Microsecond
+	// reportEvery is the pause between a server's reports.
+	reportEvery = 1500 * time.Millisecond
+	// orderTimeout is how long an agent waits for the answer to an order.
+	orderTimeout = 60 * time.Millisecond
+	agentTick    = 20 * time.Millisecond
+	clockDrift   = 0.019
+)
+
+func newVM(s *Site, index int) *vm {
+	return &vm{process: process{site: s}, index: index}
+}
+
+func (v *vm) start() {
+	v.startServer()
+	v.startAgent()
+	v.report()
+}
+
+func (v *vm) startServer() {
+	v.born++
+	v.sequence = 0
+	v.state = serverState{slow: 1}
+	v.drained = 0
+	v.live = &liveRuns{vm: v}
+	v.server = runserver.New(v.site.now(), runserver.Config{
+		Born:     v.born,
+		Capacity: v.capacity(),
+		LeaseMax: v.site.cfg.LeaseMax, StopTime: v.site.cfg.StopTime, Drift: clockDrift,
+		Plan: v.plan,
+	}, v.live)
+}
+
+func (v *vm) capacity() work.Demand { return v.site.cfg.Capacity[v.index%len(v.site.cfg.Capacity)] }
+
+// plan is what a run will do on this server.
+func (v *vm) plan(r work.Run, _ string) runserver.Plan {
+	task := v.site.callers.task(r.Task)
+	speed := v.site.cfg.Speed[v.index%len(v.site.cfg.Speed)]
+	return runserver.Plan{
+		Demand: task.demand,
+		Length: time.Duration(float64(task.length) * speed * v.state.slow),
+		Fails:  v.state.failing || v.site.random.Float64() < task.failShare,
+		Stuck:  v.state.stuck,
+	}
+}
+
+func (v *vm) startAgent() {
+	v.life++
+	v.alive = true
+	v.self = v.site.incarnation("agent", v.index)
+	v.core = run.New(run.Config{Terms: v.site.terms, QueueLimit: 64, StallAfter: 400 * time.Millisecond, BackfillAfter: 100 * time.Millisecond})
+	v.sessions = map[ident.Incarnation]*agentSession{}
+	v.tick()
+}
+
+func (v *vm) tick() {
+	v.step(run.Tick{})
+	v.flush()
+	v.later(agentTick, v.tick)
+}
+
+// report sends the server's report to its agent, again and again.
+func (v *vm) report() {
+	if v.server != nil {
+		v.sequence++
+		e := run.ServerReported{
+			Server: work.Server{
+				Incarnation: fmt.Sprintf("server-%d-%d", v.index, v.born), Service: Service,
+				Domain: v.site.domain(v.index), Capacity: v.capacity(), Draining: v.state.draining,
+			},
+			Born: v.born, Clock: v.server.Clock(v.site.now()), Sequence: v.sequence,
+		}
+		v.toAgent(func() {
+			if e.Server.Draining && v.drained == 0 {
+				v.drained = v.site.now()
+			}
+			v.step(e)
+			v.flush()
+		})
+	}
+	v.site.after(reportEvery, v.report)
+}
+
+// toAgent delivers something from the server to the agent.
+func (v *vm) toAgent(f func()) {
+	if v.state.dark {
+		return
+	}
+	life := v.life
+	v.site.after(localDelay, func() { v.deliver(life, f) })
+}
+
+func (v *vm) step(e run.Event) {
+	for _, a := range v.core.Step(v.site.now(), e) {
+		switch a := a.(type) {
+		case run.CallStart:
+			v.callStart(a)
+		case run.CallStop:
+			v.callStop(a)
+		case run.CallHold:
+			v.callHold(a)
+		case run.Report:
+			v.reported(a)
+		case run.ReportStalled:
+			v.stalled(a)
+		}
+	}
+}
+
+// order carries an order to the server that is there now, and the answer back. An
+// order that is late is carried out by whatever incarnation is there then.
+func (v *vm) order(carryOut func() (answer func()), unanswered func()) {
+	orders := v.site.orders
+	answered := false
+	v.later(orderTimeout, func() {
+		if !answered {
+			answered = true
+			unanswered()
+			v.flush()
+		}
+	})
+	late := v.site.random.Float64() < orders.late
+	lost := v.site.random.Float64() < orders.lost
+	delay := localDelay
+	if late {
+		delay = 2*time.Second + time.Duration(v.site.random.Int64N(int64(10*time.Second)))
+	}
+	dark := v.state.dark
+	v.site.after(delay, func() {
+		if v.server == nil || dark && !late || v.state.dark {
+			return
+		}
+		answer := carryOut()
+		v.pump()
+		if late || lost {
+			return
+		}
+		v.toAgent(func() {
+			if !answered {
+				answered = true
+				answer()
+				v.flush()
+			}
+		})
+	})
+}
+
+func (v *vm) callStart(a run.CallStart) {
+	v.order(func() func() {
+		reply := v.server.Start(v.site.now(), a)
+		stamp := v.server.Stamp(v.site.now())
+		return func() { v.step(run.StartAnswered{Run: a.Run, Reply: reply, Stamp: stamp}) }
+	}, func() { v.step(run.StartAnswered{Run: a.Run, Reply: run.NoAnswer}) })
+}
+
+func (v *vm) callStop(a run.CallStop) {
+	v.order(func() func() {
+		done := v.server.Stop(v.site.now(), a)
+		stamp := v.server.Stamp(v.site.now())
+		return func() { v.step(run.StopAnswered{Run: a.Run, Answered: done, Stamp: stamp}) }
+	}, func() { v.step(run.StopAnswered{Run: a.Run}) })
+}
+
+// callHold carries the call that waits for ends. It isn't subject to late orders:
+// its expiry is absolute, so a late one changes nothing.
+func (v *vm) callHold(a run.CallHold) {
+	answered := false
+	life := v.life
+	answer := func() {
+		if answered || v.server == nil {
+			return
+		}
+		answered = true
+		running, ended, ok := v.server.Hold(v.site.now(), run.CallHold{Fence: a.Fence, LastSeen: a.LastSeen})
+		stamp := v.server.Stamp(v.site.now())
+		v.toAgent(func() {
+			if !ok {
+				v.step(run.HoldFailed{Call: a.Call, Refused: true, Stamp: stamp})
+			} else {
+				v.step(run.HoldAnswered{Call: a.Call, Stamp: stamp, Running: running, Ended: ended})
+			}
+			v.flush()
+		})
+	}
+	v.site.after(localDelay, func() {
+		if v.server == nil || v.state.dark {
+			return
+		}
+		v.server.Hold(v.site.now(), a)
+		v.pump()
+		if a.Wait <= 0 || v.server.HasEnds(a.LastSeen) {
+			answer()
+			return
+		}
+		v.holds = append(v.holds, waitingHold{call: a, until: v.site.now() + a.Wait, answer: answer})
+		v.site.after(a.Wait, answer)
+	})
+	v.site.after(run.HoldTimeout(a.Wait), func() {
+		v.deliver(life, func() {
+			v.step(run.HoldFailed{Call: a.Call}) // ignored if the call was answered
+			v.flush()
+		})
+	})
+}
+
+// pump lets the server go on, and answers the calls that wait for an end.
+func (v *vm) pump() {
+	if v.server == nil {
+		return
+	}
+	now := v.site.now()
+	v.server.Advance(now)
+	left := v.holds[:0]
+	for _, h := range v.holds {
+		switch {
+		case now >= h.until:
+		case v.server.HasEnds(h.call.LastSeen):
+			h.answer()
+		default:
+			left = append(left, h)
+		}
+	}
+	v.holds = left
+	if at, any := v.server.Next(); any {
+		server := v.server
+		v.site.at(at, func() {
+			if v.server == server {
+				v.pump()
+			}
+		})
+	}
+}
+
+// crash ends the server; another incarnation starts after a while.
+func (v *vm) crash(after time.Duration) {
+	if v.server == nil {
+		return
+	}
+	v.server.Crash(v.site.now())
+	v.server = nil
+	v.holds = nil
+	v.site.after(after, v.startServer)
+}
+
+// kill ends the agent; another one starts after a while.
+func (v *vm) kill(after time.Duration) {
+	v.alive = false
+	v.site.breakSessions(v.sessions)
+	v.site.after(after, func() {
+		if !v.alive {
+			v.startAgent()
+		}
+	})
+}
