A session with a silent agent ends by its own time-out

Cause: after a failure domain lost power, entries took 1.75 s, not 0.44 s, to end the sessions with its agents (log: 'no word from the agent', age 1754 ms): the end of a stream waits for the transport's own checks (750 ms + 1 s). Change: a session closes its connection itself, and the transport's checks are off. Test: link, hangs without the closing.

--- a/link/session.go
+++ b/link/session.go
@@ -56,12 +56,15 @@
 
 // Run opens a session with the agent at the address and returns once it has
 // ended, with the cause. Each session has a connection of its own, so that a
-// silent one is never used again.
+// silent one is never used again. It is closed below HTTP, since the end of a
+// stream alone waits for a peer that may be gone.
 func Run(ctx context.Context, address string, hello *linkpb.Hello, times Times, h Handlers) error {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	client := rpc.NewClient()
-	defer client.CloseIdleConnections()
+	client, conns := rpc.NewSessionClient()
+	stop := context.AfterFunc(ctx, conns.Close)
+	defer stop()
+	defer conns.Close()
 	watch := time.AfterFunc(times.Silence, func() { end(errSilent) })
 	defer watch.Stop()
 	stream := linkpbconnect.NewAgentLinkClient(client, "http://"+address, rpc.ClientOptions()).Attach(ctx)
--- /dev/null
+++ b/link/session_test.go
@@ -0,0 +1,111 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/linkpb"
+	"foxtaildock.example/dock/rpc/linkpb/linkpbconnect"
+)
+
+// echoAgent welcomes an entry and answers nothing else.
+type echoAgent struct{}
+
+func (echoAgent) Attach(ctx context.Context, s *connect.BidiStream[linkpb.ToAgent, linkpb.FromAgent]) error {
+	if _, err := s.Receive(); err != nil {
+		return err
+	}
+	if err := s.Send(&linkpb.FromAgent{Welcome: &linkpb.Welcome{Agent: "a"}}); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// silentProxy forwards to an agent until it is told to fall silent. It then keeps
+// its connections open, and neither reads nor writes.
+type silentProxy struct {
+	listener net.Listener
+	silent   chan struct{}
+}
+
+func (p *silentProxy) run(target string) {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", target)
+		if err != nil {
+			_ = in.Close()
+			return
+		}
+		go p.copy(out, in)
+		go p.copy(in, out)
+	}
+}
+
+func (p *silentProxy) copy(to io.Writer, from io.Reader) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-p.silent:
+			return
+		default:
+		}
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// A session whose connection falls silent ends by its own time-out: not later, by
+// that of the transport, since tasks of a lost agent wait for it.
+func TestSilentSessionEndsByItsOwnTimeout(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(linkpbconnect.NewAgentLinkHandler(echoAgent{}, rpc.HandlerOptions()))
+	agent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer(mux)
+	go func() { _ = server.Serve(agent) }()
+	defer func() { _ = server.Close() }()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	proxy := &silentProxy{listener: listener, silent: make(chan struct{})}
+	go proxy.run(agent.Addr().String())
+
+	ended := make(chan error, 1)
+	welcomed := make(chan struct{}, 1)
+	go func() {
+		ended <- Run(context.Background(), listener.Addr().String(), &linkpb.Hello{Entry: "e"},
+			Times{Beat: 20 * time.Millisecond, Silence: 200 * time.Millisecond},
+			Handlers{
+				Received: func(*Session, *linkpb.FromAgent) { welcomed <- struct{}{}; close(proxy.silent) },
+				Beat:     func() *linkpb.Heartbeat { return &linkpb.Heartbeat{} },
+			})
+	}()
+	<-welcomed
+	// Without the session's own end, nothing ends the call: the transport of a
+	// session checks nothing.
+	err = <-ended
+	if !errors.Is(err, errSilent) {
+		t.Fatalf("the session ended with %v, want %v", err, errSilent)
+	}
+}
--- a/rpc/transport.go
+++ b/rpc/transport.go
@@ -4,10 +4,12 @@
 package rpc
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -43,6 +45,54 @@
 	}}
 }
 
+// Conns are the connections that one client has opened.
+type Conns struct {
+	mu     sync.Mutex
+	open   []net.Conn
+	closed bool
+}
+
+// Close closes the connections, and those that are still being opened.
+func (c *Conns) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, conn := range c.open {
+		_ = conn.Close() // whatever it says, the connection is no longer used
+	}
+	c.open = nil
+}
+
+func (c *Conns) add(conn net.Conn) (net.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
+	c.open = append(c.open, conn)
+	return conn, nil
+}
+
+// NewSessionClient returns a client for one long call, and its connections, so
+// that the caller can close them whatever state HTTP is in.
+func NewSessionClient() (*http.Client, *Conns) {
+	client := NewClient()
+	transport := client.Transport.(*http.Transport)
+	dial := transport.DialContext
+	// The session has heartbeats of its own.
+	transport.HTTP2 = nil
+	conns := &Conns{}
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return conns.add(conn)
+	}
+	return client, conns
+}
+
 // NewServer returns an HTTP server for calls between processes.
 func NewServer(h http.Handler) *http.Server {
 	p := new(http.Protocols)
