Shorter leases, and two lost renewals in a row don't end one

Cause: tasks on a VM that is lost were free to run again only after 1.11 s, beyond three times the objective of a short job.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -23,8 +23,8 @@
 // Shares of the delay after which a job may come again. Their sum, with the
 // drift and the time of a stop, stays below 1.
 const (
-	entryShare  = 0.45
-	serverShare = 0.36
+	entryShare  = 0.32
+	serverShare = 0.24
 )
 
 // Beats of an entry lease: this many heartbeats are sent within it, so that two
--- a/run/server.go
+++ b/run/server.go
@@ -141,7 +141,7 @@
 
 // silentRenewals is after how many renewal intervals without an answer the lease
 // is no longer extended, so that the runs of a server that may be gone lapse.
-const silentRenewals = 1.5
+const silentRenewals = 2.2
 
 // renewable reports whether the server has answered its last call, or has done so
 // lately.
