Admission by the rate at which work is placed; urgent tasks pass others that wait at agents

Change: agents tell what waits by priority; the expected wait of a job is the work of its own priority that goes first, at the rate at which the entry has lately placed such work; 0.45 of the spare time may be waited; a job that is late already goes behind the others of its priority.

--- /dev/null
+++ b/bench/cmd/foxbench/site.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+
+	"foxtaildock.example/bench/sitesim"
+)
+
+// siteCommand plays the scenarios of the site model.
+type siteCommand struct {
+	Scenario string `arg:"--scenario" help:"only this scenario"`
+	Seeds    int    `arg:"--seeds" default:"6" help:"how many seeds each"`
+	Kinds    bool   `arg:"--kinds" help:"a line for each kind of job"`
+}
+
+// run plays the scenarios.
+func (c *siteCommand) run(context.Context) error {
+	fmt.Printf("%-10s %-15s %7s %7s %7s %7s\n", "scenario", "benefit", "held", "net", "wasted", "broken")
+	failed := false
+	for _, sc := range sitesim.Scenarios() {
+		if c.Scenario != "" && c.Scenario != sc.Name {
+			continue
+		}
+		failed = c.play(sc) || failed
+	}
+	if failed {
+		return errFellShort
+	}
+	return nil
+}
+
+// play plays one scenario with every seed, and prints the means.
+func (c *siteCommand) play(sc sitesim.Scenario) (failed bool) {
+	results := make([]*sitesim.Result, c.Seeds)
+	broken := make([][]string, c.Seeds)
+	var wait sync.WaitGroup
+	for i := range c.Seeds {
+		wait.Go(func() {
+			r, b, err := sc.Play(uint64(i) + 1)
+			if err != nil {
+				b = append(b, err.Error())
+			}
+			results[i], broken[i] = r, b
+		})
+	}
+	wait.Wait()
+	var benefit, square, held, wasted float64
+	count := 0
+	for i, r := range results {
+		count += len(broken[i])
+		if r == nil {
+			continue
+		}
+		benefit += r.Benefit
+		square += r.Benefit * r.Benefit
+		held += r.HeldInVain
+		wasted += r.Wasted
+	}
+	n := float64(c.Seeds)
+	spread := math.Sqrt(max(0, square/n-benefit/n*benefit/n))
+	fmt.Printf("%-10s %.3f +- %.3f  %7.4f %7.4f %7.4f %7d\n", sc.Name, benefit/n, spread, held/n, (benefit-held/2)/n, wasted/n, count)
+	if c.Kinds && results[0] != nil {
+		for _, k := range results[0].Kinds {
+			fmt.Printf("    %-6s jobs %5d in aim %5d late %4d rejected %4d (mean after %4.0f ms) failed %d timed out %d p50 %v p99 %v worth %.3f\n",
+				k.Name, k.Jobs, k.InAim, k.Late, k.Rejected, k.RejectedAfter, k.Failed, k.TimedOut, k.P50.Round(1e6), k.P99.Round(1e6), k.Worth)
+		}
+	}
+	for _, b := range broken {
+		for _, line := range b {
+			fmt.Println("    broken:", line)
+		}
+	}
+	return count > 0
+}
--- a/bench/sitesim/callers.go
+++ b/bench/sitesim/callers.go
@@ -181,6 +181,9 @@
 	// Wasted is the share of core-seconds that came to nothing.
 	Wasted float64
 	Jobs   int
+	// HeldInVain is the worth of jobs that were rejected later than a quarter of
+	// their objective, over that which was owed.
+	HeldInVain float64
 	// Unanswered jobs have no final answer though their callers waited.
 	Unanswered int
 }
@@ -205,6 +208,7 @@
 	}
 	if owed > 0 {
 		r.Benefit = earned / owed
+		r.HeldInVain /= owed
 	}
 	return r
 }
@@ -240,6 +244,9 @@
 			ms := float64(took) / float64(time.Millisecond)
 			rejectedFor += ms
 			kr.MaxRejectedAfter = max(kr.MaxRejectedAfter, ms)
+			if took > j.aim()/4 {
+				r.HeldInVain += worth
+			}
 		case j.verdict == schedule.TimedOut:
 			kr.TimedOut++
 		case j.verdict == schedule.FailedJob:
--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -112,9 +112,7 @@
 	room := v.core.Room()
 	for _, name := range sortedKeys(v.sessions) {
 		s := v.sessions[name]
-		same := s.room.Used == room.Used && s.room.Queued == room.Queued && s.room.Closed == room.Closed &&
-			s.room.Server.Incarnation == room.Server.Incarnation && s.room.Server.Draining == room.Server.Draining
-		if s.ended || same && !s.dirty && len(s.news) == 0 && len(s.stalls) == 0 {
+		if s.ended || s.room.Equal(&room) && !s.dirty && len(s.news) == 0 && len(s.stalls) == 0 {
 			continue
 		}
 		m := toEntry{agent: v.self, results: s.news, taken: s.taken, beat: s.beat, room: room, stalls: s.stalls}
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -244,7 +244,7 @@
 	if r := m.GetRoom(); r != nil {
 		d.step(schedule.AgentRoom{
 			Agent: agent, Server: link.ServerOf(r), Used: link.DemandOf(r.GetUsed()),
-			Queued: link.DemandOf(r.GetQueued()), Taken: m.GetTaken(),
+			Queued: link.QueuedOf(r), Taken: m.GetTaken(),
 		})
 	}
 	for _, k := range m.GetStalled() {
--- a/link/convert.go
+++ b/link/convert.go
@@ -64,10 +64,27 @@
 		Incarnation: r.Server.Incarnation, Service: string(r.Server.Service),
 		Domain: string(r.Server.Domain), Labels: r.Server.Labels,
 		Capacity: DemandMessage(r.Server.Capacity), Used: DemandMessage(r.Used),
-		Queued: DemandMessage(r.Queued), Draining: r.Server.Draining || r.Closed,
+		Queued: queuedMessages(r.Queued), Draining: r.Server.Draining || r.Closed,
 	}
 }
 
+func queuedMessages(queued []run.QueuedDemand) []*linkpb.Queued {
+	var list []*linkpb.Queued
+	for _, q := range queued {
+		list = append(list, &linkpb.Queued{Priority: int32(q.Priority), Demand: DemandMessage(q.Demand)})
+	}
+	return list
+}
+
+// QueuedOf reads what waits at an agent.
+func QueuedOf(r *linkpb.Room) []run.QueuedDemand {
+	var list []run.QueuedDemand
+	for _, q := range r.GetQueued() {
+		list = append(list, run.QueuedDemand{Priority: work.Priority(q.GetPriority()), Demand: DemandOf(q.GetDemand())})
+	}
+	return list
+}
+
 // ServerOf reads the backend server out of an agent's room.
 func ServerOf(r *linkpb.Room) work.Server {
 	return work.Server{
--- a/run/run.go
+++ b/run/run.go
@@ -145,11 +145,24 @@
 	// Server is the zero value while no backend server is in use.
 	Server work.Server
 	Used   work.Demand
-	Queued work.Demand
+	// Queued is what waits, by priority in rising order.
+	Queued []QueuedDemand
 	// Closed is true if no new work is taken.
 	Closed bool
 }
 
+// QueuedDemand is what the waiting tasks of one priority demand.
+type QueuedDemand struct {
+	Priority work.Priority
+	Demand   work.Demand
+}
+
+// Equal reports whether two rooms are the same to an entry.
+func (r *Room) Equal(o *Room) bool {
+	return r.Server.Incarnation == o.Server.Incarnation && r.Server.Draining == o.Server.Draining &&
+		r.Used == o.Used && r.Closed == o.Closed && slices.Equal(r.Queued, o.Queued)
+}
+
 // Room returns the room as of the last step.
 func (c *Core) Room() Room {
 	r := Room{Used: c.used(), Closed: c.refusal() != ""}
@@ -157,7 +170,11 @@
 		r.Server = c.server.report.Server
 	}
 	for _, t := range c.queue {
-		r.Queued = r.Queued.Plus(t.demand)
+		if n := len(r.Queued); n == 0 || r.Queued[n-1].Priority != t.priority {
+			r.Queued = append(r.Queued, QueuedDemand{Priority: t.priority})
+		}
+		last := &r.Queued[len(r.Queued)-1]
+		last.Demand = last.Demand.Plus(t.demand)
 	}
 	return r
 }
--- a/runner/session.go
+++ b/runner/session.go
@@ -239,7 +239,7 @@
 		if s.ended {
 			continue
 		}
-		if s.pending == nil && sameRoom(&s.room, &room) {
+		if s.pending == nil && s.room.Equal(&room) {
 			continue
 		}
 		if s.pending == nil && now-s.sentAt < roomPause {
@@ -251,18 +251,13 @@
 	return behind
 }
 
-func sameRoom(a, b *run.Room) bool {
-	return a.Server.Incarnation == b.Server.Incarnation && a.Server.Draining == b.Server.Draining &&
-		a.Used == b.Used && a.Queued == b.Queued && a.Closed == b.Closed
-}
-
 func (r *Runner) send(s *session, room run.Room, now time.Duration) {
 	m := s.message()
 	s.pending = nil
 	m.Taken = s.taken
 	m.Heartbeat = s.beat
 	m.OperatorVersion = r.view.Rows().Version
-	if !s.roomed || !sameRoom(&s.room, &room) {
+	if !s.roomed || !s.room.Equal(&room) {
 		m.Room = link.RoomMessage(room)
 	}
 	if v := r.view.Rows().Version; r.own == v && v != 0 && s.version != v {
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"foxtaildock.example/dock/work"
@@ -27,12 +28,16 @@
 			return "larger than every backend server"
 		}
 	}
-	if wait := c.expectedWait(j, capacity); wait > c.allowedWait(j) {
+	if wait := c.expectedWait(j, capacity); float64(wait) > waitShare*float64(c.allowedWait(j)) {
 		return "too much work waits"
 	}
 	return ""
 }
 
+// waitShare is the part of its spare time that a job may be expected to wait. The
+// rest is for what the estimate can't know.
+const waitShare = 0.45
+
 // capacity is the room of all backend servers of the job's service, and the
 // largest of each kind of room that one of them has.
 func (c *Core) capacity(j *jobState) (sum, largest work.Demand) {
@@ -55,23 +60,31 @@
 	return j.aim - j.arrived - j.expected
 }
 
-// expectedWait is how long the work that goes before the job takes the entry's
-// share of the backend servers.
+// expectedWait is how long the jobs of the same priority that go first take, at
+// the rate at which the entry has lately placed work of that priority. Work that is
+// more urgent is in that rate: it leaves less of it.
 func (c *Core) expectedWait(j *jobState, capacity work.Demand) time.Duration {
 	ahead := 0.0 // in thousandths of a core, times nanoseconds
 	for _, w := range c.waiting {
-		if w.Route.Service != j.Route.Service || compareJobs(w, j) > 0 {
+		if w.Route.Service != j.Route.Service || w.Route.Priority != j.Route.Priority || compareJobs(w, j) > 0 {
 			continue
 		}
 		for s := range w.steps {
 			left := w.Steps[s].Count - w.steps[s].next
-			ahead += float64(left) * float64(w.Steps[s].Demand.CPUMilli) * float64(c.expectedTask(w.Route.Name, &w.Steps[s]))
+			ahead += float64(left) * c.effort(w, s)
 		}
 	}
 	if ahead == 0 {
 		return 0
 	}
-	return time.Duration(ahead / (float64(capacity.CPUMilli) * c.share(j)))
+	rate := c.placed.rate(j.Route.Priority, c.now)
+	fair := float64(capacity.CPUMilli)*c.share(j) - c.placed.moreUrgent(j.Route.Priority, c.now)
+	return time.Duration(ahead / max(rate, fair, 1))
+}
+
+// effort is the work of one task, in thousandths of a core, times nanoseconds.
+func (c *Core) effort(j *jobState, step int) float64 {
+	return float64(j.Steps[step].Demand.CPUMilli) * float64(c.expectedTask(j.Route.Name, &j.Steps[step]))
 }
 
 // minShare bounds the share of an entry from below, since one without any work
@@ -85,7 +98,10 @@
 		if !a.attached || a.server.Service != j.Route.Service {
 			continue
 		}
-		all += a.used.CPUMilli + a.queued.CPUMilli
+		all += a.used.CPUMilli
+		for _, q := range a.queued {
+			all += q.Demand.CPUMilli
+		}
 		for task := range a.runs {
 			if job := c.jobs[task.Job]; job != nil {
 				mine += job.Steps[task.Step].Demand.CPUMilli
@@ -98,14 +114,26 @@
 	return min(max(float64(mine)/float64(all), minShare), 1)
 }
 
-// shed turns away jobs that haven't begun and can no longer end in time.
+// lateFactor is how many objectives a job may take and still be of some use to its
+// caller.
+const lateFactor = 3
+
+// shed puts jobs that haven't begun and can no longer end in time behind the others
+// of their priority, and turns away those that can no longer be of use.
 func (c *Core) shed() {
-	for _, j := range c.sortedJobs() {
-		if j.offered || !j.queued {
+	for _, j := range slices.Clone(c.waiting) {
+		if j.offered {
 			continue
 		}
-		if c.now-j.arrived > c.allowedWait(j) {
+		waited := c.now - j.arrived
+		if waited > lateFactor*(j.aim-j.arrived)-j.expected {
 			c.finish(j, Rejected, "waited in vain")
+			continue
+		}
+		if !j.late && waited > c.allowedWait(j) {
+			c.dequeue(j)
+			j.late = true
+			c.enqueue(j)
 		}
 	}
 }
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/run"
 	"foxtaildock.example/dock/work"
 )
 
@@ -17,7 +18,7 @@
 	attached bool
 	server   work.Server
 	used     work.Demand
-	queued   work.Demand
+	queued   []run.QueuedDemand
 	// inFlight are offers that the agent's last room didn't count yet.
 	inFlight []sentOffer
 	sequence uint64
@@ -33,14 +34,24 @@
 
 type sentOffer struct {
 	sequence uint64
+	priority work.Priority
 	demand   work.Demand
 }
 
-// free is the room that is left, as far as the entry knows.
-func (a *agentState) free() work.Demand {
-	room := a.server.Capacity.Minus(a.used).Minus(a.queued)
+// free is the room that is left for tasks of the priority, as far as the entry
+// knows. What waits at the agent and is less urgent doesn't count, since the agent
+// starts the more urgent first.
+func (a *agentState) free(p work.Priority) work.Demand {
+	room := a.server.Capacity.Minus(a.used)
+	for _, q := range a.queued {
+		if q.Priority <= p {
+			room = room.Minus(q.Demand)
+		}
+	}
 	for _, o := range a.inFlight {
-		room = room.Minus(o.demand)
+		if o.priority <= p {
+			room = room.Minus(o.demand)
+		}
 	}
 	return room
 }
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -5,6 +5,7 @@
 
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/operator"
+	"foxtaildock.example/dock/run"
 	"foxtaildock.example/dock/work"
 )
 
@@ -69,7 +70,8 @@
 	// Server is the zero value while no backend server is in use.
 	Server work.Server
 	Used   work.Demand
-	Queued work.Demand
+	// Queued is what waits at the agent, by priority in rising order.
+	Queued []run.QueuedDemand
 	// Taken is the sequence of the last offer that Used and Queued count.
 	Taken uint64
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -78,13 +78,14 @@
 	task := work.Task{Job: j.ID, Step: step, Index: index}
 	demand := j.Steps[step].Demand
 	a.runs[task] = t.run
-	a.inFlight = append(a.inFlight, sentOffer{sequence: a.sequence + 1, demand: demand})
+	a.inFlight = append(a.inFlight, sentOffer{sequence: a.sequence + 1, priority: j.Route.Priority, demand: demand})
 	offers[a] = append(offers[a], OfferedTask{Run: work.Run{Task: task, ID: t.run}, Demand: demand})
 	if !j.offered {
 		j.offered = true
 		j.first = c.now
 	}
 	j.runs++
+	c.placed.add(j.Route.Priority, c.now, c.effort(j, step))
 }
 
 func (c *Core) send(j *jobState, offers map[*agentState][]OfferedTask) {
@@ -114,7 +115,7 @@
 		if !c.usable(a, j, s) {
 			continue
 		}
-		cost, ok := c.cost(a, s, expected)
+		cost, ok := c.cost(a, j.Route.Priority, s, expected)
 		if !ok {
 			continue
 		}
@@ -152,8 +153,8 @@
 
 // cost is when the task is expected to end at the agent, from now. ok is false if
 // the agent has no room for it.
-func (c *Core) cost(a *agentState, s *Step, expected time.Duration) (cost time.Duration, ok bool) {
-	free := a.free()
+func (c *Core) cost(a *agentState, p work.Priority, s *Step, expected time.Duration) (cost time.Duration, ok bool) {
+	free := a.free(p)
 	if !s.Demand.Fits(free.Plus(s.Demand)) || !s.Demand.Fits(a.server.Capacity) {
 		return 0, false
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -38,6 +38,7 @@
 	order    []*agentState // agents by incarnation
 	operator operator.Rows
 	times    map[string]*routeTimes // by route name
+	placed   placedRates
 	arrivals uint64
 	out      []Action
 }
@@ -65,6 +66,8 @@
 	expected time.Duration // of the longest chain of tasks
 	aim      time.Duration // when the job should have ended
 	queued   bool
+	// late is true once a job that hasn't begun can no longer end in time.
+	late bool
 }
 
 type stepState struct {
@@ -185,10 +188,26 @@
 	c.waiting = slices.Insert(c.waiting, at, j)
 }
 
-// compareJobs orders by priority. Within one priority, a job that has begun goes
-// first, so that whole jobs end rather than many halves.
+// compareJobs orders by priority. Within one priority, jobs that can still end in
+// time go first, in the order of their arrival, so that one that is late already
+// makes no other late. A job that has begun keeps its place, so that whole jobs
+// end rather than many halves.
 func compareJobs(a, b *jobState) int {
-	return cmp.Or(cmp.Compare(a.Route.Priority, b.Route.Priority), cmp.Compare(a.arrival, b.arrival))
+	return cmp.Or(
+		cmp.Compare(a.Route.Priority, b.Route.Priority),
+		compareLate(a.late, b.late),
+		cmp.Compare(a.arrival, b.arrival),
+	)
+}
+
+func compareLate(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 func (c *Core) dequeue(j *jobState) {
