Only the most urgent tasks wait at agents

Cause: tasks that waited at an agent (one more than its room, from each entry) could not go where room came first: in the model, jobs of the less urgent kinds were late in overload. Without any waiting at agents the wide jobs of priority 0 lost the next room to other entries. Change: only the most urgent priority waits at agents.

--- a/bench/sitesim/site.go
+++ b/bench/sitesim/site.go
@@ -39,7 +39,7 @@
 	}
 	s := &Site{
 		cfg: cfg, terms: terms, random: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		cuts: map[[2]int]bool{}, operator: operator.Rows{Version: 1},
+		cuts: map[[2]int]bool{}, operator: operator.Rows{Version: 1, Manifest: manifestOf(cfg.Kinds)},
 	}
 	s.checks = newChecks(s)
 	s.callers = callers{site: s, jobs: map[string]*callerJob{}}
@@ -52,6 +52,14 @@
 	return s, nil
 }
 
+func manifestOf(kinds []Kind) *operator.Manifest {
+	m := &operator.Manifest{Version: 1}
+	for i := range kinds {
+		m.Routes = append(m.Routes, kinds[i].Route)
+	}
+	return m
+}
+
 // drainTime is how long a run goes on after the last arrival, so that every job
 // gets its answer.
 const drainTime = 25 * time.Second
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -103,9 +103,7 @@
 }
 
 // choose returns the agent at which the task is expected to end first, or nil if
-// there is no room. An agent may get one task more than it has room for, so that
-// no core waits for the round trip between the end of one task and the offer of
-// the next.
+// there is no room.
 func (c *Core) choose(j *jobState, step int, t *taskState) *agentState {
 	s := &j.Steps[step]
 	expected := c.expectedTask(j.Route.Name, s)
@@ -155,7 +153,11 @@
 // the agent has no room for it.
 func (c *Core) cost(a *agentState, p work.Priority, s *Step, expected time.Duration) (cost time.Duration, ok bool) {
 	free := a.free(p)
-	if !s.Demand.Fits(free.Plus(s.Demand)) || !s.Demand.Fits(a.server.Capacity) {
+	room := free
+	if c.overtakes(p) {
+		room = free.Plus(s.Demand)
+	}
+	if !s.Demand.Fits(room) || !s.Demand.Fits(a.server.Capacity) {
 		return 0, false
 	}
 	d := float64(expected) * a.speed.factor()
@@ -172,6 +174,29 @@
 	return time.Duration(d), true
 }
 
+// overtakes reports whether a task of the priority may wait at an agent: only the
+// most urgent do, and only where others are less urgent. There they get the next
+// room before whatever other entries hold back. All other tasks wait at their
+// entry, which can still place them wherever room comes first.
+func (c *Core) overtakes(p work.Priority) bool {
+	first, last := c.priorities()
+	return p == first && first < last
+}
+
+// priorities returns the most and the least urgent priority of all routes.
+func (c *Core) priorities() (first, last work.Priority) {
+	m := c.operator.Manifest
+	if m == nil || len(m.Routes) == 0 {
+		return 0, 0
+	}
+	first, last = m.Routes[0].Priority, m.Routes[0].Priority
+	for i := range m.Routes {
+		first = min(first, m.Routes[i].Priority)
+		last = max(last, m.Routes[i].Priority)
+	}
+	return first, last
+}
+
 // queueShare is the part of a task's time that the one task which waits at a full
 // agent is expected to wait: of many tasks that run there, the first ends soon.
 const queueShare = 0.25
