Slow backend servers are seen by the progress of their tasks, and left alone while others can end in time

Change: agents tell by how much running tasks take longer than expected; a server above 1.8 counts as slow at once; a task waits rather than start there as long as another server could still end it in time.

--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -285,7 +285,7 @@
 	}
 	room := m.room
 	room.Server.Draining = room.Server.Draining || room.Closed
-	e.step(schedule.AgentRoom{Agent: m.agent, Server: room.Server, Used: room.Used, Queued: room.Queued, Taken: m.taken})
+	e.step(schedule.AgentRoom{Agent: m.agent, Server: room.Server, Used: room.Used, Queued: room.Queued, Taken: m.taken, Pace: room.Pace})
 	for _, r := range m.stalls {
 		e.step(schedule.RunStalled{Agent: m.agent, Run: r})
 	}
@@ -326,7 +326,7 @@
 	}
 	e.toAgent(i, func(v *vm, s *agentSession) {
 		for _, t := range a.Tasks {
-			v.step(run.Offered{Entry: s.name, Run: t.Run, Spec: a.Spec, Service: a.Service, Priority: a.Priority, Demand: t.Demand})
+			v.step(run.Offered{Entry: s.name, Run: t.Run, Spec: a.Spec, Service: a.Service, Priority: a.Priority, Demand: t.Demand, Expected: t.Expected})
 		}
 		s.taken = max(s.taken, a.Sequence)
 	})
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -244,7 +244,7 @@
 	if r := m.GetRoom(); r != nil {
 		d.step(schedule.AgentRoom{
 			Agent: agent, Server: link.ServerOf(r), Used: link.DemandOf(r.GetUsed()),
-			Queued: link.QueuedOf(r), Taken: m.GetTaken(),
+			Queued: link.QueuedOf(r), Taken: m.GetTaken(), Pace: r.GetPace(),
 		})
 	}
 	for _, k := range m.GetStalled() {
@@ -313,7 +313,7 @@
 	for _, t := range a.Tasks {
 		o.Tasks = append(o.Tasks, &linkpb.OfferedTask{
 			Step: uint32(t.Run.Task.Step), Index: uint32(t.Run.Task.Index),
-			Run: uint32(t.Run.ID), Demand: link.DemandMessage(t.Demand),
+			Run: uint32(t.Run.ID), Demand: link.DemandMessage(t.Demand), ExpectedMs: t.Expected.Milliseconds(),
 		})
 	}
 	l.dispatcher.cfg.Log.Info("tasks offered", telemetry.Request(string(a.Job)), telemetry.Peer(a.Agent), telemetry.Count(len(a.Tasks)))
--- a/link/convert.go
+++ b/link/convert.go
@@ -64,7 +64,7 @@
 		Incarnation: r.Server.Incarnation, Service: string(r.Server.Service),
 		Domain: string(r.Server.Domain), Labels: r.Server.Labels,
 		Capacity: DemandMessage(r.Server.Capacity), Used: DemandMessage(r.Used),
-		Queued: queuedMessages(r.Queued), Draining: r.Server.Draining || r.Closed,
+		Queued: queuedMessages(r.Queued), Draining: r.Server.Draining || r.Closed, Pace: r.Pace,
 	}
 }
 
--- a/run/events.go
+++ b/run/events.go
@@ -34,6 +34,9 @@
 	Service  ident.Service
 	Priority work.Priority
 	Demand   work.Demand
+	// Expected is how long the task takes on a usual backend server, as far as the
+	// entry knows; 0 if it doesn't.
+	Expected time.Duration
 }
 
 // StopAsked asks for the end of a run, whether it waits or runs.
--- a/run/hold.go
+++ b/run/hold.go
@@ -142,6 +142,7 @@
 	c.holds.listedAt = e.Stamp.Clock
 	listed := c.takeRunning(e.Running)
 	c.resolveUnlisted(e.Call, listed)
+	c.samplePace()
 	if c.server.state == serverClearing && len(e.Running) == 0 {
 		c.server.state = serverOpen
 		c.server.foreign = 0
--- a/run/run.go
+++ b/run/run.go
@@ -45,6 +45,7 @@
 	queue  []*task
 	// entries are the times when each entry was last heard.
 	entries   map[ident.Incarnation]time.Duration
+	pace      pace
 	withdrawn bool
 	closing   bool
 	arrivals  uint64
@@ -79,6 +80,7 @@
 	spec     string
 	priority work.Priority
 	demand   work.Demand
+	expected time.Duration
 	phase    phase
 	arrival  uint64
 	since    time.Duration // when it entered its phase
@@ -149,6 +151,8 @@
 	Queued []QueuedDemand
 	// Closed is true if no new work is taken.
 	Closed bool
+	// Pace is by how much tasks take longer than expected, 0 if that isn't known.
+	Pace float64
 }
 
 // QueuedDemand is what the waiting tasks of one priority demand.
@@ -160,12 +164,12 @@
 // Equal reports whether two rooms are the same to an entry.
 func (r *Room) Equal(o *Room) bool {
 	return r.Server.Incarnation == o.Server.Incarnation && r.Server.Draining == o.Server.Draining &&
-		r.Used == o.Used && r.Closed == o.Closed && slices.Equal(r.Queued, o.Queued)
+		r.Used == o.Used && r.Closed == o.Closed && r.Pace == o.Pace && slices.Equal(r.Queued, o.Queued)
 }
 
 // Room returns the room as of the last step.
 func (c *Core) Room() Room {
-	r := Room{Used: c.used(), Closed: c.refusal() != ""}
+	r := Room{Used: c.used(), Closed: c.refusal() != "", Pace: c.pace.told()}
 	if c.server.state == serverOpen {
 		r.Server = c.server.report.Server
 	}
@@ -249,7 +253,7 @@
 	c.arrivals++
 	t := &task{
 		run: e.Run, entry: e.Entry, spec: e.Spec, priority: e.Priority,
-		demand: e.Demand, arrival: c.arrivals, since: c.now,
+		demand: e.Demand, expected: e.Expected, arrival: c.arrivals, since: c.now,
 	}
 	c.tasks[e.Run.Task] = t
 	at, _ := slices.BinarySearchFunc(c.queue, t, compareTasks)
--- a/run/server.go
+++ b/run/server.go
@@ -63,6 +63,7 @@
 // earlier lives of the agent and of the server, without anything being stored.
 func (c *Core) adopt(e ServerReported) {
 	before := c.server.fence
+	c.pace = pace{}
 	c.dropRuns(reasonNewLife)
 	c.holds.failing = false
 	c.holds.listedAt = 0
--- a/runner/session.go
+++ b/runner/session.go
@@ -190,6 +190,7 @@
 			},
 			Spec: o.GetSpec(), Service: ident.Service(o.GetService()),
 			Priority: work.Priority(o.GetPriority()), Demand: link.DemandOf(t.GetDemand()),
+			Expected: link.Millis(t.GetExpectedMs()),
 		})
 	}
 }
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -42,7 +42,7 @@
 // largest of each kind of room that one of them has.
 func (c *Core) capacity(j *jobState) (sum, largest work.Demand) {
 	for _, a := range c.order {
-		if !c.usable(a, j, &Step{}) {
+		if !c.mayStart(a) || !c.usable(a, j, &Step{}) {
 			continue
 		}
 		room := a.server.Capacity
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -154,6 +154,7 @@
 	a.server = e.Server
 	a.used = e.Used
 	a.queued = e.Queued
+	a.speed.tell(e.Pace)
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(o sentOffer) bool { return o.sequence <= e.Taken })
 }
 
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -72,6 +72,8 @@
 	Used   work.Demand
 	// Queued is what waits at the agent, by priority in rising order.
 	Queued []run.QueuedDemand
+	// Pace is by how much running tasks take longer than expected, 0 if unknown.
+	Pace float64
 	// Taken is the sequence of the last offer that Used and Queued count.
 	Taken uint64
 }
@@ -130,8 +132,9 @@
 
 // OfferedTask is one task of an offer.
 type OfferedTask struct {
-	Run    work.Run
-	Demand work.Demand
+	Run      work.Run
+	Demand   work.Demand
+	Expected time.Duration
 }
 
 // SendStops asks an agent to end runs.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -15,22 +15,53 @@
 	if len(c.waiting) == 0 {
 		return
 	}
+	c.findCandidates()
 	full := map[ident.Service]bool{}
 	for _, j := range slices.Clone(c.waiting) {
+		if len(c.candidates) == 0 {
+			return
+		}
 		if full[j.Route.Service] {
 			continue
 		}
-		if !c.dispatchJob(j) {
+		if c.dispatchJob(j) == noRoom {
 			full[j.Route.Service] = true
 		}
 	}
 }
 
-// dispatchJob offers the waiting tasks of a job. It returns false if one found
-// no room.
-func (c *Core) dispatchJob(j *jobState) bool {
+// findCandidates notes the agents that have room for anything at all.
+func (c *Core) findCandidates() {
+	c.candidates = c.candidates[:0]
+	first, last := c.priorities()
+	for _, a := range c.order {
+		if !c.mayStart(a) {
+			continue
+		}
+		free := a.free(first)
+		if free.CPUMilli > 0 || first < last && free.CPUMilli == 0 {
+			c.candidates = append(c.candidates, a)
+		}
+	}
+}
+
+// found is what the search for an agent came to.
+type found int
+
+const (
+	// placed: there is an agent.
+	placed found = iota
+	// noRoom: no agent has room.
+	noRoom
+	// tooSlow: there is room only where the task would be late, while elsewhere it
+	// could still end in time.
+	tooSlow
+)
+
+// dispatchJob offers the waiting tasks of a job until one finds no agent.
+func (c *Core) dispatchJob(j *jobState) found {
 	offers := map[*agentState][]OfferedTask{}
-	roomy := true
+	result := placed
 	left := false
 	for s := range j.steps {
 		if !j.ready(s) {
@@ -38,12 +69,11 @@
 			continue
 		}
 		st := &j.steps[s]
-		for st.next < len(st.tasks) && roomy {
+		for st.next < len(st.tasks) && result == placed {
 			t := &st.tasks[st.next]
 			if t.phase == taskWaiting {
-				a := c.choose(j, s, t)
-				if a == nil {
-					roomy = false
+				var a *agentState
+				if a, result = c.choose(j, s, t); result != placed {
 					break
 				}
 				c.place(j, s, st.next, a, offers)
@@ -56,7 +86,7 @@
 	if !left || !c.anyReady(j) {
 		c.dequeue(j)
 	}
-	return roomy
+	return result
 }
 
 // anyReady reports whether a task waits that could be offered now.
@@ -79,7 +109,10 @@
 	demand := j.Steps[step].Demand
 	a.runs[task] = t.run
 	a.inFlight = append(a.inFlight, sentOffer{sequence: a.sequence + 1, priority: j.Route.Priority, demand: demand})
-	offers[a] = append(offers[a], OfferedTask{Run: work.Run{Task: task, ID: t.run}, Demand: demand})
+	offers[a] = append(offers[a], OfferedTask{
+		Run: work.Run{Task: task, ID: t.run}, Demand: demand,
+		Expected: c.expectedTask(j.Route.Name, &j.Steps[step]),
+	})
 	if !j.offered {
 		j.offered = true
 		j.first = c.now
@@ -102,14 +135,16 @@
 	}
 }
 
-// choose returns the agent at which the task is expected to end first, or nil if
-// there is no room.
-func (c *Core) choose(j *jobState, step int, t *taskState) *agentState {
+// choose returns the agent at which the task is expected to end first.
+//
+// A slow backend server is left alone while the task can still end in time on
+// another one that has no room yet: on the slow one it would surely be late.
+func (c *Core) choose(j *jobState, step int, t *taskState) (*agentState, found) {
 	s := &j.Steps[step]
 	expected := c.expectedTask(j.Route.Name, s)
 	var best *agentState
 	var bestCost time.Duration
-	for _, a := range c.order {
+	for _, a := range c.candidates {
 		if !c.usable(a, j, s) {
 			continue
 		}
@@ -124,24 +159,46 @@
 			best, bestCost = a, cost
 		}
 	}
-	return best
+	if best == nil {
+		return nil, noRoom
+	}
+	left := j.aim - c.now
+	if bestCost > left && !j.late && best.speed.factor() >= slowPace && c.inTimeElsewhere(j, s, expected, left) {
+		return nil, tooSlow
+	}
+	return best, placed
+}
+
+// inTimeElsewhere reports whether some agent, with room or without, would end the
+// task in time if it started it now.
+func (c *Core) inTimeElsewhere(j *jobState, s *Step, expected, left time.Duration) bool {
+	for _, a := range c.order {
+		if c.mayStart(a) && c.usable(a, j, s) && time.Duration(float64(expected)*a.speed.factor()) <= left {
+			return true
+		}
+	}
+	return false
 }
 
 // avoidPenalty sends a task that failed at an agent elsewhere if anything else
 // has room.
 const avoidPenalty = time.Minute
 
-// usable reports whether the agent may get the task at all.
-func (c *Core) usable(a *agentState, j *jobState, s *Step) bool {
-	switch {
-	case !c.fresh(a), a.server.Incarnation == "", a.server.Draining, c.now < a.cooling:
+// mayStart reports whether the agent may get any task now.
+func (c *Core) mayStart(a *agentState) bool {
+	if !c.fresh(a) || a.server.Incarnation == "" || a.server.Draining || c.now < a.cooling {
 		return false
-	case a.server.Service != j.Route.Service, c.operator.IsWithdrawn(a.server.Domain):
-		return false
-	case s.Requires != "" && !slices.Contains(a.server.Labels, s.Requires):
+	}
+	return !c.operator.IsWithdrawn(a.server.Domain)
+}
+
+// usable reports whether the agent's backend server can run the task, and may be
+// trusted with it.
+func (c *Core) usable(a *agentState, j *jobState, s *Step) bool {
+	if a.server.Service != j.Route.Service || !a.health.mayTake(c.now, len(a.runs)) {
 		return false
 	}
-	return a.health.mayTake(c.now, len(a.runs))
+	return s.Requires == "" || slices.Contains(a.server.Labels, s.Requires)
 }
 
 // loadWeight is the share of a task's time by which a full backend server is
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -39,8 +39,10 @@
 	operator operator.Rows
 	times    map[string]*routeTimes // by route name
 	placed   placedRates
-	arrivals uint64
-	out      []Action
+	// candidates are the agents with room, while tasks are offered.
+	candidates []*agentState
+	arrivals   uint64
+	out        []Action
 }
 
 // New returns the core of an entry that knows no agent yet.
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -18,19 +18,31 @@
 	maxSample = 8
 )
 
-// speed is how much longer tasks take at one backend server than elsewhere.
+// speed is how much longer tasks take at one backend server than elsewhere: by the
+// tasks that have ended there, and by the progress of those that run.
 type speed struct {
 	value float64
 	known bool
+	pace  float64
 }
 
+// slowPace is the pace from which a backend server counts as slow at once. Below,
+// the pace of the few tasks that run says less than those that have ended.
+const slowPace = 1.8
+
 func (s *speed) factor() float64 {
-	if !s.known {
-		return 1
+	ended := 1.0
+	if s.known {
+		ended = s.value
 	}
-	return s.value
+	if s.pace >= slowPace {
+		return max(ended, s.pace)
+	}
+	return ended
 }
 
+func (s *speed) tell(pace float64) { s.pace = pace }
+
 func (s *speed) sample(ratio float64) {
 	ratio = min(max(ratio, minSample), maxSample)
 	if !s.known {
