--- a/bench/sitesim/vm.go
+++ b/bench/sitesim/vm.go
@@ -45,7 +45,7 @@
 	// reportEvery is the pause between a server's reports.
 	reportEvery = 1500 * time.Millisecond
 	// orderTimeout is how long an agent waits for the answer to an order.
-	orderTimeout = 60 * time.Millisecond
+	orderTimeout = 25 * time.Millisecond
 	agentTick    = 20 * time.Millisecond
 	clockDrift   = 0.019
 )
--- a/run/hold.go
+++ b/run/hold.go
@@ -30,7 +30,7 @@
 
 // holdPatience is how much longer than its wait a call may take. A call that is
 // out for longer is taken for lost; the shell ends it at the same time.
-const holdPatience = 60 * time.Millisecond
+const holdPatience = 35 * time.Millisecond
 
 // holdRetry is the pause after a call that failed.
 const holdRetry = 20 * time.Millisecond
--- a/run/pace.go
+++ b/run/pace.go
@@ -28,7 +28,7 @@
 		return
 	}
 	ratio := float64(took) / float64(expected)
-	if p.value == 0 {
+	if p.value == 0 || now-p.at > paceMemory {
 		p.value, p.at = ratio, now
 		return
 	}
@@ -37,9 +37,12 @@
 	p.at = now
 }
 
+// paceMemory is how long a pace is told after the last task that showed it.
+const paceMemory = 500 * time.Millisecond
+
 // told is the pace in steps, so that small changes aren't told.
-func (p *pace) told() float64 {
-	if p.value <= 0 {
+func (p *pace) told(now time.Duration) float64 {
+	if p.value <= 0 || now-p.at > paceMemory {
 		return 0
 	}
 	steps := math.Round(math.Log(p.value) / math.Log(1+paceStep))
--- a/run/run.go
+++ b/run/run.go
@@ -169,7 +169,7 @@
 
 // Room returns the room as of the last step.
 func (c *Core) Room() Room {
-	r := Room{Used: c.used(), Closed: c.refusal() != "", Pace: c.pace.told()}
+	r := Room{Used: c.used(), Closed: c.refusal() != "", Pace: c.pace.told(c.now)}
 	if c.server.state == serverOpen {
 		r.Server = c.server.report.Server
 	}
@@ -409,7 +409,7 @@
 
 // stopRepeat is how long the core waits for the answer to a stop before it sends
 // the order again; a backend server on the same VM answers within a millisecond.
-const stopRepeat = 60 * time.Millisecond
+const stopRepeat = 40 * time.Millisecond
 
 // pursueStops sends the orders to stop, again and again until they are answered.
 func (c *Core) pursueStops() {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -163,7 +163,8 @@
 		return nil, noRoom
 	}
 	left := j.aim - c.now
-	if bestCost > left && !j.late && best.speed.factor() >= slowPace && c.inTimeElsewhere(j, s, expected, left) {
+	slow := best.speed.factor() >= slowPace && !best.speed.trialDue(c.now, len(best.runs))
+	if bestCost > left && !j.late && slow && c.inTimeElsewhere(j, s, expected, left) {
 		return nil, tooSlow
 	}
 	return best, placed
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -124,6 +124,7 @@
 	case Tick:
 		c.expireAgents()
 		c.expireJobs()
+		c.rescue()
 	}
 	c.dispatch()
 	return c.out
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -8,6 +8,8 @@
 const (
 	// speedWeight follows a slow backend server within about ten tasks.
 	speedWeight = 0.12
+	// trialWeight lets two good trials take a server back into use.
+	trialWeight = 0.5
 	// routeWeight averages over enough tasks that their spread evens out.
 	routeWeight = 0.03
 )
@@ -23,6 +25,7 @@
 type speed struct {
 	value float64
 	known bool
+	at    time.Duration // of the last task that ended
 	pace  float64
 }
 
@@ -41,14 +44,28 @@
 	return ended
 }
 
+// speedTrial is the pause after which a slow server that has nothing to do gets one
+// task, to show whether it is still slow.
+const speedTrial = 400 * time.Millisecond
+
+// trialDue reports whether a slow server should get one task.
+func (s *speed) trialDue(now time.Duration, held int) bool {
+	return held == 0 && now-s.at >= speedTrial
+}
+
 func (s *speed) tell(pace float64) { s.pace = pace }
 
-func (s *speed) sample(ratio float64) {
+func (s *speed) sample(now time.Duration, ratio float64) {
 	ratio = min(max(ratio, minSample), maxSample)
 	if !s.known {
 		s.value, s.known = 1, true
 	}
-	s.value += speedWeight * (ratio - s.value)
+	weight := speedWeight
+	if s.value >= slowPace {
+		weight = trialWeight
+	}
+	s.at = now
+	s.value += weight * (ratio - s.value)
 }
 
 // routeTimes is what is learnt of the tasks of a route.
@@ -101,7 +118,7 @@
 		return
 	}
 	if expected := c.expectedTask(j.Route.Name, s); expected > 0 {
-		a.speed.sample(float64(e.Ran) / float64(expected))
+		a.speed.sample(c.now, float64(e.Ran)/float64(expected))
 	}
 	r := c.times[j.Route.Name]
 	if r == nil {
