Ends are learnt though calls get no answer

Change: a call that is overdue by 8 ms gets a second one beside it; while calls fail their wait is 15 ms; a server counts as silent after 60 ms without a word, not after one call.

--- a/bench/sitesim/scenario.go
+++ b/bench/sitesim/scenario.go
@@ -40,6 +40,8 @@
 		{"calm", "the load of a quiet day", site(wave(0.57, 1.2, 8*time.Second, 12*time.Second))},
 		{"busy", "the load of a busy day", site(wave(1.0, 1.2, 8*time.Second, 12*time.Second))},
 		{"slow", "two slow backend servers under a burst", site(wave(1.1, 1.2, 0, 4*time.Second), slow(1, 4.1), slow(5, 4.1))},
+		{"late", "orders without an answer under a burst, and two slow backend servers", site(wave(1.1, 1.2, 0, 4*time.Second), slow(1, 4.1), slow(5, 4.1),
+			Fault{Kind: LateOrders, At: time.Second, For: 8 * time.Second, X: 0.06})},
 		{"overload", "half as much again as the site can bear, for a while", site(wave(1.1, 1.8, 5*time.Second, 9*time.Second))},
 		{"flood", "three times the usual load for a while", site(wave(1.0, 3, 5*time.Second, 9*time.Second))},
 		{"dark", "two backend servers fall silent", site(wave(1.0, 1, 0, 0),
--- a/bench/sitesim/vm.go
+++ b/bench/sitesim/vm.go
@@ -46,7 +46,7 @@
 	reportEvery = 1500 * time.Millisecond
 	// orderTimeout is how long an agent waits for the answer to an order.
 	orderTimeout = 25 * time.Millisecond
-	agentTick    = 20 * time.Millisecond
+	agentTick    = 10 * time.Millisecond
 	clockDrift   = 0.019
 )
 
@@ -205,9 +205,10 @@
 	}, func() { v.step(run.StopAnswered{Run: a.Run}) })
 }
 
-// callHold carries the call that waits for ends. It isn't subject to late orders:
-// its expiry is absolute, so a late one changes nothing.
+// callHold carries the call that waits for ends. It may get no answer like any
+// order; that it is carried out later changes nothing, since its expiry is absolute.
 func (v *vm) callHold(a run.CallHold) {
+	ignored := v.site.random.Float64() < v.site.orders.late+v.site.orders.lost
 	answered := false
 	life := v.life
 	answer := func() {
@@ -227,7 +228,7 @@
 		})
 	}
 	v.site.after(localDelay, func() {
-		if v.server == nil || v.state.dark {
+		if v.server == nil || v.state.dark || ignored {
 			return
 		}
 		v.server.Hold(v.site.now(), a)
--- a/run/hold.go
+++ b/run/hold.go
@@ -13,6 +13,8 @@
 	// long is the number of the call that waits for ends, 0 if none is out.
 	long   uint64
 	longAt time.Duration
+	// longWait is how long that call may wait.
+	longWait time.Duration
 	// look is the number of the call that doesn't wait, 0 if none is out.
 	look   uint64
 	lookAt time.Duration
@@ -24,6 +26,8 @@
 	renewedAt time.Duration
 	// failing is true while the last call got no answer.
 	failing bool
+	// failedAt is when a call was last found to have no answer, 0 if never.
+	failedAt time.Duration
 	// listedAt is the server's clock at the newest list that was used.
 	listedAt time.Duration
 }
@@ -32,8 +36,9 @@
 // out for longer is taken for lost; the shell ends it at the same time.
 const holdPatience = 35 * time.Millisecond
 
-// holdRetry is the pause after a call that failed.
-const holdRetry = 20 * time.Millisecond
+// holdRetry is the pause after a call that failed at once, such as by a connection
+// that was refused.
+const holdRetry = 5 * time.Millisecond
 
 // HoldTimeout is how long the shell waits for the answer to a call.
 func HoldTimeout(wait time.Duration) time.Duration { return wait + holdPatience }
@@ -48,14 +53,15 @@
 	if h.next == 0 {
 		h.next = 1
 	}
-	if len(c.tasks) > 0 && c.now-h.renewedAt >= c.cfg.Terms.Renew {
+	if len(c.tasks) > 0 && (c.now-h.renewedAt >= c.cfg.Terms.Renew || c.overdue()) {
 		h.lookNow = true
 	}
 	if h.long == 0 {
 		h.long = h.next
 		h.longAt = c.now
 		h.lookNow = false
-		c.sendHold(c.longWait())
+		h.longWait = c.longWait()
+		c.sendHold(h.longWait)
 		return
 	}
 	if h.lookNow && h.look == 0 {
@@ -66,6 +72,23 @@
 	}
 }
 
+// overdueAfter is by how much an answer may be late before another call is sent
+// beside it: many times what a server on the same VM takes.
+const overdueAfter = 8 * time.Millisecond
+
+// overdue reports whether the call that waits should have been answered by now.
+// Ends that it would have told aren't known meanwhile, and their room is idle.
+func (c *Core) overdue() bool {
+	return c.now-c.holds.longAt > c.holds.longWait+overdueAfter
+}
+
+// lossyFor is how long after a call without an answer calls are kept short.
+const lossyFor = 2 * time.Second
+
+// lossyWait is the wait of calls while some get no answer: about the time between
+// two ends on a busy server.
+const lossyWait = 15 * time.Millisecond
+
 // longWait is how long the waiting call may wait: until the next renewal is due.
 // Without work there is nothing to renew, and an idle agent asks seldom.
 func (c *Core) longWait() time.Duration {
@@ -74,6 +97,8 @@
 		return clearingWait
 	case len(c.tasks) == 0:
 		return idleWait
+	case c.holds.failedAt > 0 && c.now-c.holds.failedAt < lossyFor:
+		return min(lossyWait, c.cfg.Terms.Renew)
 	}
 	return c.cfg.Terms.Renew
 }
@@ -113,6 +138,7 @@
 		return
 	}
 	c.holds.failing = true
+	c.holds.failedAt = c.now
 	c.holds.retryAt = c.now + holdRetry
 	c.holds.lookNow = c.holds.lookNow || c.doubtful()
 	if e.Refused {
--- a/run/run.go
+++ b/run/run.go
@@ -354,7 +354,7 @@
 
 // pump starts waiting tasks while there is room.
 func (c *Core) pump() {
-	if c.refusal() != "" || c.server.foreign > 0 || c.holds.failing {
+	if c.refusal() != "" || c.server.foreign > 0 || c.silent() {
 		return
 	}
 	room := c.server.report.Server.Capacity.Minus(c.used())
--- a/run/server.go
+++ b/run/server.go
@@ -150,6 +150,15 @@
 	return !c.holds.failing || float64(c.now-c.server.heard) <= silentRenewals*float64(c.cfg.Terms.Renew)
 }
 
+// silentAfter is how long a server that leaves calls unanswered may be silent and
+// still get new work: a few of the calls that are sent while answers are missing.
+const silentAfter = 60 * time.Millisecond
+
+// silent reports whether the server may be gone, so that it gets no new work.
+func (c *Core) silent() bool {
+	return c.holds.failing && c.now-c.server.heard > silentAfter
+}
+
 // expireServer gives up the runs of a server that has been silent for so long
 // that every lease there has lapsed on its own clock.
 func (c *Core) expireServer() {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -49,7 +49,7 @@
 	// time of a short task.
 	backfillAfter = 100 * time.Millisecond
 	// busyTick and idleTick are the pauses after which the core looks at the time.
-	busyTick = 20 * time.Millisecond
+	busyTick = 10 * time.Millisecond
 	idleTick = 250 * time.Millisecond
 	// roomPause bounds how often an entry is told of a change of the room that
 	// concerns none of its runs.
