Stand-ins of the users' platform on loopback, and tests of real processes behind them

bench/usersite: the metadata store with faults, backend servers behind HTTP with reports, sites of entries and agents as processes.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -114,12 +114,12 @@
 
 // bench returns a process of a foxbench subcommand.
 func (c *Cluster) bench(name string, args ...string) *Process {
-	return newProcess(name, c.path(name+".log"), c.Spec.Bench, args...)
+	return NewProcess(name, c.path(name+".log"), c.Spec.Bench, args...)
 }
 
 // daemon returns a process of foxtaildockd.
 func (c *Cluster) daemon(role, name, settings string) *Process {
-	return newProcess(name, c.path(name+".log"), c.Spec.Daemon, role, "--settings", settings)
+	return NewProcess(name, c.path(name+".log"), c.Spec.Daemon, role, "--settings", settings)
 }
 
 // addLink adds a link to the target and returns its address.
--- a/bench/cluster/process.go
+++ b/bench/cluster/process.go
@@ -21,8 +21,10 @@
 type Process struct {
 	Name    string
 	LogPath string
-	path    string
-	args    []string
+	// Env is added to the environment.
+	Env  []string
+	path string
+	args []string
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -30,7 +32,8 @@
 	err   error
 }
 
-func newProcess(name, logPath, path string, args ...string) *Process {
+// NewProcess describes a process that isn't started yet.
+func NewProcess(name, logPath, path string, args ...string) *Process {
 	return &Process{Name: name, LogPath: logPath, path: path, args: args}
 }
 
@@ -45,6 +48,9 @@
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Stdout = log
 	cmd.Stderr = log
+	if len(p.Env) > 0 {
+		cmd.Env = append(os.Environ(), p.Env...)
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("%s: %w", p.Name, err)
--- /dev/null
+++ b/bench/usersite/backend.go
@@ -0,0 +1,313 @@
+package usersite
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"foxtaildock.example/bench/runserver"
+	"foxtaildock.example/dock/run"
+	"foxtaildock.example/dock/work"
+)
+
+// Backend is a backend server on a VM: package runserver behind HTTP.
+type Backend struct {
+	cfg     BackendConfig
+	watcher runserver.Watcher
+
+	mu       sync.Mutex
+	server   *runserver.Server
+	changed  chan struct{}
+	born     int64
+	life     int
+	sequence int64
+	started  time.Time
+	dark     bool
+	draining bool
+}
+
+// BackendConfig describes a backend server.
+type BackendConfig struct {
+	ID       string
+	Service  string
+	Zone     string
+	Address  string // where it serves
+	Reports  string // where it reports
+	Capacity work.Demand
+	Every    time.Duration // between reports
+	Plan     func(work.Run, string) runserver.Plan
+}
+
+// Bounds of the stand-in, as the users' sites have them.
+const (
+	leaseMax = time.Second
+	stopTime = 50 * time.Millisecond
+)
+
+// NewBackend returns a backend server in its first life.
+func NewBackend(cfg BackendConfig, w runserver.Watcher) *Backend {
+	b := &Backend{cfg: cfg, watcher: w, changed: make(chan struct{}), started: time.Now()}
+	b.restart()
+	return b
+}
+
+func (b *Backend) now() time.Duration { return time.Since(b.started) }
+
+// restart begins a new life under the same id. The lock is held, or nobody else
+// knows the server yet.
+func (b *Backend) restart() {
+	b.life++
+	b.born = time.Now().UnixMilli() + int64(b.life)
+	b.sequence = 0
+	b.draining = false
+	b.server = runserver.New(b.now(), runserver.Config{
+		Born: b.born, Capacity: b.cfg.Capacity, LeaseMax: leaseMax, StopTime: stopTime,
+		Plan: b.cfg.Plan,
+	}, b.watcher)
+	b.wake()
+}
+
+func (b *Backend) wake() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// Crash ends everything that runs, and begins a new life.
+func (b *Backend) Crash() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.server.Crash(b.now())
+	b.restart()
+}
+
+// SetDark makes the server silent, or answer again. It runs on.
+func (b *Backend) SetDark(dark bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dark = dark
+}
+
+// SetDraining makes the server report that it leaves, or that it is ready.
+func (b *Backend) SetDraining(draining bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.draining = draining
+}
+
+// Run advances the server's tasks and sends its reports until the context ends.
+func (b *Backend) Run(ctx context.Context) {
+	go b.report(ctx)
+	ticker := time.NewTicker(2 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			b.mu.Lock()
+			b.server.Advance(b.now())
+			b.wake()
+			b.mu.Unlock()
+		}
+	}
+}
+
+// reportRetry is the pause after a report that wasn't taken.
+const reportRetry = 100 * time.Millisecond
+
+func (b *Backend) report(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := b.cfg.Every
+		if !b.reportOnce(ctx) {
+			wait = reportRetry
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (b *Backend) reportOnce(ctx context.Context) bool {
+	text, dark, err := b.reportBody()
+	if err != nil || dark {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+b.cfg.Reports+"/instances/"+b.cfg.ID, bytes.NewReader(text))
+	if err != nil {
+		return false
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false // the agent may be down
+	}
+	defer func() { _ = res.Body.Close() }()
+	return res.StatusCode == http.StatusOK
+}
+
+func (b *Backend) reportBody() (text []byte, dark bool, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	state := "ready"
+	if b.draining {
+		state = "draining"
+	}
+	stamp := b.server.Stamp(b.now())
+	text, err = json.Marshal(map[string]any{
+		"service": b.cfg.Service, "address": b.cfg.Address, "zone": b.cfg.Zone, "version": "v1", "slots": 8,
+		"state": state, "coldLeftMs": 0, "labels": []string{"a"}, "sequence": b.sequence,
+		"capacity": map[string]int64{"cpu": b.cfg.Capacity.CPUMilli, "memMb": b.cfg.Capacity.MemoryMB},
+		"clockMs":  stamp.Clock.Milliseconds(), "born": stamp.Born,
+	})
+	return text, b.dark, err
+}
+
+// order is the body of an order.
+type order struct {
+	Task       string `json:"task"`
+	RunID      int    `json:"runId"`
+	Spec       string `json:"spec"`
+	ExpiryMs   int64  `json:"expiryMs"`
+	FenceToken int64  `json:"fenceToken"`
+	LastSeen   int64  `json:"lastSeen"`
+	WaitMs     int64  `json:"waitMs"`
+}
+
+func (o *order) run() (work.Run, error) {
+	parts := strings.Split(o.Task, ".")
+	if len(parts) != 4 {
+		return work.Run{}, fmt.Errorf("task %q", o.Task)
+	}
+	step, errStep := strconv.Atoi(parts[2])
+	index, errIndex := strconv.Atoi(parts[3])
+	if errStep != nil || errIndex != nil {
+		return work.Run{}, fmt.Errorf("task %q", o.Task)
+	}
+	return work.Run{Task: work.Task{Job: work.JobID(parts[0]), Step: step, Index: index}, ID: work.RunID(o.RunID)}, nil
+}
+
+func nameOf(t work.Task) string { return fmt.Sprintf("%s.0.%d.%d", t.Job, t.Step, t.Index) }
+
+// ServeHTTP serves the orders of the agent.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b.mu.Lock()
+	dark := b.dark
+	b.mu.Unlock()
+	if dark {
+		<-r.Context().Done()
+		return
+	}
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != b.cfg.ID {
+		http.Error(w, "another lifetime", http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/run-start":
+		b.serveStart(w, o)
+	case "/run-stop":
+		b.serveStop(w, o)
+	case "/hold":
+		b.serveHold(w, r, o)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (b *Backend) serveStart(w http.ResponseWriter, o order) {
+	id, err := o.run()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reply := b.server.Start(b.now(), run.CallStart{
+		Run: id, Spec: o.Spec, Expiry: time.Duration(o.ExpiryMs) * time.Millisecond, Fence: o.FenceToken,
+	})
+	status, reason := http.StatusConflict, reply.String()
+	if reply == run.Started {
+		status, reason = http.StatusOK, ""
+	}
+	writeJSON(w, status, map[string]any{"clockMs": b.server.Stamp(b.now()).Clock.Milliseconds(), "reason": reason})
+}
+
+func (b *Backend) serveStop(w http.ResponseWriter, o order) {
+	id, err := o.run()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	status := http.StatusOK
+	if !b.server.Stop(b.now(), run.CallStop{Run: id, Fence: o.FenceToken}) {
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, map[string]any{"clockMs": b.server.Stamp(b.now()).Clock.Milliseconds()})
+}
+
+func (b *Backend) serveHold(w http.ResponseWriter, r *http.Request, o order) {
+	call := run.CallHold{
+		Fence: o.FenceToken, LastSeen: o.LastSeen, Expiry: time.Duration(o.ExpiryMs) * time.Millisecond,
+	}
+	timeout := time.After(time.Duration(o.WaitMs) * time.Millisecond)
+	for {
+		b.mu.Lock()
+		server, changed := b.server, b.changed
+		_, _, ok := server.Hold(b.now(), call)
+		ready := !ok || o.WaitMs == 0 || server.HasEnds(o.LastSeen)
+		b.mu.Unlock()
+		if ready {
+			break
+		}
+		select {
+		case <-changed:
+			continue
+		case <-timeout:
+		case <-r.Context().Done():
+			return
+		}
+		break
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.writeLists(w, call)
+}
+
+func (b *Backend) writeLists(w http.ResponseWriter, call run.CallHold) {
+	call.Expiry = 0
+	running, ended, ok := b.server.Hold(b.now(), call)
+	stamp := b.server.Stamp(b.now())
+	if !ok {
+		writeJSON(w, http.StatusConflict, map[string]any{"clockMs": stamp.Clock.Milliseconds(), "reason": "fence"})
+		return
+	}
+	lists := struct {
+		ClockMs  int64   `json:"clockMs"`
+		Born     int64   `json:"born"`
+		Running  [][]any `json:"running"`
+		Finished [][]any `json:"finished"`
+	}{ClockMs: stamp.Clock.Milliseconds(), Born: stamp.Born}
+	for _, r := range running {
+		lists.Running = append(lists.Running, []any{nameOf(r.Run.Task), r.Run.ID, "", r.Percent})
+	}
+	for _, e := range ended {
+		how := [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone"}[e.How]
+		lists.Finished = append(lists.Finished, []any{e.Number, nameOf(e.Run.Task), e.Run.ID, how, ""})
+	}
+	writeJSON(w, http.StatusOK, lists)
+}
--- /dev/null
+++ b/bench/usersite/caller.go
@@ -0,0 +1,71 @@
+package usersite
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Reply is an entry's answer to a job.
+type Reply struct {
+	// Status is 0 if there was no answer.
+	Status int
+	State  string
+}
+
+// Caller sends jobs to entries. It keeps its connections open.
+type Caller struct{ client http.Client }
+
+// Submit sends a job of like tasks to an entry and waits for its answer.
+func (c *Caller) Submit(ctx context.Context, entry, id string, tasks int, estimate time.Duration, patience time.Duration) Reply {
+	body, err := json.Marshal(map[string]any{
+		"spec": "work", "bestEffort": true,
+		"steps": []map[string]any{{"count": tasks, "cpu": 1000, "memMb": 64, "estimateMs": estimate.Milliseconds()}},
+	})
+	if err != nil {
+		return Reply{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+Prefix+id, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}
+	}
+	req.Host = Host
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	return c.do(req)
+}
+
+// Cancel asks an entry to end a job.
+func (c *Caller) Cancel(ctx context.Context, entry, id string) Reply {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+entry+Prefix+id, nil)
+	if err != nil {
+		return Reply{}
+	}
+	req.Host = Host
+	return c.do(req)
+}
+
+func (c *Caller) do(req *http.Request) Reply {
+	res, err := c.client.Do(req)
+	if err != nil {
+		return Reply{}
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return Reply{}
+	}
+	var body struct {
+		State string `json:"state"`
+	}
+	if res.StatusCode == http.StatusOK && json.Unmarshal(text, &body) != nil {
+		return Reply{}
+	}
+	return Reply{Status: res.StatusCode, State: body.State}
+}
--- /dev/null
+++ b/bench/usersite/site.go
@@ -0,0 +1,288 @@
+package usersite
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"foxtaildock.example/bench/cluster"
+	"foxtaildock.example/bench/runserver"
+	"foxtaildock.example/dock/run"
+	"foxtaildock.example/dock/work"
+)
+
+// Config describes a site of real processes on loopback.
+type Config struct {
+	Daemon  string // path of foxtaildockd
+	Dir     string // for settings and logs
+	Entries int
+	Agents  int
+	Plan    func(work.Run, string) runserver.Plan
+}
+
+// Site is a site of real processes, with its store and backend servers in this
+// process. Each VM has a loopback address of its own, so that ports are the same
+// on all of them.
+type Site struct {
+	cfg      Config
+	Store    *Rows
+	Backends []*Backend
+	Entries  []*cluster.Process
+	Agents   []*cluster.Process
+	Checks   *Checks
+	servers  []*http.Server
+	stop     context.CancelFunc
+}
+
+// Ports of every VM.
+const (
+	portCallers   = 21161
+	portReadiness = 21167
+	portControl   = 21166
+	portApp       = 21165
+	portInternal  = 21720
+	portStore     = 21169
+)
+
+// Service, Host and the prefixes name the one route of a site.
+const (
+	Service = "service"
+	Host    = "site.example"
+	Prefix  = "/jobs/"
+)
+
+// Domains are the failure domains of a site.
+var Domains = []string{"north", "middle", "south"}
+
+// address returns the loopback address of a VM. The first two numbers come from the
+// process, so that sites side by side don't clash.
+func address(kind, index int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+(pid>>8)&0x3f, pid&0xff, 1+kind*100+index)
+}
+
+const (
+	kindEntry = 0
+	kindAgent = 1
+	kindStore = 2
+)
+
+// Start starts a site.
+func Start(cfg Config) (*Site, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Site{cfg: cfg, Store: NewRows(), Checks: NewChecks(), stop: stop}
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	if err := s.Store.Put("op", "config", manifest()); err != nil {
+		return err
+	}
+	if err := s.serve(fmt.Sprintf("%s:%d", address(kindStore, 0), portStore), s.Store); err != nil {
+		return err
+	}
+	for i := range s.cfg.Agents {
+		if err := s.startBackend(ctx, i); err != nil {
+			return err
+		}
+	}
+	for i := range s.cfg.Entries {
+		p, err := s.process("entry", i, kindEntry)
+		if err != nil {
+			return err
+		}
+		s.Entries = append(s.Entries, p)
+	}
+	for i := range s.cfg.Agents {
+		p, err := s.process("agent", i, kindAgent)
+		if err != nil {
+			return err
+		}
+		s.Agents = append(s.Agents, p)
+	}
+	return nil
+}
+
+// manifest is the operators' document of the site, as the users write it.
+func manifest() any {
+	return map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "jobs", "host": Host, "pathPrefix": Prefix, "kind": "unsafe", "timeoutMs": 1500,
+			"targetLatencyMs": 60, "priority": 0, "service": Service, "attempts": 3, "stretch": 1.6,
+		}},
+		"services": []map[string]any{{"name": Service}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+}
+
+func (s *Site) serve(address string, h http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	return nil
+}
+
+// capacity is the room of every backend server.
+var capacity = work.Demand{CPUMilli: 8000, MemoryMB: 4096}
+
+func (s *Site) startBackend(ctx context.Context, i int) error {
+	vm := address(kindAgent, i)
+	watcher := &watcher{checks: s.Checks, backend: i}
+	b := NewBackend(BackendConfig{
+		ID: fmt.Sprintf("server-%d", i), Service: Service, Zone: Domains[i%len(Domains)],
+		Address: fmt.Sprintf("%s:%d", vm, portApp), Reports: fmt.Sprintf("%s:%d", vm, portControl),
+		Capacity: capacity, Every: 500 * time.Millisecond, Plan: s.cfg.Plan,
+	}, watcher)
+	watcher.used = b.server.Used
+	s.Backends = append(s.Backends, b)
+	go b.Run(ctx)
+	return s.serve(fmt.Sprintf("%s:%d", vm, portApp), b)
+}
+
+// process writes the settings of a process and starts it.
+func (s *Site) process(role string, i, kind int) (*cluster.Process, error) {
+	name := fmt.Sprintf("%s-%d", role, i)
+	path := filepath.Join(s.cfg.Dir, name+".toml")
+	if err := os.WriteFile(path, []byte(s.settings(name, i, kind)), 0o600); err != nil {
+		return nil, err
+	}
+	p := cluster.NewProcess(name, filepath.Join(s.cfg.Dir, name+".log"), s.cfg.Daemon, role)
+	p.Env = []string{"FOXTAILDOCK_NODE_FILE=" + path}
+	return p, p.Start()
+}
+
+func (s *Site) settings(name string, i, kind int) string {
+	ip := address(kind, i)
+	text := fmt.Sprintf("nodeName = %q\nip = %q\nzone = %q\nportRange = [%d, %d]\nseeds = [%q]\n",
+		name, ip, Domains[i%len(Domains)], portInternal, portInternal+15, fmt.Sprintf("%s:%d", address(kindEntry, 0), portControl))
+	if kind == kindAgent {
+		text += fmt.Sprintf("app = \"%s:%d\"\n[listen]\ncontrol = \"%s:%d\"\n", ip, portApp, ip, portControl)
+	} else {
+		text += fmt.Sprintf("[listen]\nfrontend = \"%s:%d\"\nreadiness = \"%s:%d\"\n", ip, portCallers, ip, portReadiness)
+	}
+	return text + fmt.Sprintf("[limits]\nmemoryMb = 152\n[bounds]\ngraceS = 6\nconfigApplyMs = 2000\nholdMaxMs = 1000\n"+
+		"graceStopMs = 50\nretryMs = 1300\nremoteFactor = 1.5\n[platform]\naddress = \"%s:%d\"\n", address(kindStore, 0), portStore)
+}
+
+// CallerAddress returns where an entry takes callers.
+func (s *Site) CallerAddress(entry int) string {
+	return fmt.Sprintf("%s:%d", address(kindEntry, entry), portCallers)
+}
+
+// Close ends everything that the site has started.
+func (s *Site) Close() {
+	var wait sync.WaitGroup
+	for _, p := range append(append([]*cluster.Process{}, s.Entries...), s.Agents...) {
+		wait.Go(func() {
+			_ = p.Resume() // it may be paused, or have ended
+			_ = p.Kill()
+		})
+	}
+	wait.Wait()
+	s.stop()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+// Checks holds what the backend servers see against what the system promises.
+type Checks struct {
+	mu     sync.Mutex
+	live   map[work.Task]int
+	broken []string
+	starts int
+	done   map[work.Task]bool
+	began  map[work.JobID]bool
+}
+
+// NewChecks returns checks that have seen nothing.
+func NewChecks() *Checks {
+	return &Checks{live: map[work.Task]int{}, done: map[work.Task]bool{}, began: map[work.JobID]bool{}}
+}
+
+// Fail notes a broken promise.
+func (c *Checks) Fail(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken = append(c.broken, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// Broken returns the promises that were found broken.
+func (c *Checks) Broken() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.broken...)
+}
+
+// Starts returns how many runs have begun.
+func (c *Checks) Starts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts
+}
+
+// Done reports how many of the first n tasks of a job's only step have ended well.
+func (c *Checks) Done(job work.JobID, n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	done := 0
+	for i := range n {
+		if c.done[work.Task{Job: job, Index: i}] {
+			done++
+		}
+	}
+	return done
+}
+
+// Began reports whether any task of the job has begun.
+func (c *Checks) Began(job work.JobID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.began[job]
+}
+
+// watcher tells the checks what one backend server does.
+type watcher struct {
+	checks  *Checks
+	backend int
+	used    func() work.Demand
+}
+
+// Began implements runserver.Watcher.
+func (w *watcher) Began(_ time.Duration, r work.Run) {
+	c := w.checks
+	c.mu.Lock()
+	c.live[r.Task]++
+	c.starts++
+	c.began[r.Task.Job] = true
+	twice := c.live[r.Task] > 1
+	c.mu.Unlock()
+	if twice {
+		c.Fail("task %v runs twice at once; the newest run is on backend server %d", r, w.backend)
+	}
+}
+
+// Ended implements runserver.Watcher.
+func (w *watcher) Ended(_ time.Duration, r work.Run, how run.End) {
+	c := w.checks
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.live[r.Task]--
+	if how == run.EndDone {
+		c.done[r.Task] = true
+	}
+}
