Runs ordered across the rebirth of a backend server are not taken for lost; fault soak on real processes

Answers to orders don't tell the incarnation, only lists do. Change: runs are unsure until a list of the new life, asked for under a higher fencing token, tells, or every lease has lapsed. Fencing tokens now also rise over incarnations that were given up.

--- a/bench/cmd/foxbench/main.go
+++ b/bench/cmd/foxbench/main.go
@@ -30,6 +30,7 @@
 	Measure  *measureCommand  `arg:"subcommand:measure" help:"take figures of real processes"`
 	Sim      *simCommand      `arg:"subcommand:sim" help:"step the decision cores in simulated time"`
 	Site     *siteCommand     `arg:"subcommand:site" help:"play a whole site in simulated time"`
+	Soak     *soakCommand     `arg:"subcommand:soak" help:"do harm to a site of real processes, and check its promises"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"drive callers against running entries"`
 	Platform *platformCommand `arg:"subcommand:platform" help:"stand-in for the platform"`
 	Backend  *backendCommand  `arg:"subcommand:backend" help:"stand-in for one backend server"`
--- a/bench/sitesim/sitesim_test.go
+++ b/bench/sitesim/sitesim_test.go
@@ -36,6 +36,20 @@
 	return cfg
 }
 
+// A backend server that crashes and is back at once, under the same id, runs what
+// its agent orders before the agent knows: those runs aren't lost.
+func TestRunsOnARebornServerAreNotLost(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		cfg := StandardSite(seed, 6*time.Second)
+		for i := range 12 {
+			cfg.Faults = append(cfg.Faults, Fault{
+				Kind: CrashServer, At: time.Duration(i) * 450 * time.Millisecond, For: 10 * time.Millisecond, Index: i,
+			})
+		}
+		play(t, cfg)
+	}
+}
+
 func play(t *testing.T, cfg Config) (*Site, *Result) {
 	t.Helper()
 	s, err := New(cfg)
--- a/bench/sitesim/vm.go
+++ b/bench/sitesim/vm.go
@@ -105,6 +105,11 @@
 
 // report sends the server's report to its agent, again and again.
 func (v *vm) report() {
+	v.reportOnce()
+	v.site.after(reportEvery, v.report)
+}
+
+func (v *vm) reportOnce() {
 	if v.server != nil {
 		v.sequence++
 		e := run.ServerReported{
@@ -122,7 +127,6 @@
 			v.flush()
 		})
 	}
-	v.site.after(reportEvery, v.report)
 }
 
 // toAgent delivers something from the server to the agent.
@@ -192,7 +196,7 @@
 func (v *vm) callStart(a run.CallStart) {
 	v.order(func() func() {
 		reply := v.server.Start(v.site.now(), a)
-		stamp := v.server.Stamp(v.site.now())
+		stamp := run.Stamp{Clock: v.server.Stamp(v.site.now()).Clock} // only lists tell the incarnation
 		return func() { v.step(run.StartAnswered{Run: a.Run, Reply: reply, Stamp: stamp}) }
 	}, func() { v.step(run.StartAnswered{Run: a.Run, Reply: run.NoAnswer}) })
 }
@@ -200,7 +204,7 @@
 func (v *vm) callStop(a run.CallStop) {
 	v.order(func() func() {
 		done := v.server.Stop(v.site.now(), a)
-		stamp := v.server.Stamp(v.site.now())
+		stamp := run.Stamp{Clock: v.server.Stamp(v.site.now()).Clock}
 		return func() { v.step(run.StopAnswered{Run: a.Run, Answered: done, Stamp: stamp}) }
 	}, func() { v.step(run.StopAnswered{Run: a.Run}) })
 }
@@ -284,7 +288,9 @@
 	v.server.Crash(v.site.now())
 	v.server = nil
 	v.holds = nil
-	v.site.after(after, v.startServer)
+	v.site.after(after, func() {
+		v.startServer() // its first report comes with the next of its kind
+	})
 }
 
 // kill ends the agent; another one starts after a while.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -42,6 +42,8 @@
 	Beat time.Duration
 	// Server is the lease on the backend server's clock.
 	Server time.Duration
+	// ServerMax is the longest lease that a backend server grants to anybody.
+	ServerMax time.Duration
 	// Renew is the longest pause between two renewals.
 	Renew time.Duration
 	// StopTime is how long a backend server takes to end a run.
@@ -57,10 +59,11 @@
 		return Terms{}, fmt.Errorf("lease terms: resend delay %v and longest lease %v must be above 0, stop time %v not below", resend, serverMax, stopTime)
 	}
 	t := Terms{
-		Entry:    time.Duration(float64(resend) * entryShare),
-		Server:   min(serverMax, time.Duration(float64(resend)*serverShare)),
-		StopTime: stopTime,
-		Resend:   resend,
+		Entry:     time.Duration(float64(resend) * entryShare),
+		Server:    min(serverMax, time.Duration(float64(resend)*serverShare)),
+		ServerMax: serverMax,
+		StopTime:  stopTime,
+		Resend:    resend,
 	}
 	t.Beat = t.Entry / beatsPerLease
 	t.Renew = t.Server / renewalsPerLease
@@ -76,6 +79,11 @@
 	return time.Duration(float64(t.Server)*(1+ClockDrift)) + t.StopTime
 }
 
+// LapseAny is Lapse for a lease of unknown length.
+func (t Terms) LapseAny() time.Duration {
+	return time.Duration(float64(t.ServerMax)*(1+ClockDrift)) + t.StopTime
+}
+
 // Gone is the longest time from the last word that an agent has heard from an
 // entry until nothing runs there on that entry's account, whatever happens to
 // the agent meanwhile.
--- a/run/hold.go
+++ b/run/hold.go
@@ -28,6 +28,8 @@
 	failing bool
 	// failedAt is when a call was last found to have no answer, 0 if never.
 	failedAt time.Duration
+	// fence is the highest fencing token of incarnations that were given up.
+	fence int64
 	// listedAt is the server's clock at the newest list that was used.
 	listedAt time.Duration
 }
@@ -169,7 +171,7 @@
 	listed := c.takeRunning(e.Running)
 	c.resolveUnlisted(e.Call, listed)
 	c.samplePace()
-	if c.server.state == serverClearing && len(e.Running) == 0 {
+	if c.server.state == serverClearing && c.server.foreign == 0 {
 		c.server.state = serverOpen
 		c.server.foreign = 0
 		c.do(Noted{Event: "backend server taken into use", Incarnation: c.server.report.Server.Incarnation})
@@ -227,8 +229,9 @@
 }
 
 func (c *Core) progress(t *task, percent int) {
-	if t.phase == phaseDoubt || t.phase == phaseStarting {
-		// It runs, only the answer to its start was lost or is on its way.
+	if t.phase != phaseRunning {
+		// It runs, only the answer to its start was lost or is on its way, or the
+		// server was taken for another.
 		t.phase = phaseRunning
 		t.heldFrom = c.holds.next
 	}
@@ -255,6 +258,9 @@
 			c.end(t, work.Lost, reasonGone)
 		case phaseDoubt:
 			c.resolveDoubt(t)
+		case phaseUnsure:
+			// The call's fencing token refuses whatever is still on its way.
+			c.end(t, work.Lost, reasonNewLife)
 		}
 	}
 }
--- a/run/run.go
+++ b/run/run.go
@@ -71,6 +71,9 @@
 	// phaseDoubt: the order got no answer.
 	phaseDoubt
 	phaseRunning
+	// phaseUnsure: the run was ordered before the agent learnt that another
+	// incarnation of the backend server is there. It may have begun on either.
+	phaseUnsure
 )
 
 // task is one task that the agent holds, with its current run.
@@ -133,6 +136,7 @@
 	}
 	c.expireEntries()
 	c.expireServer()
+	c.expireUnsure()
 	c.pursueStops()
 	c.returnQueue()
 	c.pump()
@@ -413,6 +417,9 @@
 
 // pursueStops sends the orders to stop, again and again until they are answered.
 func (c *Core) pursueStops() {
+	if c.server.state == serverNone {
+		return
+	}
 	for _, t := range c.sorted() {
 		s := &t.stop
 		if !s.wanted || s.answered || t.phase == phaseQueued || t.phase == phaseStarting {
--- a/run/server.go
+++ b/run/server.go
@@ -62,9 +62,9 @@
 // Its start and its steady clock give a fencing token that is above those of
 // earlier lives of the agent and of the server, without anything being stored.
 func (c *Core) adopt(e ServerReported) {
-	before := c.server.fence
+	before := max(c.server.fence, c.holds.fence)
 	c.pace = pace{}
-	c.dropRuns(reasonNewLife)
+	c.doubtRuns()
 	c.holds.failing = false
 	c.holds.listedAt = 0
 	c.server = serverState{
@@ -89,19 +89,38 @@
 	if c.server.state == serverNone || c.server.report.Server.Incarnation != e.Incarnation {
 		return
 	}
-	c.dropRuns(reasonNewLife)
-	c.server = serverState{}
+	c.abandon()
 	c.do(Noted{Event: "backend server left", Incarnation: e.Incarnation})
 }
 
-// dropRuns ends every run, since none of them can be running any more.
-func (c *Core) dropRuns(reason string) {
+// abandon gives up the incarnation in use before another one is known.
+func (c *Core) abandon() {
+	c.doubtRuns()
+	c.holds.fence = max(c.holds.fence, c.server.fence)
+	c.server = serverState{}
+}
+
+// doubtRuns hands back what waits, and marks the rest as unsure: the incarnation in
+// use is gone, but orders that it seemed to take may have gone to the next one.
+func (c *Core) doubtRuns() {
+	for _, t := range c.sorted() {
+		if t.phase == phaseQueued {
+			c.end(t, work.NotStarted, reasonNewLife)
+			continue
+		}
+		t.phase = phaseUnsure
+		t.since = c.now
+		t.stop = stopState{wanted: t.stop.wanted}
+		t.heldFrom = c.holds.next
+	}
+}
+
+// expireUnsure ends the unsure runs that no lease can have kept alive, if no
+// incarnation has told of them.
+func (c *Core) expireUnsure() {
 	for _, t := range c.sorted() {
-		switch t.phase {
-		case phaseQueued, phaseStarting, phaseDoubt:
-			c.end(t, work.NotStarted, reason)
-		case phaseRunning:
-			c.end(t, work.Lost, reason)
+		if t.phase == phaseUnsure && c.now-t.since > c.cfg.Terms.LapseAny() {
+			c.end(t, work.Lost, reasonNewLife)
 		}
 	}
 }
@@ -117,8 +136,7 @@
 	}
 	if s.Born != c.server.report.Born {
 		if s.Born > c.server.report.Born {
-			c.dropRuns(reasonNewLife)
-			c.server = serverState{}
+			c.abandon()
 			c.do(Noted{Event: "another incarnation of the backend server answers"})
 		}
 		return false
@@ -171,7 +189,7 @@
 	}
 	silent := c.now - s.heard
 	for _, t := range c.sorted() {
-		if t.phase != phaseQueued {
+		if t.phase != phaseQueued && t.phase != phaseUnsure {
 			c.end(t, work.Lost, reasonLapsed)
 		}
 	}
