--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -204,8 +204,18 @@
 }
 
 func (d *Dispatcher) answer(a schedule.Answer) {
-	d.cfg.Log.Info("job answered", telemetry.Request(string(a.ID)), telemetry.Result(a.Verdict.String()), telemetry.Why(a.Reason),
-		telemetry.Elapsed(a.Waited), telemetry.FirstStart(a.FirstStart), telemetry.Runs(a.Runs), telemetry.RetryAfter(a.RetryAfter))
+	fields := []telemetry.Field{
+		telemetry.Request(string(a.ID)), telemetry.Result(a.Verdict.String()), telemetry.Why(a.Reason),
+		telemetry.Elapsed(a.Waited), telemetry.Runs(a.Runs), telemetry.RowsVersion(a.Basis.RowsVersion),
+	}
+	if a.FirstStart >= 0 {
+		fields = append(fields, telemetry.FirstStart(a.FirstStart))
+	}
+	if a.Verdict == schedule.Rejected {
+		fields = append(fields, telemetry.RetryAfter(a.RetryAfter), telemetry.ExpectedWait(a.Basis.ExpectedWait),
+			telemetry.AllowedWait(a.Basis.AllowedWait), telemetry.Capacity(a.Basis.CapacityMilli), telemetry.Agents(a.Basis.Agents))
+	}
+	d.cfg.Log.Info("job answered", fields...)
 	d.cfg.Metrics.answered(a)
 	for _, w := range d.waiters[a.ID] {
 		w <- a
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -8,18 +8,34 @@
 	"foxtaildock.example/dock/work"
 )
 
+// settleTime is how long a new entry takes every job: its agents are still being
+// attached, so what it knows of the room says little. A session is open within a
+// few round trips.
+const settleTime = 400 * time.Millisecond
+
 // admit decides whether a job is taken. It returns the answer if it isn't: a job
 // that can't end in time is turned away at once, before anything of it runs.
 func (c *Core) admit(j *jobState) *Answer {
-	reason := c.admitReason(j)
+	capacity, largest := c.capacity(j)
+	j.basis = c.basis(j, capacity)
+	reason := c.admitReason(j, capacity, largest)
 	if reason == "" {
 		return nil
 	}
-	return &Answer{ID: j.ID, Verdict: Rejected, Reason: reason, RetryAfter: c.retryAfter(j), FirstStart: -1}
+	return &Answer{ID: j.ID, Verdict: Rejected, Reason: reason, RetryAfter: c.retryAfter(j), FirstStart: -1, Basis: j.basis}
 }
 
-func (c *Core) admitReason(j *jobState) string {
-	capacity, largest := c.capacity(j)
+func (c *Core) basis(j *jobState, capacity work.Demand) Basis {
+	return Basis{
+		ExpectedWait: c.expectedWait(j, capacity), AllowedWait: c.allowedWait(j),
+		CapacityMilli: capacity.CPUMilli, Agents: len(c.order), RowsVersion: c.operator.Version,
+	}
+}
+
+func (c *Core) admitReason(j *jobState, capacity, largest work.Demand) string {
+	if c.now-c.began < settleTime {
+		return ""
+	}
 	if capacity.CPUMilli <= 0 {
 		return "no backend server in service"
 	}
@@ -28,7 +44,7 @@
 			return "larger than every backend server"
 		}
 	}
-	if wait := c.expectedWait(j, capacity); float64(wait) > waitShare*float64(c.allowedWait(j)) {
+	if float64(j.basis.ExpectedWait) > waitShare*float64(j.basis.AllowedWait) {
 		return "too much work waits"
 	}
 	return ""
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -155,6 +155,21 @@
 	Waited     time.Duration
 	FirstStart time.Duration
 	Runs       int
+	Basis      Basis
+}
+
+// Basis is what a decision about a job rests on.
+type Basis struct {
+	// ExpectedWait is how long the job was expected to wait, and AllowedWait how long
+	// it could have waited and still have ended in time.
+	ExpectedWait time.Duration
+	AllowedWait  time.Duration
+	// CapacityMilli is the room of the backend servers in use, in thousandths of a
+	// core, Agents how many agents have told of it.
+	CapacityMilli int64
+	Agents        int
+	// RowsVersion is the version of the operators' rows.
+	RowsVersion uint64
 }
 
 // Verdict is what became of a job.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -32,6 +32,8 @@
 type Core struct {
 	cfg      Config
 	now      time.Duration
+	began    time.Duration // the first step
+	started  bool
 	jobs     map[work.JobID]*jobState
 	waiting  []*jobState // jobs with tasks to be offered, in order
 	agents   map[ident.Incarnation]*agentState
@@ -68,6 +70,7 @@
 	expected time.Duration // of the longest chain of tasks
 	aim      time.Duration // when the job should have ended
 	queued   bool
+	basis    Basis // of its admission
 	// late is true once a job that hasn't begun can no longer end in time.
 	late bool
 }
@@ -101,6 +104,9 @@
 // Step takes one event and returns what is to be done. now is monotonic.
 func (c *Core) Step(now time.Duration, e Event) []Action {
 	c.now = max(c.now, now)
+	if !c.started {
+		c.began, c.started = c.now, true
+	}
 	c.out = nil
 	switch e := e.(type) {
 	case JobArrived:
@@ -251,7 +257,7 @@
 	c.stopRuns(j)
 	c.dequeue(j)
 	delete(c.jobs, j.ID)
-	a := Answer{ID: j.ID, Verdict: v, Reason: reason, Waited: c.now - j.arrived, FirstStart: -1, Runs: j.runs}
+	a := Answer{ID: j.ID, Verdict: v, Reason: reason, Waited: c.now - j.arrived, FirstStart: -1, Runs: j.runs, Basis: j.basis}
 	if j.offered {
 		a.FirstStart = j.first - j.arrived
 	}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -187,6 +187,7 @@
 
 func TestAJobThatNothingCanServeIsRejectedAtOnce(t *testing.T) {
 	b := newBench(t)
+	b.now += settleTime
 	b.job("none", 0, 1)
 	b.agent("a", "1")
 	b.step(JobArrived{Job: Job{
@@ -202,6 +203,17 @@
 	}
 }
 
+// A new entry takes jobs while its agents are still being attached.
+func TestANewEntryTakesJobsBeforeItKnowsItsAgents(t *testing.T) {
+	b := newBench(t)
+	b.job("job", 0, 1)
+	b.now += settleTime / 2
+	b.agent("a", "1")
+	if n := len(offered(b.take())); n != 1 {
+		t.Fatal("the job isn't offered to the first agent")
+	}
+}
+
 // A job of which something was started is never rejected.
 func TestAJobThatBeganIsNotRejected(t *testing.T) {
 	b := newBench(t)
--- a/telemetry/field_runs.go
+++ b/telemetry/field_runs.go
@@ -21,6 +21,10 @@
 	fieldRuns     = "runs"
 	fieldRetry    = "retry_after_ms"
 	fieldWhat     = "dependency"
+	fieldExpected = "expected_wait_ms"
+	fieldAllowed  = "allowed_wait_ms"
+	fieldCapacity = "capacity_millicores"
+	fieldAgents   = "agents"
 )
 
 // Run names the run of a task that the line concerns: job, step, index, number.
@@ -73,3 +77,15 @@
 
 // Dependency names what was lost or regained.
 func Dependency(name string) Field { return Field{fieldWhat, name} }
+
+// ExpectedWait gives how long a job was expected to wait.
+func ExpectedWait(d time.Duration) Field { return Field{fieldExpected, d} }
+
+// AllowedWait gives how long a job could have waited and still have ended in time.
+func AllowedWait(d time.Duration) Field { return Field{fieldAllowed, d} }
+
+// Capacity gives the room of the backend servers in use, in thousandths of a core.
+func Capacity(milli int64) Field { return Field{fieldCapacity, milli} }
+
+// Agents gives how many agents an entry knows.
+func Agents(n int) Field { return Field{fieldAgents, n} }
