A job is turned away only once a queue stands

Change: a job is turned away if it would wait too long and the first of its priority has waited a quarter of the spare time.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -213,7 +213,7 @@
 	}
 	if a.Verdict == schedule.Rejected {
 		fields = append(fields, telemetry.RetryAfter(a.RetryAfter), telemetry.ExpectedWait(a.Basis.ExpectedWait),
-			telemetry.AllowedWait(a.Basis.AllowedWait), telemetry.Capacity(a.Basis.CapacityMilli), telemetry.Agents(a.Basis.Agents))
+			telemetry.AllowedWait(a.Basis.AllowedWait), telemetry.HeadWait(a.Basis.HeadWait), telemetry.Capacity(a.Basis.CapacityMilli), telemetry.Agents(a.Basis.Agents))
 	}
 	d.cfg.Log.Info("job answered", fields...)
 	d.cfg.Metrics.answered(a)
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -27,7 +27,7 @@
 
 func (c *Core) basis(j *jobState, capacity work.Demand) Basis {
 	return Basis{
-		ExpectedWait: c.expectedWait(j, capacity), AllowedWait: c.allowedWait(j),
+		ExpectedWait: c.expectedWait(j, capacity), AllowedWait: c.allowedWait(j), HeadWait: c.headWait(j),
 		CapacityMilli: capacity.CPUMilli, Agents: len(c.order), RowsVersion: c.operator.Version,
 	}
 }
@@ -44,12 +44,28 @@
 			return "larger than every backend server"
 		}
 	}
-	if float64(j.basis.ExpectedWait) > waitShare*float64(j.basis.AllowedWait) {
+	allowed := float64(j.basis.AllowedWait)
+	if float64(j.basis.ExpectedWait) > waitShare*allowed && float64(j.basis.HeadWait) > standShare*allowed {
 		return "too much work waits"
 	}
 	return ""
 }
 
+// standShare is the part of a job's spare time for which the first of those that
+// wait must have waited already before another one is turned away. A queue that has
+// only just formed is the ripple of a few arrivals, and is gone soon.
+const standShare = 0.25
+
+// headWait is how long the first job of the same priority has waited.
+func (c *Core) headWait(j *jobState) time.Duration {
+	for _, w := range c.waiting {
+		if w.Route.Service == j.Route.Service && w.Route.Priority == j.Route.Priority && !w.late {
+			return c.now - w.arrived
+		}
+	}
+	return 0
+}
+
 // waitShare is the part of its spare time that a job may be expected to wait. The
 // rest is for what the estimate can't know.
 const waitShare = 0.45
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -164,6 +164,8 @@
 	// it could have waited and still have ended in time.
 	ExpectedWait time.Duration
 	AllowedWait  time.Duration
+	// HeadWait is how long the first job of the same priority had waited.
+	HeadWait time.Duration
 	// CapacityMilli is the room of the backend servers in use, in thousandths of a
 	// core, Agents how many agents have told of it.
 	CapacityMilli int64
--- a/telemetry/field_runs.go
+++ b/telemetry/field_runs.go
@@ -23,6 +23,7 @@
 	fieldWhat     = "dependency"
 	fieldExpected = "expected_wait_ms"
 	fieldAllowed  = "allowed_wait_ms"
+	fieldHead     = "head_wait_ms"
 	fieldCapacity = "capacity_millicores"
 	fieldAgents   = "agents"
 )
@@ -84,6 +85,9 @@
 // AllowedWait gives how long a job could have waited and still have ended in time.
 func AllowedWait(d time.Duration) Field { return Field{fieldAllowed, d} }
 
+// HeadWait gives how long the first job of the same priority had waited.
+func HeadWait(d time.Duration) Field { return Field{fieldHead, d} }
+
 // Capacity gives the room of the backend servers in use, in thousandths of a core.
 func Capacity(milli int64) Field { return Field{fieldCapacity, milli} }
 
