--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -6,19 +6,14 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/directory"
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/link"
-	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/linkpb"
-	"foxtaildock.example/dock/rpc/linkpb/linkpbconnect"
 	"foxtaildock.example/dock/schedule"
 	"foxtaildock.example/dock/telemetry"
-	"foxtaildock.example/dock/work"
 )
 
 // links are the entry's connections: a session with each agent, and the other
@@ -70,41 +65,6 @@
 	lastRedial  = 1 * time.Second
 )
 
-// learnMember takes a process into the entry's connections.
-func (l *links) learnMember(m directory.Member) {
-	if m.Address == l.dispatcher.cfg.Self.Address {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if m.Role == directory.Entry {
-		l.peers[m.Address] = m
-		return
-	}
-	if a := l.agents[m.Address]; a != nil {
-		a.hurry()
-		return
-	}
-	ctx, cancel := context.WithCancel(l.dispatcher.base)
-	a := &agentLink{links: l, address: m.Address, cancel: cancel, wake: make(chan struct{}, 1)}
-	l.agents[m.Address] = a
-	go a.run(ctx)
-}
-
-// members returns the processes that the entry knows, itself included.
-func (l *links) members() []directory.Member {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	list := []directory.Member{l.dispatcher.cfg.Self}
-	for _, p := range l.peers {
-		list = append(list, p)
-	}
-	for address, a := range l.agents {
-		list = append(list, directory.Member{Role: directory.Agent, Address: address, Incarnation: a.name()})
-	}
-	return list
-}
-
 func (a *agentLink) name() ident.Incarnation {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -324,169 +284,3 @@
 		s.Send(&linkpb.ToAgent{Stops: link.KeysOf(a.Runs)})
 	}
 }
-
-// peerTimeout bounds calls between entries; they answer from memory.
-const peerTimeout = 400 * time.Millisecond
-
-func (l *links) eachPeer(ctx context.Context, call func(context.Context, linkpbconnect.EntryPeerClient)) {
-	l.mu.Lock()
-	var addresses []string
-	for address := range l.peers {
-		addresses = append(addresses, address)
-	}
-	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	var wait sync.WaitGroup
-	for _, address := range addresses {
-		wait.Go(func() { call(ctx, l.peer(address)) })
-	}
-	wait.Wait()
-}
-
-func (l *links) peer(address string) linkpbconnect.EntryPeerClient {
-	return linkpbconnect.NewEntryPeerClient(l.peerClient, "http://"+address, rpc.ClientOptions())
-}
-
-// cancelElsewhere asks the other entries to end a job.
-func (l *links) cancelElsewhere(ctx context.Context, id work.JobID) bool {
-	var mu sync.Mutex
-	found := false
-	l.eachPeer(ctx, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
-		res, err := peer.Cancel(ctx, connect.NewRequest(&linkpb.CancelRequest{Job: string(id)}))
-		if err != nil {
-			l.dispatcher.cfg.Log.Warn("peer doesn't answer", telemetry.Request(string(id)), telemetry.Err(err))
-			return
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		found = found || res.Msg.GetFound()
-	})
-	return found
-}
-
-// askOperator asks the other entries for operators' rows.
-func (l *links) askOperator(ctx context.Context) {
-	d := l.dispatcher
-	rows, _, _ := d.view.current()
-	l.eachPeer(ctx, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
-		asked := clock.Now()
-		res, err := peer.Operator(ctx, connect.NewRequest(&linkpb.OperatorRequest{Version: rows.Version}))
-		if err != nil {
-			d.cfg.Log.Debug("peer doesn't answer", telemetry.Err(err))
-			return
-		}
-		if res.Msg.GetRows().GetVersion() == 0 {
-			return
-		}
-		got, err := link.OperatorOf(res.Msg.GetRows())
-		if err != nil {
-			d.cfg.Log.Warn("operators' rows of a peer not readable", telemetry.Err(err))
-			return
-		}
-		d.learn(got, asked-link.Millis(res.Msg.GetAgeMs()), "peer")
-	})
-}
-
-// announceEvery is the pause between announcements to the seeds while no other
-// process is known.
-const announceEvery = time.Second
-
-// followMembers keeps the connections as new as the table of members.
-func (d *Dispatcher) followMembers(ctx context.Context) {
-	go d.announce(ctx)
-	reach := reachability{log: d.cfg.Log, name: "store: members"}
-	for ctx.Err() == nil {
-		page, err := d.cfg.Members.List(ctx)
-		if reach.note(err); err != nil {
-			pause.For(ctx, storeRetry)
-			continue
-		}
-		d.takeMembers(page)
-		for err == nil && ctx.Err() == nil {
-			var next directory.Page
-			next, err = d.cfg.Members.Changes(ctx, page.Version)
-			if err == nil {
-				d.takeMembers(next)
-				page.Version = max(page.Version, next.Version)
-			}
-		}
-	}
-}
-
-func (d *Dispatcher) takeMembers(page directory.Page) {
-	for _, row := range page.Rows {
-		if row.Deleted {
-			continue
-		}
-		m, err := directory.Decode(row.Value)
-		if err != nil {
-			d.cfg.Log.Warn("row of a member not readable", telemetry.Why(row.Key), telemetry.Err(err))
-			continue
-		}
-		d.links.learnMember(m)
-	}
-}
-
-// announce writes the entry's row, and tells the seeds of the entry while it
-// knows no agent, for the case that the store can't be reached.
-func (d *Dispatcher) announce(ctx context.Context) {
-	registrar := directory.Registrar{Self: d.cfg.Self, Table: d.cfg.Members, Log: d.cfg.Log}
-	go registrar.Run(ctx)
-	for ctx.Err() == nil {
-		if d.stats.Load().Agents == 0 {
-			d.announceToSeeds(ctx)
-		}
-		pause.For(ctx, announceEvery)
-	}
-}
-
-func (d *Dispatcher) announceToSeeds(ctx context.Context) {
-	members, _ := link.Announce(ctx, d.links.peerClient, d.cfg.Seeds, d.cfg.Self)
-	for _, m := range members {
-		d.links.learnMember(m)
-	}
-}
-
-// Peer serves the calls of other entries and of agents.
-type Peer struct{ Dispatcher *Dispatcher }
-
-// Announce implements the protocol's service.
-func (p Peer) Announce(_ context.Context, req *connect.Request[linkpb.AnnounceRequest]) (*connect.Response[linkpb.AnnounceResponse], error) {
-	d := p.Dispatcher
-	d.links.learnMember(link.MemberOf(req.Msg.GetMember()))
-	if !req.Msg.GetRelayed() {
-		relayed := &linkpb.AnnounceRequest{Member: req.Msg.GetMember(), Relayed: true}
-		go d.links.eachPeer(d.base, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
-			if _, err := peer.Announce(ctx, connect.NewRequest(relayed)); err != nil {
-				d.cfg.Log.Debug("peer doesn't answer", telemetry.Err(err))
-			}
-		})
-	}
-	res := &linkpb.AnnounceResponse{}
-	for _, m := range d.links.members() {
-		res.Members = append(res.Members, link.MemberMessage(&m))
-	}
-	return connect.NewResponse(res), nil
-}
-
-// Cancel implements the protocol's service.
-func (p Peer) Cancel(_ context.Context, req *connect.Request[linkpb.CancelRequest]) (*connect.Response[linkpb.CancelResponse], error) {
-	found := p.Dispatcher.cancelHere(work.JobID(req.Msg.GetJob()))
-	return connect.NewResponse(&linkpb.CancelResponse{Found: found}), nil
-}
-
-// Operator implements the protocol's service.
-func (p Peer) Operator(_ context.Context, req *connect.Request[linkpb.OperatorRequest]) (*connect.Response[linkpb.OperatorResponse], error) {
-	rows, age, known := p.Dispatcher.view.current()
-	res := &linkpb.OperatorResponse{AgeMs: age.Milliseconds()}
-	if !known || rows.Version < req.Msg.GetVersion() {
-		return connect.NewResponse(res), nil
-	}
-	full, err := link.OperatorMessage(&rows)
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInternal, err)
-	}
-	res.Rows = full
-	return connect.NewResponse(res), nil
-}
--- /dev/null
+++ b/dispatcher/peers.go
@@ -0,0 +1,123 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"foxtaildock.example/dock/clock"
+	"foxtaildock.example/dock/link"
+	"foxtaildock.example/dock/rpc"
+	"foxtaildock.example/dock/rpc/linkpb"
+	"foxtaildock.example/dock/rpc/linkpb/linkpbconnect"
+	"foxtaildock.example/dock/telemetry"
+	"foxtaildock.example/dock/work"
+)
+
+// peerTimeout bounds calls between entries; they answer from memory.
+const peerTimeout = 400 * time.Millisecond
+
+func (l *links) eachPeer(ctx context.Context, call func(context.Context, linkpbconnect.EntryPeerClient)) {
+	l.mu.Lock()
+	var addresses []string
+	for address := range l.peers {
+		addresses = append(addresses, address)
+	}
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, address := range addresses {
+		wait.Go(func() { call(ctx, l.peer(address)) })
+	}
+	wait.Wait()
+}
+
+func (l *links) peer(address string) linkpbconnect.EntryPeerClient {
+	return linkpbconnect.NewEntryPeerClient(l.peerClient, "http://"+address, rpc.ClientOptions())
+}
+
+// cancelElsewhere asks the other entries to end a job.
+func (l *links) cancelElsewhere(ctx context.Context, id work.JobID) bool {
+	var mu sync.Mutex
+	found := false
+	l.eachPeer(ctx, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
+		res, err := peer.Cancel(ctx, connect.NewRequest(&linkpb.CancelRequest{Job: string(id)}))
+		if err != nil {
+			l.dispatcher.cfg.Log.Warn("peer doesn't answer", telemetry.Request(string(id)), telemetry.Err(err))
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		found = found || res.Msg.GetFound()
+	})
+	return found
+}
+
+// askOperator asks the other entries for operators' rows.
+func (l *links) askOperator(ctx context.Context) {
+	d := l.dispatcher
+	rows, _, _ := d.view.current()
+	l.eachPeer(ctx, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
+		asked := clock.Now()
+		res, err := peer.Operator(ctx, connect.NewRequest(&linkpb.OperatorRequest{Version: rows.Version}))
+		if err != nil {
+			d.cfg.Log.Debug("peer doesn't answer", telemetry.Err(err))
+			return
+		}
+		if res.Msg.GetRows().GetVersion() == 0 {
+			return
+		}
+		got, err := link.OperatorOf(res.Msg.GetRows())
+		if err != nil {
+			d.cfg.Log.Warn("operators' rows of a peer not readable", telemetry.Err(err))
+			return
+		}
+		d.learn(got, asked-link.Millis(res.Msg.GetAgeMs()), "peer")
+	})
+}
+
+// Peer serves the calls of other entries and of agents.
+type Peer struct{ Dispatcher *Dispatcher }
+
+// Announce implements the protocol's service.
+func (p Peer) Announce(_ context.Context, req *connect.Request[linkpb.AnnounceRequest]) (*connect.Response[linkpb.AnnounceResponse], error) {
+	d := p.Dispatcher
+	d.links.learnMember(link.MemberOf(req.Msg.GetMember()))
+	if !req.Msg.GetRelayed() {
+		relayed := &linkpb.AnnounceRequest{Member: req.Msg.GetMember(), Relayed: true}
+		go d.links.eachPeer(d.base, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
+			if _, err := peer.Announce(ctx, connect.NewRequest(relayed)); err != nil {
+				d.cfg.Log.Debug("peer doesn't answer", telemetry.Err(err))
+			}
+		})
+	}
+	res := &linkpb.AnnounceResponse{}
+	for _, m := range d.links.members() {
+		res.Members = append(res.Members, link.MemberMessage(&m))
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Cancel implements the protocol's service.
+func (p Peer) Cancel(_ context.Context, req *connect.Request[linkpb.CancelRequest]) (*connect.Response[linkpb.CancelResponse], error) {
+	found := p.Dispatcher.cancelHere(work.JobID(req.Msg.GetJob()))
+	return connect.NewResponse(&linkpb.CancelResponse{Found: found}), nil
+}
+
+// Operator implements the protocol's service.
+func (p Peer) Operator(_ context.Context, req *connect.Request[linkpb.OperatorRequest]) (*connect.Response[linkpb.OperatorResponse], error) {
+	rows, age, known := p.Dispatcher.view.current()
+	res := &linkpb.OperatorResponse{AgeMs: age.Milliseconds()}
+	if !known || rows.Version < req.Msg.GetVersion() {
+		return connect.NewResponse(res), nil
+	}
+	full, err := link.OperatorMessage(&rows)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	res.Rows = full
+	return connect.NewResponse(res), nil
+}
--- /dev/null
+++ b/run/offers.go
@@ -0,0 +1,85 @@
+package run
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"foxtaildock.example/dock/work"
+)
+
+func (c *Core) offered(e Offered) {
+	if reason := c.offerRefusal(e); reason != "" {
+		c.do(Report{Entry: e.Entry, Run: e.Run, Outcome: work.NotStarted, Reason: reason})
+		return
+	}
+	if old := c.tasks[e.Run.Task]; old != nil {
+		c.offeredAgain(old, e)
+		return
+	}
+	c.arrivals++
+	t := &task{
+		run: e.Run, entry: e.Entry, spec: e.Spec, priority: e.Priority,
+		demand: e.Demand, expected: e.Expected, arrival: c.arrivals, since: c.now,
+	}
+	c.tasks[e.Run.Task] = t
+	at, _ := slices.BinarySearchFunc(c.queue, t, compareTasks)
+	c.queue = slices.Insert(c.queue, at, t)
+}
+
+func compareTasks(a, b *task) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.arrival, b.arrival))
+}
+
+func (c *Core) offerRefusal(e Offered) string {
+	if reason := c.refusal(); reason != "" {
+		return reason
+	}
+	if e.Service != c.server.report.Server.Service {
+		return reasonService
+	}
+	if len(c.queue) >= c.cfg.QueueLimit {
+		return reasonFull
+	}
+	return ""
+}
+
+// offeredAgain takes an offer of a task that the agent holds. A later sending of
+// its job replaces an earlier one, which is stopped first; the new run is
+// returned, and its entry may offer it again.
+func (c *Core) offeredAgain(old *task, e Offered) {
+	if old.entry == e.Entry && old.run.ID >= e.Run.ID {
+		return
+	}
+	c.do(Report{Entry: e.Entry, Run: e.Run, Outcome: work.NotStarted, Reason: reasonReplaced})
+	c.stop(old, reasonReplaced)
+}
+
+func (c *Core) stopAsked(e StopAsked) {
+	t := c.tasks[e.Run.Task]
+	if t == nil || t.run != e.Run || t.entry != e.Entry {
+		return
+	}
+	c.stop(t, reasonStopped)
+}
+
+// stop ends a run as fast as its phase allows.
+func (c *Core) stop(t *task, reason string) {
+	t.stop.wanted = true
+	if t.phase == phaseQueued {
+		c.end(t, work.NotStarted, reason)
+	}
+}
+
+// end removes a task and tells its entry.
+func (c *Core) end(t *task, outcome work.Outcome, reason string) {
+	delete(c.tasks, t.run.Task)
+	if t.phase == phaseQueued {
+		c.queue = slices.DeleteFunc(c.queue, func(q *task) bool { return q == t })
+	}
+	var ran time.Duration
+	if t.phase != phaseQueued {
+		ran = c.now - t.started
+	}
+	c.do(Report{Entry: t.entry, Run: t.run, Outcome: outcome, Ran: ran, Reason: reason})
+}
