--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -44,7 +44,6 @@
 type agentLink struct {
 	links   *links
 	address string
-	cancel  context.CancelFunc
 	wake    chan struct{}
 
 	mu          sync.Mutex
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -25,10 +25,9 @@
 		a.hurry()
 		return
 	}
-	ctx, cancel := context.WithCancel(l.dispatcher.base)
-	a := &agentLink{links: l, address: m.Address, cancel: cancel, wake: make(chan struct{}, 1)}
+	a := &agentLink{links: l, address: m.Address, wake: make(chan struct{}, 1)}
 	l.agents[m.Address] = a
-	go a.run(ctx)
+	go a.run(l.dispatcher.base)
 }
 
 // members returns the processes that the entry knows, itself included.
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -10,7 +10,7 @@
 type health struct {
 	// fails is a moving share of failed runs.
 	fails float64
-	// suspectUntil is when the next trial may be sent to a suspected server.
+	// trialAt is when the next trial may be sent to a suspected server.
 	trialAt time.Duration
 }
 
