Read through: dead state out, one way to write a heartbeat's rows, two margins told apart

From reading the whole change once more; no behaviour changes. jobState.ran and the agent's domain were written and never read (the backend server's own domain decides), and endOf always returned true. A heartbeat built the withdrawn domains a second time beside OperatorMessage; it now leaves out the manifest and uses that.

--- a/bench/runserver/runserver.go
+++ b/bench/runserver/runserver.go
@@ -174,7 +174,7 @@
 // Next is when something happens by itself: an end or the end of the lease.
 func (s *Server) Next() (at time.Duration, any bool) {
 	for _, r := range s.runs {
-		if t, _, ends := s.endOf(r); ends && (!any || t < at) {
+		if t, _ := s.endOf(r); !any || t < at {
 			at, any = t, true
 		}
 	}
@@ -182,7 +182,7 @@
 }
 
 // endOf is when and how a run ends, as things stand.
-func (s *Server) endOf(r *running) (at time.Duration, how run.End, ends bool) {
+func (s *Server) endOf(r *running) (at time.Duration, how run.End) {
 	at, how = s.realTime(s.expiry), run.EndLapsed
 	if !r.plan.Stuck && r.began+r.plan.Length < at {
 		at, how = r.began+r.plan.Length, run.EndDone
@@ -193,7 +193,7 @@
 	if r.stopping != 0 && r.stopping < at {
 		at, how = r.stopping, run.EndStopped
 	}
-	return at, how, true
+	return at, how
 }
 
 // Advance lets everything end whose time has come, in order.
@@ -204,7 +204,7 @@
 			return
 		}
 		for _, r := range s.sorted() {
-			if t, how, _ := s.endOf(r); t <= at {
+			if t, how := s.endOf(r); t <= at {
 				s.end(t, r, how)
 			}
 		}
--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -285,7 +285,7 @@
 	}
 	if m.welcome {
 		l.open = true
-		e.step(schedule.AgentAttached{Agent: m.agent, Address: string(rune('a' + i)), Domain: e.site.domain(i), Held: m.held, Asked: l.asked})
+		e.step(schedule.AgentAttached{Agent: m.agent, Address: string(rune('a' + i)), Held: m.held, Asked: l.asked})
 	}
 	if sent, known := l.sent[m.beat]; known {
 		e.step(schedule.AgentHeard{Agent: m.agent, Sent: sent})
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -48,8 +48,8 @@
 type Table interface {
 	// List returns all rows and the version as of which they were read.
 	List(ctx context.Context) (Page, error)
-	// Changes waits for rows that changed after the version. It returns
-	// ErrForgotten if the store no longer knows.
+	// Changes waits for rows that changed after the version. An error means
+	// that the rows have to be read again.
 	Changes(ctx context.Context, after uint64) (Page, error)
 	// Put writes a row, whatever was there.
 	Put(ctx context.Context, key string, value []byte) error
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -261,8 +261,9 @@
 	return a
 }
 
-// exitMargin is kept of the grace period for the process's own end.
-const exitMargin = 300 * time.Millisecond
+// answerMargin is how long before the end of the grace period the last answer is
+// due: a little before the process gives up waiting for work to end.
+const answerMargin = 300 * time.Millisecond
 
 // closed returns why no job is taken, or "". After the order to stop, jobs are
 // taken for as long as they can surely be answered before the end.
@@ -271,7 +272,7 @@
 	if left == 0 {
 		return ""
 	}
-	if clock.Now()+patience > time.Duration(left)+d.cfg.Grace-exitMargin {
+	if clock.Now()+patience > time.Duration(left)+d.cfg.Grace-answerMargin {
 		return "entry stops"
 	}
 	return ""
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -116,7 +116,7 @@
 	a.passed = 0
 	a.mu.Unlock()
 	var open *link.Session
-	err := link.Run(ctx, a.address, hello, link.Times{Beat: terms.Beat, Silence: silentBeats * terms.Beat}, link.Handlers{
+	err := link.Run(ctx, a.address, hello, link.Times{Beat: terms.Beat, Silence: lostBeats * terms.Beat}, link.Handlers{
 		Received: func(s *link.Session, m *linkpb.FromAgent) {
 			open = s
 			d.put(received{link: a, session: s, message: m, asked: asked})
@@ -129,8 +129,8 @@
 	return err
 }
 
-// silentBeats is after how many heartbeats without a word a session is closed.
-const silentBeats = 3
+// lostBeats is after how many heartbeats without a word a session is closed.
+const lostBeats = 3
 
 // heartbeat returns the next heartbeat, with operators' rows that the agent lacks.
 func (a *agentLink) heartbeat() *linkpb.Heartbeat {
@@ -143,21 +143,17 @@
 	if !known {
 		return b
 	}
-	b.OperatorAgeMs = age.Milliseconds()
-	b.Operator = &linkpb.OperatorRows{Version: rows.Version}
-	if a.passed != rows.Version {
-		full, err := link.OperatorMessage(&rows)
-		if err != nil {
-			a.links.dispatcher.cfg.Log.Error("operators' rows can't be passed on", telemetry.Err(err))
-			return b
-		}
-		b.Operator = full
-		a.passed = rows.Version
-		return b
+	if a.passed == rows.Version {
+		rows.Manifest = nil // the agent has it
 	}
-	for _, domain := range rows.Withdrawn {
-		b.Operator.WithdrawnDomains = append(b.Operator.WithdrawnDomains, string(domain))
+	message, err := link.OperatorMessage(&rows)
+	if err != nil {
+		a.links.dispatcher.cfg.Log.Error("operators' rows can't be passed on", telemetry.Err(err))
+		return b
 	}
+	b.OperatorAgeMs = age.Milliseconds()
+	b.Operator = message
+	a.passed = rows.Version
 	return b
 }
 
@@ -189,7 +185,7 @@
 	if w := m.GetWelcome(); w != nil {
 		d.links.sessions[agent] = e.session
 		d.step(schedule.AgentAttached{
-			Agent: agent, Address: a.address, Domain: ident.FailureDomain(w.GetDomain()),
+			Agent: agent, Address: a.address,
 			Held: link.RunsOf(w.GetHeld()), Asked: e.asked,
 		})
 	}
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -14,7 +14,6 @@
 type agentState struct {
 	id       ident.Incarnation
 	address  string
-	domain   ident.FailureDomain
 	attached bool
 	server   work.Server
 	used     work.Demand
@@ -78,7 +77,7 @@
 func (c *Core) agentAttached(e AgentAttached) {
 	a := c.agents[e.Agent]
 	if a == nil {
-		a = &agentState{id: e.Agent, address: e.Address, domain: e.Domain, runs: map[work.Task]work.RunID{}}
+		a = &agentState{id: e.Agent, address: e.Address, runs: map[work.Task]work.RunID{}}
 		c.agents[e.Agent] = a
 		at, _ := slices.BinarySearchFunc(c.order, a, compareAgents)
 		c.order = slices.Insert(c.order, at, a)
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -50,7 +50,6 @@
 type AgentAttached struct {
 	Agent   ident.Incarnation
 	Address string
-	Domain  ident.FailureDomain
 	// Held are the runs of this entry that the agent holds. Any other run that
 	// was sent to it never arrived.
 	Held []work.Run
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -64,7 +64,6 @@
 	arrival  uint64
 	first    time.Duration // first offer
 	offered  bool
-	ran      bool // whether any run may have started
 	runs     int
 	steps    []stepState
 	expected time.Duration // of the longest chain of tasks
@@ -331,7 +330,6 @@
 	case work.Failed:
 		c.taskFailed(j, e, t)
 	case work.Lost:
-		j.ran = true
 		c.again(j, e.Run.Task, t, e.Reason)
 	case work.NotStarted:
 		if e.Reason == "old" {
@@ -354,7 +352,6 @@
 func (c *Core) taskDone(j *jobState, id work.Task, t *taskState) {
 	t.phase = taskDone
 	t.agent = nil
-	j.ran = true
 	s := &j.steps[id.Step]
 	s.done++
 	if s.done < len(s.tasks) {
@@ -383,7 +380,6 @@
 // taskFailed counts a failure against the task, unless its backend server fails
 // what others carry out.
 func (c *Core) taskFailed(j *jobState, e RunEnded, t *taskState) {
-	j.ran = true
 	a := t.agent
 	blamed := a.health.failed(c.now)
 	if !blamed || t.failures > 0 {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -61,7 +61,7 @@
 
 // agent attaches an agent whose server has room for four tasks.
 func (b *bench) agent(name ident.Incarnation, address string) {
-	b.step(AgentAttached{Agent: name, Address: address, Domain: "d", Asked: b.now})
+	b.step(AgentAttached{Agent: name, Address: address, Asked: b.now})
 	b.room(name, 0)
 }
 
@@ -146,7 +146,7 @@
 	b.job("job", 0, 1)
 	b.step(AgentDetached{Agent: "a"})
 	b.take()
-	b.step(AgentAttached{Agent: "a2", Address: "1", Domain: "d", Asked: b.now})
+	b.step(AgentAttached{Agent: "a2", Address: "1", Asked: b.now})
 	if n := len(offered(b.take())); n != 0 {
 		t.Fatal("the task is offered before the successor has cleared its server")
 	}
@@ -164,7 +164,7 @@
 	b.job("job", 0, 2)
 	b.step(AgentDetached{Agent: "a"})
 	b.take()
-	b.step(AgentAttached{Agent: "a", Address: "1", Domain: "d", Asked: b.now, Held: []work.Run{runOf("job", 1, 1)}})
+	b.step(AgentAttached{Agent: "a", Address: "1", Asked: b.now, Held: []work.Run{runOf("job", 1, 1)}})
 	b.now += coolTime
 	b.room("a", 1000)
 	runs := offered(b.take())
