Leases count from the agent's own clock, returned by the entry

Each attempt and each heartbeat that reached the agent renewed the agent's lease from its arrival, but the entry counted from the last heartbeat whose answer it had taken.

Change: agents stamp their messages, entries return the newest stamp that their duty has worked off, and the lease counts from it. Opening a session renews nothing; a first heartbeat goes ahead of offers. The entry waits from the time when it worked off the stamp, which is never earlier.

--- a/bench/sitesim/config.go
+++ b/bench/sitesim/config.go
@@ -81,6 +81,9 @@
 	FailingServer
 	// CutLink cuts an entry from an agent for For.
 	CutLink
+	// SlowEntry makes an entry take what every second agent sends X seconds late, for
+	// For: it can't keep up, and starves some connections. What it sends leaves in time.
+	SlowEntry
 	// LateOrders leaves a share X of all orders unanswered for For, and carries
 	// them out seconds later.
 	LateOrders
--- a/bench/sitesim/faults.go
+++ b/bench/sitesim/faults.go
@@ -40,6 +40,10 @@
 		s.after(f.For, func() { v.state.failing = false })
 	case CutLink:
 		s.cut([2]int{f.Index % len(s.entries), f.Index % len(s.vms)}, f.For)
+	case SlowEntry:
+		for i := f.Index % 2; i < len(s.vms); i += 2 {
+			s.lag([2]int{e.index, i}, time.Duration(f.X*float64(time.Second)), f.For)
+		}
 	case LateOrders:
 		s.orders.late = f.X
 		s.after(f.For, func() { s.orders.late = 0 })
@@ -62,6 +66,12 @@
 	s.after(length, func() { delete(s.cuts, pair) })
 }
 
+// lag makes an entry take what an agent sends late, for a while.
+func (s *Site) lag(pair [2]int, late, length time.Duration) {
+	s.lags[pair] = late
+	s.after(length, func() { delete(s.lags, pair) })
+}
+
 // learnDelay is how long entries take to learn of an operators' row.
 const learnDelay = 50 * time.Millisecond
 
--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -15,12 +15,19 @@
 type channel struct {
 	entry, agent int
 	dead         bool
+	// arrival is when the newest message to the entry arrives.
+	arrival time.Duration
 }
 
 // carry delivers a message over the channel in order, unless it is lost.
 func (s *Site) carry(c *channel, to *process, f func()) {
 	life := to.life
-	s.after(s.cfg.Delay, func() {
+	arrival := s.now() + s.cfg.Delay
+	if to == &s.entries[c.entry].process {
+		arrival = max(arrival+s.lags[[2]int{c.entry, c.agent}], c.arrival)
+		c.arrival = arrival
+	}
+	s.at(arrival, func() {
 		if c.dead || s.cuts[[2]int{c.entry, c.agent}] || !to.alive || to.life != life {
 			c.dead = true
 			return
@@ -60,6 +67,8 @@
 	beat    uint64
 	room    run.Room
 	stalls  []work.Run
+	// clock is the agent's, when it sent the message.
+	clock time.Duration
 }
 
 // attach opens a session; one of the same entry incarnation is replaced.
@@ -70,7 +79,6 @@
 		s.results, s.last = old.results, old.last
 	}
 	v.sessions[name] = s
-	v.step(run.EntryHeard{Entry: name})
 	if agent == v.self {
 		s.seen(seen)
 	}
@@ -87,6 +95,7 @@
 func (v *vm) send(s *agentSession, m toEntry) {
 	e := s.entry
 	c := s.channel
+	m.clock = v.site.now()
 	v.site.carry(c, &e.process, func() { e.receive(v.index, c, m) })
 }
 
@@ -162,7 +171,9 @@
 	heard   time.Duration
 	seen    uint64
 	beat    uint64
-	sent    map[uint64]time.Duration
+	// clock is the agent's, in the newest message of the session; 0 before the first.
+	clock time.Duration
+	sent  map[uint64]time.Duration
 }
 
 // Times of an entry.
@@ -208,7 +219,7 @@
 	l := e.links[i]
 	v := e.site.vms[i]
 	c := &channel{entry: e.index, agent: i}
-	l.channel, l.open = c, false
+	l.channel, l.open, l.clock = c, false, 0
 	l.asked, l.heard = e.site.now(), e.site.now()
 	agent, seen, self := l.agent, l.seen, e.self
 	e.site.carry(c, &v.process, func() { v.attach(e, self, c, agent, seen) })
@@ -222,21 +233,26 @@
 		e.dial(i)
 	}
 	if l.open {
-		l.beat++
-		number, seen := l.beat, l.seen
-		l.sent[number] = e.site.now()
-		delete(l.sent, number-16)
-		withdrawn := e.site.operator.IsWithdrawn(e.site.domain(i))
-		e.toAgent(i, func(v *vm, s *agentSession) {
-			s.seen(seen)
-			s.beat, s.dirty = number, true
-			v.step(run.EntryHeard{Entry: s.name})
-			v.step(run.DomainWithdrawn{Withdrawn: withdrawn})
-		})
+		e.beat(i)
 	}
 	e.later(e.site.terms.Beat, func() { e.beats(i) })
 }
 
+func (e *entryNode) beat(i int) {
+	l := e.links[i]
+	l.beat++
+	number, seen, clock := l.beat, l.seen, l.clock
+	l.sent[number] = e.site.now()
+	delete(l.sent, number-16)
+	withdrawn := e.site.operator.IsWithdrawn(e.site.domain(i))
+	e.toAgent(i, func(v *vm, s *agentSession) {
+		s.seen(seen)
+		s.beat, s.dirty = number, true
+		v.step(run.EntryHeard{Entry: s.name, AsOf: clock})
+		v.step(run.DomainWithdrawn{Withdrawn: withdrawn})
+	})
+}
+
 func (e *entryNode) toAgent(i int, f func(*vm, *agentSession)) {
 	v, c, self := e.site.vms[i], e.links[i].channel, e.self
 	e.site.carry(c, &v.process, func() {
@@ -273,6 +289,7 @@
 		return
 	}
 	l.heard = e.site.now()
+	l.clock = max(l.clock, m.clock)
 	if m.welcome && l.agent != m.agent {
 		l.agent, l.seen = m.agent, 0
 	}
@@ -285,11 +302,10 @@
 	}
 	if m.welcome {
 		l.open = true
+		e.beat(i)
 		e.step(schedule.AgentAttached{Agent: m.agent, Address: string(rune('a' + i)), Held: m.held, Asked: l.asked})
 	}
-	if sent, known := l.sent[m.beat]; known {
-		e.step(schedule.AgentHeard{Agent: m.agent, Sent: sent})
-	}
+	e.step(schedule.AgentHeard{Agent: m.agent, Taken: l.sent[m.beat]})
 	room := m.room
 	room.Server.Draining = room.Server.Draining || room.Closed
 	e.step(schedule.AgentRoom{Agent: m.agent, Server: room.Server, Used: room.Used, Queued: room.Queued, Taken: m.taken, Pace: room.Pace})
--- a/bench/sitesim/site.go
+++ b/bench/sitesim/site.go
@@ -24,8 +24,10 @@
 	// operator is what operators want now.
 	operator operator.Rows
 	cuts     map[[2]int]bool // entry, agent
-	orders   orderFaults
-	lives    int
+	// lags are by how much an entry takes what an agent sends late.
+	lags   map[[2]int]time.Duration
+	orders orderFaults
+	lives  int
 }
 
 // orderFaults are the shares of orders to backend servers that go wrong.
@@ -39,7 +41,7 @@
 	}
 	s := &Site{
 		cfg: cfg, terms: terms, random: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		cuts: map[[2]int]bool{}, operator: operator.Rows{Version: 1, Manifest: manifestOf(cfg.Kinds)},
+		cuts: map[[2]int]bool{}, lags: map[[2]int]time.Duration{}, operator: operator.Rows{Version: 1, Manifest: manifestOf(cfg.Kinds)},
 	}
 	s.checks = newChecks(s)
 	s.callers = callers{site: s, jobs: map[string]*callerJob{}}
--- a/bench/sitesim/sitesim_test.go
+++ b/bench/sitesim/sitesim_test.go
@@ -15,7 +15,7 @@
 // kindsOfFault are those that random sites draw from.
 var kindsOfFault = []FaultKind{
 	KillAgent, KillEntry, FreezeAgent, FreezeEntry, DarkServer, CrashServer, SlowServer, StuckServer,
-	FailingServer, CutLink, LateOrders, LostAnswers, DrainServer, WithdrawDomain, LeaveCallers,
+	FailingServer, CutLink, SlowEntry, LateOrders, LostAnswers, DrainServer, WithdrawDomain, LeaveCallers,
 }
 
 // randomSite is a site with faults at random times, often several at once.
@@ -50,6 +50,20 @@
 	}
 }
 
+// An entry that takes messages too late believes its agents gone, while they hear
+// its heartbeats and its attempts to reach them again.
+func TestASlowEntryStartsNoTaskTwice(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		cfg := StandardSite(seed, 8*time.Second)
+		for i := range 3 {
+			cfg.Faults = append(cfg.Faults, Fault{
+				Kind: SlowEntry, At: time.Second, For: 5 * time.Second, Index: i, X: 0.2 + 0.15*float64(i),
+			})
+		}
+		play(t, cfg)
+	}
+}
+
 func play(t *testing.T, cfg Config) (*Site, *Result) {
 	t.Helper()
 	s, err := New(cfg)
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -52,6 +52,9 @@
 	beat        uint64
 	sent        [sentBeats]time.Duration
 	passed      uint64 // version that was passed on in this session
+	// clock is the agent's clock in the newest message of this session that the duty
+	// has worked off, in its own unit; 0 before the first.
+	clock int64
 }
 
 // sentBeats is how many heartbeats' times are remembered: more than are sent
@@ -113,7 +116,7 @@
 	asked := clock.Now()
 	a.mu.Lock()
 	hello := &linkpb.Hello{Entry: string(d.cfg.Self.Incarnation), Agent: string(a.incarnation), ResultsSeen: a.seen}
-	a.passed = 0
+	a.passed, a.clock = 0, 0
 	a.mu.Unlock()
 	var open *link.Session
 	err := link.Run(ctx, a.address, hello, link.Times{Beat: terms.Beat, Silence: lostBeats * terms.Beat}, link.Handlers{
@@ -139,7 +142,7 @@
 	defer a.mu.Unlock()
 	a.beat++
 	a.sent[a.beat%sentBeats] = clock.Now()
-	b := &linkpb.Heartbeat{Number: a.beat, ResultsSeen: a.seen}
+	b := &linkpb.Heartbeat{Number: a.beat, ResultsSeen: a.seen, AgentClockMs: a.clock}
 	if !known {
 		return b
 	}
@@ -184,6 +187,9 @@
 	}
 	if w := m.GetWelcome(); w != nil {
 		d.links.sessions[agent] = e.session
+		// The first heartbeat goes ahead of offers, which need its lease.
+		a.worked(m)
+		e.session.Send(&linkpb.ToAgent{Heartbeat: a.heartbeat()})
 		d.step(schedule.AgentAttached{
 			Agent: agent, Address: a.address,
 			Held: link.RunsOf(w.GetHeld()), Asked: e.asked,
@@ -192,9 +198,8 @@
 	if d.links.sessions[agent] != e.session {
 		return
 	}
-	if sent := a.sentAt(m.GetHeartbeat()); sent > 0 {
-		d.step(schedule.AgentHeard{Agent: agent, Sent: sent})
-	}
+	a.worked(m)
+	d.step(schedule.AgentHeard{Agent: agent, Taken: a.sentAt(m.GetHeartbeat())})
 	if r := m.GetRoom(); r != nil {
 		d.step(schedule.AgentRoom{
 			Agent: agent, Server: link.ServerOf(r), Used: link.DemandOf(r.GetUsed()),
@@ -219,6 +224,17 @@
 	}
 }
 
+// worked notes that the duty has worked off what arrived before the message. The
+// next heartbeats renew the lease from its time on.
+//
+// Only the duty calls it, so that a lease never counts from a time at which the
+// entry had not yet seen that a caller left or an agent was lost.
+func (a *agentLink) worked(m *linkpb.FromAgent) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.clock = max(a.clock, m.GetClockMs())
+}
+
 func (d *Dispatcher) sessionEnded(e received) {
 	agent := e.link.name()
 	if d.links.sessions[agent] != e.session {
--- a/run/events.go
+++ b/run/events.go
@@ -46,7 +46,12 @@
 }
 
 // EntryHeard renews the lease of the entry's runs.
-type EntryHeard struct{ Entry ident.Incarnation }
+type EntryHeard struct {
+	Entry ident.Incarnation
+	// AsOf is the agent's clock when it sent the newest message that the entry had
+	// worked off. The lease counts from there: the entry knows that it was given.
+	AsOf time.Duration
+}
 
 // DomainWithdrawn says whether the agent's failure domain is out of service.
 type DomainWithdrawn struct{ Withdrawn bool }
--- a/run/run.go
+++ b/run/run.go
@@ -43,7 +43,7 @@
 	holds  holdState
 	tasks  map[work.Task]*task
 	queue  []*task
-	// entries are the times when each entry was last heard.
+	// entries are the times that the leases of entries count from.
 	entries   map[ident.Incarnation]time.Duration
 	pace      pace
 	withdrawn bool
@@ -119,7 +119,7 @@
 	case StopAsked:
 		c.stopAsked(e)
 	case EntryHeard:
-		c.entries[e.Entry] = c.now
+		c.entryHeard(e)
 	case DomainWithdrawn:
 		c.withdrawn = e.Withdrawn
 	case Closing:
@@ -245,10 +245,17 @@
 	return ""
 }
 
+// entryHeard renews a lease, unless it was given on an older word of the agent.
+func (c *Core) entryHeard(e EntryHeard) {
+	if e.AsOf <= c.now {
+		c.entries[e.Entry] = max(c.entries[e.Entry], e.AsOf)
+	}
+}
+
 // expireEntries stops the runs of entries that haven't been heard for their lease.
 func (c *Core) expireEntries() {
-	for entry, heard := range c.entries {
-		if c.now-heard > c.cfg.Terms.Entry {
+	for entry, asOf := range c.entries {
+		if c.now-asOf > c.cfg.Terms.Entry {
 			delete(c.entries, entry)
 		}
 	}
--- a/run/run_test.go
+++ b/run/run_test.go
@@ -65,7 +65,7 @@
 // open takes a server with room for four tasks into use.
 func (b *bench) open() {
 	b.t.Helper()
-	b.step(EntryHeard{Entry: entryA})
+	b.step(EntryHeard{Entry: entryA, AsOf: b.now})
 	b.step(report(born, 1, 0))
 	b.answerHold(nil, nil)
 	if b.core.Room().Server.Incarnation == "" {
@@ -243,7 +243,7 @@
 // A new agent ends what an earlier one has left before it takes work.
 func TestANewAgentClearsItsServer(t *testing.T) {
 	b := newBench(t)
-	b.step(EntryHeard{Entry: entryA})
+	b.step(EntryHeard{Entry: entryA, AsOf: b.now})
 	b.step(report(born, 9, 5*time.Second))
 	stray := runOf(3, 1)
 	b.answerHold([]RunningRun{{Run: stray}}, nil)
@@ -321,7 +321,7 @@
 	b.started(0)
 	b.take()
 	b.now = b.core.holds.longAt + b.core.holds.longWait + overdueAfter + time.Millisecond
-	b.step(EntryHeard{Entry: entryA})
+	b.step(EntryHeard{Entry: entryA, AsOf: b.now})
 	if len(of[CallHold](b.take())) != 1 {
 		t.Fatal("nothing asks for ends while a call is overdue")
 	}
@@ -337,10 +337,42 @@
 	b.answerHold(running, nil)
 	for range 6 {
 		b.now += 150 * time.Millisecond
-		b.step(EntryHeard{Entry: entryA})
+		b.step(EntryHeard{Entry: entryA, AsOf: b.now})
 		b.answerHold(running, nil)
 	}
 	if n := len(of[ReportStalled](b.take())); n != 1 {
 		t.Fatalf("%d reports of one stalled run", n)
 	}
 }
+
+// A heartbeat that arrives late renews the lease only from the word that it answers.
+func TestALateHeartbeatDoesNotRenewTheLease(t *testing.T) {
+	b := newBench(t)
+	b.open()
+	b.step(offer(0))
+	b.started(0)
+	asOf := b.now
+	b.now += b.core.cfg.Terms.Entry
+	b.step(EntryHeard{Entry: entryA, AsOf: asOf})
+	b.take()
+	b.now += time.Millisecond
+	b.step(Tick{})
+	if len(of[CallStop](b.take())) != 1 {
+		t.Fatal("the run goes on though its entry has taken no word of the agent for the lease")
+	}
+}
+
+// A clock that this agent can't have sent renews nothing.
+func TestAHeartbeatFromTheFutureIsIgnored(t *testing.T) {
+	b := newBench(t)
+	b.open()
+	b.step(offer(0))
+	b.started(0)
+	b.take()
+	b.step(EntryHeard{Entry: entryA, AsOf: b.now + time.Hour})
+	b.now += b.core.cfg.Terms.Entry + time.Millisecond
+	b.step(Tick{})
+	if len(of[CallStop](b.take())) != 1 {
+		t.Fatal("the run goes on under a lease from the future")
+	}
+}
--- a/runner/session.go
+++ b/runner/session.go
@@ -98,7 +98,6 @@
 	}
 	r.sessions[s.entry] = s
 	r.attached.Store(int64(r.live()))
-	r.step(run.EntryHeard{Entry: s.entry})
 	if s.hello.GetAgent() == string(r.cfg.Self) {
 		s.seen(s.hello.GetResultsSeen())
 	}
@@ -167,7 +166,9 @@
 func (r *Runner) heartbeat(s *session, b *linkpb.Heartbeat) {
 	s.seen(b.GetResultsSeen())
 	s.beat = b.GetNumber()
-	r.step(run.EntryHeard{Entry: s.entry})
+	if b.GetAgentClockMs() > 0 {
+		r.step(run.EntryHeard{Entry: s.entry, AsOf: link.Millis(b.GetAgentClockMs())})
+	}
 	s.message()
 	if b.GetOperator() == nil {
 		return
@@ -257,6 +258,7 @@
 	s.pending = nil
 	m.Taken = s.taken
 	m.Heartbeat = s.beat
+	m.ClockMs = now.Milliseconds()
 	m.OperatorVersion = r.view.Rows().Version
 	if !s.roomed || !s.room.Equal(&room) {
 		m.Room = link.RoomMessage(room)
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -21,8 +21,11 @@
 	// inFlight are offers that the agent's last room didn't count yet.
 	inFlight []sentOffer
 	sequence uint64
-	// heard is when the newest heartbeat that the agent has taken was sent.
+	// heard is when the agent's newest word was worked off. No lease counts from
+	// later.
 	heard time.Duration
+	// taken is when the newest heartbeat that the agent has taken was sent.
+	taken time.Duration
 	// runs are the runs of this entry that the agent may hold.
 	runs map[work.Task]work.RunID
 	// cooling is until when the agent gets nothing, after it has returned work.
@@ -71,7 +74,7 @@
 
 // fresh reports whether the agent has answered lately.
 func (c *Core) fresh(a *agentState) bool {
-	return a.attached && c.now-a.heard <= silentBeats*c.cfg.Terms.Beat
+	return a.attached && c.now-a.taken <= silentBeats*c.cfg.Terms.Beat
 }
 
 func (c *Core) agentAttached(e AgentAttached) {
@@ -83,7 +86,8 @@
 		c.order = slices.Insert(c.order, at, a)
 	}
 	a.attached = true
-	a.heard = max(a.heard, e.Asked)
+	a.heard = c.now
+	a.taken = max(a.taken, e.Asked)
 	a.inFlight = nil
 	a.server = work.Server{}
 	c.do(Noted{Event: "agent attached", Agent: a.id})
@@ -169,7 +173,8 @@
 
 func (c *Core) agentHeard(e AgentHeard) {
 	if a := c.agents[e.Agent]; a != nil && a.attached {
-		a.heard = max(a.heard, e.Sent)
+		a.heard = c.now
+		a.taken = max(a.taken, e.Taken)
 	}
 }
 
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -53,7 +53,7 @@
 	// Held are the runs of this entry that the agent holds. Any other run that
 	// was sent to it never arrived.
 	Held []work.Run
-	// Asked is when the session was asked for.
+	// Asked is when the session was asked for. The agent has taken it since.
 	Asked time.Duration
 }
 
@@ -77,10 +77,13 @@
 	Taken uint64
 }
 
-// AgentHeard says that the agent has taken a heartbeat that was sent at Sent.
+// AgentHeard is any word of an agent. Heartbeats that are sent after the step renew
+// the lease from the time when the agent sent the word.
 type AgentHeard struct {
 	Agent ident.Incarnation
-	Sent  time.Duration
+	// Taken is when the newest heartbeat that the agent has taken was sent, 0 if
+	// that isn't known.
+	Taken time.Duration
 }
 
 // RunEnded is the end of a run.
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -72,7 +72,7 @@
 	})
 }
 
-func (b *bench) heard(name ident.Incarnation) { b.step(AgentHeard{Agent: name, Sent: b.now}) }
+func (b *bench) heard(name ident.Incarnation) { b.step(AgentHeard{Agent: name, Taken: b.now}) }
 
 func (b *bench) job(id string, p work.Priority, tasks int) {
 	b.step(JobArrived{Job: Job{
@@ -361,3 +361,28 @@
 		t.Fatal("the run number was not raised")
 	}
 }
+
+// The lease counts from the agent's last word that was worked off, whatever was sent
+// since: the tasks start elsewhere once it is over, and not before.
+func TestALostAgentsTasksWaitForItsLease(t *testing.T) {
+	b := newBench(t)
+	b.agent("a", "1")
+	b.job("job", 1, 1)
+	b.heard("a")
+	heard := b.now
+	b.now += 300 * time.Millisecond
+	b.step(AgentDetached{Agent: "a", Reason: "silent"})
+	b.agent("b", "2")
+	b.take()
+	b.now = heard + b.core.cfg.Terms.Gone()
+	b.heard("b")
+	b.step(Tick{})
+	if len(of[SendOffers](b.take())) != 0 {
+		t.Fatal("the task starts elsewhere while its lease may last")
+	}
+	b.now += time.Millisecond
+	b.step(Tick{})
+	if len(of[SendOffers](b.take())) != 1 {
+		t.Fatal("the task doesn't start elsewhere once the lease is over")
+	}
+}
