Entries give up agents that are gone for good; calls to servers are counted by whether they were answered

Ruled out: removing the row of such an agent. An entry cut from healthy agents for minutes would take them away from entries that start then. Rows are by address, so their number is bounded by the addresses in use. Histogram of calls by start, stop, hold and by answered.

--- a/bench/cmd/foxbench/site.go
+++ b/bench/cmd/foxbench/site.go
@@ -18,7 +18,7 @@
 
 // run plays the scenarios.
 func (c *siteCommand) run(context.Context) error {
-	fmt.Printf("%-10s %-15s %7s %7s %7s %7s\n", "scenario", "benefit", "held", "net", "wasted", "broken")
+	fmt.Printf("%-10s %-15s %7s %7s %7s %7s %7s\n", "scenario", "benefit", "served", "held", "net", "wasted", "broken")
 	failed := false
 	for _, sc := range sitesim.Scenarios() {
 		if c.Scenario != "" && c.Scenario != sc.Name {
@@ -47,7 +47,7 @@
 		})
 	}
 	wait.Wait()
-	var benefit, square, held, wasted float64
+	var benefit, square, served, held, wasted float64
 	count := 0
 	for i, r := range results {
 		count += len(broken[i])
@@ -56,12 +56,13 @@
 		}
 		benefit += r.Benefit
 		square += r.Benefit * r.Benefit
+		served += r.Served
 		held += r.HeldInVain
 		wasted += r.Wasted
 	}
 	n := float64(c.Seeds)
 	spread := math.Sqrt(max(0, square/n-benefit/n*benefit/n))
-	fmt.Printf("%-10s %.3f +- %.3f  %7.4f %7.4f %7.4f %7d\n", sc.Name, benefit/n, spread, held/n, (benefit-held/2)/n, wasted/n, count)
+	fmt.Printf("%-10s %.3f +- %.3f  %7.4f %7.4f %7.4f %7.4f %7d\n", sc.Name, benefit/n, spread, served/n, held/n, (benefit-held/2)/n, wasted/n, count)
 	if c.Kinds && results[0] != nil {
 		for _, k := range results[0].Kinds {
 			fmt.Printf("    %-6s jobs %5d in aim %5d late %4d rejected %4d (mean after %4.0f ms) failed %d timed out %d p50 %v p99 %v worth %.3f\n",
--- a/bench/sitesim/callers.go
+++ b/bench/sitesim/callers.go
@@ -184,6 +184,8 @@
 	// HeldInVain is the worth of jobs that were rejected later than a quarter of
 	// their objective, over that which was owed.
 	HeldInVain float64
+	// Served is the share of jobs that were completed within three objectives.
+	Served float64
 	// Unanswered jobs have no final answer though their callers waited.
 	Unanswered int
 }
@@ -197,6 +199,9 @@
 	RejectedAfter, MaxRejectedAfter, Worth float64 // ms, ms, share
 }
 
+// lateLimit is the number of objectives within which an answer is of some use.
+const lateLimit = 3
+
 func (c *callers) result() *Result {
 	r := &Result{Wasted: c.site.checks.wasted()}
 	earned, owed := 0.0, 0.0
@@ -210,6 +215,9 @@
 		r.Benefit = earned / owed
 		r.HeldInVain /= owed
 	}
+	if r.Jobs > 0 {
+		r.Served /= float64(r.Jobs)
+	}
 	return r
 }
 
@@ -230,12 +238,15 @@
 		case j.verdict == schedule.Completed:
 			times = append(times, took)
 			aim := j.aim()
+			if took <= lateLimit*aim {
+				r.Served++
+			}
 			if took <= aim {
 				kr.InAim++
 				earned += worth
 			} else {
 				kr.Late++
-				if took <= 3*aim {
+				if took <= lateLimit*aim {
 					earned += worth * kind.LateWorth / kind.Worth
 				}
 			}
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"foxtaildock.example/dock/clock"
@@ -45,6 +46,9 @@
 	links   *links
 	address string
 	wake    chan struct{}
+	// told is the clock when the agent was last known to be there: by a session, a row
+	// or an announcement.
+	told atomic.Int64
 
 	mu          sync.Mutex
 	incarnation ident.Incarnation
@@ -73,6 +77,19 @@
 	return a.incarnation
 }
 
+// forgetAfter is how long a process may be out of reach until its address is no
+// longer tried: many times what a restart or a cut takes. One that comes back writes
+// its row and announces itself.
+const forgetAfter = 5 * time.Minute
+
+// lost reports whether the agent has been out of reach for long.
+func (a *agentLink) lost(now time.Duration) bool {
+	return now-time.Duration(a.told.Load()) > forgetAfter
+}
+
+// present notes that the agent is there.
+func (a *agentLink) present() { a.told.Store(int64(clock.Now())) }
+
 // hurry ends the pause before the next attempt.
 func (a *agentLink) hurry() {
 	select {
@@ -81,7 +98,7 @@
 	}
 }
 
-// run opens one session after the other.
+// run opens one session after the other, until the agent is lost.
 func (a *agentLink) run(ctx context.Context) {
 	wait := firstRedial
 	for ctx.Err() == nil {
@@ -91,6 +108,9 @@
 			wait = firstRedial
 		}
 		a.links.dispatcher.cfg.Log.Debug("session ended", telemetry.Why(a.address), telemetry.Err(err))
+		if a.links.forgetIfLost(a, clock.Now()) {
+			return
+		}
 		select {
 		case <-ctx.Done():
 		case <-a.wake:
@@ -122,6 +142,7 @@
 	err := link.Run(ctx, a.address, hello, link.Times{Beat: terms.Beat, Silence: lostBeats * terms.Beat}, link.Handlers{
 		Received: func(s *link.Session, m *linkpb.FromAgent) {
 			open = s
+			a.present()
 			d.put(received{link: a, session: s, message: m, asked: asked})
 		},
 		Beat: a.heartbeat,
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -22,14 +22,30 @@
 		return
 	}
 	if a := l.agents[m.Address]; a != nil {
+		a.present()
 		a.hurry()
 		return
 	}
 	a := &agentLink{links: l, address: m.Address, wake: make(chan struct{}, 1)}
+	a.present()
 	l.agents[m.Address] = a
 	go a.run(l.dispatcher.base)
 }
 
+// forgetIfLost takes an agent that has been out of reach for long out of the
+// entry's connections. Nothing has to be known of it any more: its runs were over
+// within seconds.
+func (l *links) forgetIfLost(a *agentLink, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !a.lost(now) {
+		return false
+	}
+	delete(l.agents, a.address)
+	l.dispatcher.cfg.Log.Info("agent out of reach for long; its address is given up", telemetry.Why(a.address), telemetry.Peer(a.name()))
+	return true
+}
+
 // members returns the processes that the entry knows, itself included.
 func (l *links) members() []directory.Member {
 	l.mu.Lock()
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -26,7 +26,7 @@
 		metric.WithUnit("s"), metric.WithDescription("Time from the order to start to the end of a run."),
 		metric.WithExplicitBucketBoundaries(telemetry.DurationBounds()...))
 	calls, errCalls := m.Float64Histogram("foxtaildock.backend.call.duration",
-		metric.WithUnit("s"), metric.WithDescription("Time of the orders to the backend server, by order."),
+		metric.WithUnit("s"), metric.WithDescription("Time of the calls to the backend server, by call and by whether it was answered."),
 		metric.WithExplicitBucketBoundaries(telemetry.DurationBounds()...))
 	return &Metrics{runs: runs, duration: duration, calls: calls}, errors.Join(errRuns, errDuration, errCalls)
 }
@@ -41,11 +41,12 @@
 	}
 }
 
-func (m *Metrics) called(order string, took time.Duration) {
+func (m *Metrics) called(order string, took time.Duration, err error) {
 	if m == nil {
 		return
 	}
-	m.calls.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("order", order)))
+	m.calls.Record(context.Background(), took.Seconds(),
+		metric.WithAttributes(attribute.String("order", order), attribute.Bool("answered", err == nil)))
 }
 
 // Observed returns the numbers of the agent that are read at a scrape.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -200,7 +200,7 @@
 func (r *Runner) callStart(a run.CallStart, server string) {
 	began := time.Now()
 	answer, err := r.cfg.Backend.Start(r.base, server, a)
-	r.cfg.Metrics.called("start", time.Since(began))
+	r.cfg.Metrics.called("start", time.Since(began), err)
 	if answer.Reply != run.Started {
 		r.cfg.Log.Warn("start not confirmed", runField(a.Run), telemetry.Result(answer.Reply.String()), telemetry.Err(err))
 	}
@@ -208,7 +208,9 @@
 }
 
 func (r *Runner) callStop(a run.CallStop, server string) {
+	began := time.Now()
 	answer, err := r.cfg.Backend.Stop(r.base, server, a)
+	r.cfg.Metrics.called("stop", time.Since(began), err)
 	if err != nil {
 		r.cfg.Log.Warn("stop not answered", runField(a.Run), telemetry.Err(err))
 	}
@@ -216,7 +218,9 @@
 }
 
 func (r *Runner) callHold(a run.CallHold, server string) {
+	began := time.Now()
 	answer, err := r.cfg.Backend.Hold(r.base, server, a)
+	r.cfg.Metrics.called("hold", time.Since(began), err)
 	if err != nil {
 		r.cfg.Log.Warn("lease call not answered", telemetry.Call(a.Call), telemetry.Err(err))
 	}
