--- a/run/pace.go
+++ b/run/pace.go
@@ -18,10 +18,6 @@
 	paceWindow = 300 * time.Millisecond
 	// minPercent is the progress from which a task says something about the pace.
 	minPercent = 10
-	// paceDoubt is the time of work at the expected pace that is added to each sample:
-	// estimates are off by tens of percent, so a single short task says little, and
-	// several tasks, or a long one, say much.
-	paceDoubt = 200 * time.Millisecond
 	// paceStep is the relative change of the pace that is worth telling.
 	paceStep = 0.1
 )
@@ -31,7 +27,7 @@
 	if expected <= 0 || took <= 0 {
 		return
 	}
-	ratio := float64(took+paceDoubt) / float64(expected+paceDoubt)
+	ratio := float64(took) / float64(expected)
 	if p.value == 0 || now-p.at > paceMemory {
 		p.value, p.at = ratio, now
 		return
--- a/run/run_test.go
+++ b/run/run_test.go
@@ -376,19 +376,3 @@
 		t.Fatal("the run goes on under a lease from the future")
 	}
 }
-
-// One short task that takes twice its estimate doesn't make a server slow; many do.
-func TestASingleTaskSaysLittleAboutThePace(t *testing.T) {
-	pace := func(tasks time.Duration) float64 {
-		var p pace
-		p.sample(time.Second, tasks*120*time.Millisecond, tasks*50*time.Millisecond)
-		return p.told(time.Second)
-	}
-	const slow = 1.8 // from here on entries take a server for slow
-	if got := pace(1); got >= slow {
-		t.Errorf("pace %.2f by one short task, want below %.1f", got, slow)
-	}
-	if got := pace(12); got < slow {
-		t.Errorf("pace %.2f by twelve tasks at 2.4 times their estimates, want %.1f", got, slow)
-	}
-}
