--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -7,6 +7,7 @@
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/run"
 	"foxtaildock.example/dock/schedule"
+	"foxtaildock.example/dock/session"
 	"foxtaildock.example/dock/work"
 )
 
@@ -42,8 +43,7 @@
 	name    ident.Incarnation
 	channel *channel
 	ended   bool
-	results []numbered
-	last    uint64
+	results session.Outbox[run.Report]
 	taken   uint64
 	beat    uint64
 	dirty   bool
@@ -52,10 +52,7 @@
 	stalls  []work.Run
 }
 
-type numbered struct {
-	sequence uint64
-	report   run.Report
-}
+type numbered = session.Numbered[run.Report]
 
 // toEntry is a message of an agent.
 type toEntry struct {
@@ -72,26 +69,22 @@
 }
 
 // attach opens a session; one of the same entry incarnation is replaced.
-func (v *vm) attach(e *entryNode, name ident.Incarnation, c *channel, agent ident.Incarnation, seen uint64) {
+func (v *vm) attach(e *entryNode, name ident.Incarnation, c *channel, hello session.Hello) {
 	s := &agentSession{entry: e, name: name, channel: c}
 	if old := v.sessions[name]; old != nil {
 		old.ended = true
-		s.results, s.last = old.results, old.last
+		s.results = old.results
 	}
 	v.sessions[name] = s
-	if agent == v.self {
-		s.seen(seen)
+	if hello.Agent == v.self {
+		s.results.Seen(hello.ResultsSeen)
 	}
-	m := toEntry{welcome: true, agent: v.self, held: v.core.Held(name), results: slices.Clone(s.results), room: v.core.Room()}
+	m := toEntry{welcome: true, agent: v.self, held: v.core.Held(name), results: slices.Clone(s.results.Kept()), room: v.core.Room()}
 	s.room = m.room
 	v.send(s, m)
 	v.flush()
 }
 
-func (s *agentSession) seen(sequence uint64) {
-	s.results = slices.DeleteFunc(s.results, func(n numbered) bool { return n.sequence <= sequence })
-}
-
 func (v *vm) send(s *agentSession, m toEntry) {
 	e := s.entry
 	c := s.channel
@@ -104,10 +97,7 @@
 	if s == nil {
 		return
 	}
-	s.last++
-	n := numbered{s.last, a}
-	s.results = append(s.results, n)
-	s.news = append(s.news, n)
+	s.news = append(s.news, s.results.Add(a))
 }
 
 func (v *vm) stalled(a run.ReportStalled) {
@@ -165,15 +155,10 @@
 
 type entryLink struct {
 	channel *channel
-	agent   ident.Incarnation
+	end     session.EntryEnd
 	open    bool
 	asked   time.Duration
 	heard   time.Duration
-	seen    uint64
-	beat    uint64
-	// clock is the agent's, in the newest message of the session; 0 before the first.
-	clock time.Duration
-	sent  map[uint64]time.Duration
 }
 
 // Times of an entry.
@@ -202,7 +187,7 @@
 	e.links = make([]*entryLink, len(e.site.vms))
 	e.step(schedule.OperatorChanged{Rows: e.site.operator})
 	for i := range e.site.vms {
-		e.links[i] = &entryLink{sent: map[uint64]time.Duration{}}
+		e.links[i] = &entryLink{}
 		e.dial(i)
 		e.beats(i)
 	}
@@ -219,10 +204,10 @@
 	l := e.links[i]
 	v := e.site.vms[i]
 	c := &channel{entry: e.index, agent: i}
-	l.channel, l.open, l.clock = c, false, 0
+	l.channel, l.open = c, false
 	l.asked, l.heard = e.site.now(), e.site.now()
-	agent, seen, self := l.agent, l.seen, e.self
-	e.site.carry(c, &v.process, func() { v.attach(e, self, c, agent, seen) })
+	hello, self := l.end.Open(), e.self
+	e.site.carry(c, &v.process, func() { v.attach(e, self, c, hello) })
 }
 
 // beats sends heartbeats to an agent, and gives up a silent session.
@@ -239,16 +224,14 @@
 }
 
 func (e *entryNode) beat(i int) {
-	l := e.links[i]
-	l.beat++
-	number, seen, clock := l.beat, l.seen, l.clock
-	l.sent[number] = e.site.now()
-	delete(l.sent, number-16)
+	beat := e.links[i].end.Beat(e.site.now())
 	withdrawn := e.site.operator.IsWithdrawn(e.site.domain(i))
 	e.toAgent(i, func(v *vm, s *agentSession) {
-		s.seen(seen)
-		s.beat, s.dirty = number, true
-		v.step(run.EntryHeard{Entry: s.name, AsOf: clock})
+		s.results.Seen(beat.ResultsSeen)
+		s.beat, s.dirty = beat.Number, true
+		if beat.AgentClock > 0 {
+			v.step(run.EntryHeard{Entry: s.name, AsOf: beat.AgentClock})
+		}
 		v.step(run.DomainWithdrawn{Withdrawn: withdrawn})
 	})
 }
@@ -264,7 +247,7 @@
 	l := e.links[i]
 	if l.open {
 		l.open = false
-		e.step(schedule.AgentDetached{Agent: l.agent, Reason: reason})
+		e.step(schedule.AgentDetached{Agent: l.end.Agent(), Reason: reason})
 	}
 }
 
@@ -289,23 +272,23 @@
 		return
 	}
 	l.heard = e.site.now()
-	l.clock = max(l.clock, m.clock)
-	if m.welcome && l.agent != m.agent {
-		l.agent, l.seen = m.agent, 0
+	if m.welcome {
+		l.end.Welcome(m.agent)
 	}
 	for _, n := range m.results {
-		if n.sequence <= l.seen {
+		if !l.end.TakeResult(n.Sequence) {
 			continue
 		}
-		l.seen = n.sequence
-		e.step(schedule.RunEnded{Agent: m.agent, Run: n.report.Run, Outcome: n.report.Outcome, Ran: n.report.Ran, Reason: n.report.Reason})
+		r := n.Value
+		e.step(schedule.RunEnded{Agent: m.agent, Run: r.Run, Outcome: r.Outcome, Ran: r.Ran, Reason: r.Reason})
 	}
+	l.end.Worked(m.clock)
 	if m.welcome {
 		l.open = true
 		e.beat(i)
 		e.step(schedule.AgentAttached{Agent: m.agent, Address: string(rune('a' + i)), Held: m.held, Asked: l.asked})
 	}
-	e.step(schedule.AgentHeard{Agent: m.agent, Taken: l.sent[m.beat]})
+	e.step(schedule.AgentHeard{Agent: m.agent, Taken: l.end.SentAt(m.beat)})
 	room := m.room
 	room.Server.Draining = room.Server.Draining || room.Closed
 	e.step(schedule.AgentRoom{Agent: m.agent, Server: room.Server, Used: room.Used, Queued: room.Queued, Taken: m.taken, Pace: room.Pace})
@@ -316,7 +299,7 @@
 
 func (e *entryNode) linkOf(agent ident.Incarnation) (int, bool) {
 	for i, l := range e.links {
-		if l.open && l.agent == agent {
+		if l.open && l.end.Agent() == agent {
 			return i, true
 		}
 	}
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -14,6 +14,7 @@
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/schedule"
+	"foxtaildock.example/dock/session"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -50,21 +51,11 @@
 	// or an announcement.
 	told atomic.Int64
 
-	mu          sync.Mutex
-	incarnation ident.Incarnation
-	seen        uint64 // results of the incarnation that were taken note of
-	beat        uint64
-	sent        [sentBeats]time.Duration
-	passed      uint64 // version that was passed on in this session
-	// clock is the agent's clock in the newest message of this session that the duty
-	// has worked off, in its own unit; 0 before the first.
-	clock int64
+	mu     sync.Mutex
+	end    session.EntryEnd
+	passed uint64 // version that was passed on in this session
 }
 
-// sentBeats is how many heartbeats' times are remembered: more than are sent
-// before a silent session ends.
-const sentBeats = 16
-
 // Pauses between attempts to open a session.
 const (
 	firstRedial = 40 * time.Millisecond
@@ -74,7 +65,7 @@
 func (a *agentLink) name() ident.Incarnation {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.incarnation
+	return a.end.Agent()
 }
 
 // forgetAfter is how long a process may be out of reach until its address is no
@@ -135,9 +126,10 @@
 	terms := d.cfg.Terms
 	asked := clock.Now()
 	a.mu.Lock()
-	hello := &linkpb.Hello{Entry: string(d.cfg.Self.Incarnation), Agent: string(a.incarnation), ResultsSeen: a.seen}
-	a.passed, a.clock = 0, 0
+	opening := a.end.Open()
+	a.passed = 0
 	a.mu.Unlock()
+	hello := &linkpb.Hello{Entry: string(d.cfg.Self.Incarnation), Agent: string(opening.Agent), ResultsSeen: opening.ResultsSeen}
 	var open *link.Session
 	err := link.Run(ctx, a.address, hello, link.Times{Beat: terms.Beat, Silence: lostBeats * terms.Beat}, link.Handlers{
 		Received: func(s *link.Session, m *linkpb.FromAgent) {
@@ -161,9 +153,8 @@
 	rows, age, known := a.links.dispatcher.view.current()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.beat++
-	a.sent[a.beat%sentBeats] = clock.Now()
-	b := &linkpb.Heartbeat{Number: a.beat, ResultsSeen: a.seen, AgentClockMs: a.clock}
+	beat := a.end.Beat(clock.Now())
+	b := &linkpb.Heartbeat{Number: beat.Number, ResultsSeen: beat.ResultsSeen, AgentClockMs: beat.AgentClock.Milliseconds()}
 	if !known {
 		return b
 	}
@@ -185,10 +176,7 @@
 func (a *agentLink) sentAt(number uint64) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if number == 0 || number > a.beat || a.beat-number >= sentBeats {
-		return 0
-	}
-	return a.sent[number%sentBeats]
+	return a.end.SentAt(number)
 }
 
 // received gives a message of an agent to the core. Results come before the room
@@ -239,21 +227,15 @@
 func (a *agentLink) welcome(agent ident.Incarnation) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.incarnation != agent {
-		a.incarnation = agent
-		a.seen = 0
-	}
+	a.end.Welcome(agent)
 }
 
-// worked notes that the duty has worked off what arrived before the message. The
-// next heartbeats renew the lease from its time on.
-//
-// Only the duty calls it, so that a lease never counts from a time at which the
-// entry had not yet seen that a caller left or an agent was lost.
+// worked notes that the duty, which alone calls it, has worked off what arrived
+// before the message. The next heartbeats renew the lease from its time on.
 func (a *agentLink) worked(m *linkpb.FromAgent) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.clock = max(a.clock, m.GetClockMs())
+	a.end.Worked(link.Millis(m.GetClockMs()))
 }
 
 func (d *Dispatcher) sessionEnded(e received) {
@@ -267,10 +249,9 @@
 
 func (d *Dispatcher) result(a *agentLink, agent ident.Incarnation, r *linkpb.Result) {
 	a.mu.Lock()
-	known := r.GetSequence() <= a.seen
-	a.seen = max(a.seen, r.GetSequence())
+	fresh := a.end.TakeResult(r.GetSequence())
 	a.mu.Unlock()
-	if known {
+	if !fresh {
 		return
 	}
 	outcome, err := link.OutcomeOf(r.GetOutcome())
--- a/link/convert.go
+++ b/link/convert.go
@@ -12,6 +12,7 @@
 	"foxtaildock.example/dock/operator"
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/run"
+	"foxtaildock.example/dock/session"
 	"foxtaildock.example/dock/work"
 )
 
@@ -102,9 +103,10 @@
 }
 
 // ResultMessage returns the message form of a run's end.
-func ResultMessage(sequence uint64, r run.Report) *linkpb.Result {
+func ResultMessage(n session.Numbered[run.Report]) *linkpb.Result {
+	r := n.Value
 	return &linkpb.Result{
-		Sequence: sequence, Task: KeyOf(r.Run), Outcome: outcomes[r.Outcome],
+		Sequence: n.Sequence, Task: KeyOf(r.Run), Outcome: outcomes[r.Outcome],
 		RanMs: r.Ran.Milliseconds(), Reason: r.Reason,
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -61,7 +61,7 @@
 	cfg      Config
 	core     *run.Core
 	events   chan any
-	sessions map[ident.Incarnation]*session
+	sessions map[ident.Incarnation]*entrySession
 	view     operator.View
 	own      uint64 // version of the rows that the agent read itself
 	server   string // incarnation that calls are meant for
@@ -80,7 +80,7 @@
 		cfg:      cfg,
 		core:     run.New(run.Config{Terms: cfg.Terms, QueueLimit: queueLimit, StallAfter: stallAfter, BackfillAfter: backfillAfter}),
 		events:   make(chan any, eventSize),
-		sessions: map[ident.Incarnation]*session{},
+		sessions: map[ident.Incarnation]*entrySession{},
 	}
 	r.idle.Store(true)
 	return r
@@ -133,12 +133,12 @@
 
 // Events of the duty besides those of the core.
 type (
-	attachEvent  struct{ session *session }
+	attachEvent  struct{ session *entrySession }
 	messageEvent struct {
-		session *session
+		session *entrySession
 		message *linkpb.ToAgent
 	}
-	detachEvent  struct{ session *session }
+	detachEvent  struct{ session *entrySession }
 	operatorRead struct {
 		rows      operator.Rows
 		confirmed time.Duration
--- a/runner/session.go
+++ b/runner/session.go
@@ -12,13 +12,14 @@
 	"foxtaildock.example/dock/link"
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/run"
+	"foxtaildock.example/dock/session"
 	"foxtaildock.example/dock/telemetry"
 	"foxtaildock.example/dock/work"
 )
 
-// session is the agent's end of the session with one entry. The duty owns it, but
+// entrySession is the agent's end of the session with one entry. The duty owns it, but
 // for out and closed.
-type session struct {
+type entrySession struct {
 	entry ident.Incarnation
 	hello *linkpb.Hello
 	out   chan *linkpb.FromAgent
@@ -26,8 +27,7 @@
 	closed chan struct{}
 	ended  bool
 	// results are those that the entry hasn't taken note of yet.
-	results []*linkpb.Result
-	last    uint64 // sequence of the newest result
+	results session.Outbox[run.Report]
 	taken   uint64
 	beat    uint64
 	// pending is the message that is being put together.
@@ -42,10 +42,6 @@
 // by more opens a new session.
 const outSize = 1024
 
-// maxResults bounds the results that are kept for an entry that doesn't take note
-// of them. It opens a new session long before, or its lease ends.
-const maxResults = 10_000
-
 // Attach implements the protocol's service for entries.
 func (r *Runner) Attach(ctx context.Context, stream *connect.BidiStream[linkpb.ToAgent, linkpb.FromAgent]) error {
 	first, err := stream.Receive()
@@ -56,7 +52,7 @@
 	if hello.GetEntry() == "" {
 		return connect.NewError(connect.CodeInvalidArgument, errors.New("a session begins with the entry's name"))
 	}
-	s := &session{
+	s := &entrySession{
 		entry: ident.Incarnation(hello.GetEntry()), hello: hello,
 		out: make(chan *linkpb.FromAgent, outSize), closed: make(chan struct{}),
 	}
@@ -78,7 +74,7 @@
 }
 
 // receive hands the entry's messages to the duty until the stream ends.
-func (r *Runner) receive(s *session, stream *connect.BidiStream[linkpb.ToAgent, linkpb.FromAgent]) {
+func (r *Runner) receive(s *entrySession, stream *connect.BidiStream[linkpb.ToAgent, linkpb.FromAgent]) {
 	for {
 		m, err := stream.Receive()
 		if err != nil {
@@ -91,22 +87,24 @@
 
 // attach opens a session. A later one of the same entry replaces an earlier one,
 // and goes on with the results that the entry hasn't seen.
-func (r *Runner) attach(s *session) {
+func (r *Runner) attach(s *entrySession) {
 	if old := r.sessions[s.entry]; old != nil {
 		r.end(old)
-		s.results, s.last = old.results, old.last
+		s.results = old.results
 	}
 	r.sessions[s.entry] = s
 	r.attached.Store(int64(r.live()))
 	if s.hello.GetAgent() == string(r.cfg.Self) {
-		s.seen(s.hello.GetResultsSeen())
+		s.results.Seen(s.hello.GetResultsSeen())
 	}
 	s.pending = &linkpb.FromAgent{
 		Welcome: &linkpb.Welcome{
 			Agent: string(r.cfg.Self), Domain: string(r.cfg.Domain),
 			Held: link.KeysOf(r.core.Held(s.entry)),
 		},
-		Results: s.results,
+	}
+	for _, n := range s.results.Kept() {
+		s.pending.Results = append(s.pending.Results, link.ResultMessage(n))
 	}
 	r.cfg.Log.Info("entry attached", telemetry.Peer(s.entry))
 }
@@ -122,14 +120,14 @@
 }
 
 // end closes the session's stream. Its results are kept for the next one.
-func (r *Runner) end(s *session) {
+func (r *Runner) end(s *entrySession) {
 	if !s.ended {
 		s.ended = true
 		close(s.closed)
 	}
 }
 
-func (r *Runner) detach(s *session) {
+func (r *Runner) detach(s *entrySession) {
 	if s.ended {
 		return
 	}
@@ -138,13 +136,6 @@
 	r.cfg.Log.Info("entry detached", telemetry.Peer(s.entry))
 }
 
-// seen drops the results that the entry has taken note of.
-func (s *session) seen(sequence uint64) {
-	for len(s.results) > 0 && s.results[0].GetSequence() <= sequence {
-		s.results = s.results[1:]
-	}
-}
-
 // message takes one message of an entry.
 func (r *Runner) message(e messageEvent) {
 	s, m := e.session, e.message
@@ -163,8 +154,8 @@
 	s.taken = max(s.taken, m.GetSequence())
 }
 
-func (r *Runner) heartbeat(s *session, b *linkpb.Heartbeat) {
-	s.seen(b.GetResultsSeen())
+func (r *Runner) heartbeat(s *entrySession, b *linkpb.Heartbeat) {
+	s.results.Seen(b.GetResultsSeen())
 	s.beat = b.GetNumber()
 	if b.GetAgentClockMs() > 0 {
 		r.step(run.EntryHeard{Entry: s.entry, AsOf: link.Millis(b.GetAgentClockMs())})
@@ -181,7 +172,7 @@
 	r.learn(rows, clock.Now()-link.Millis(b.GetOperatorAgeMs()))
 }
 
-func (r *Runner) offers(s *session, o *linkpb.Offer) {
+func (r *Runner) offers(s *entrySession, o *linkpb.Offer) {
 	for _, t := range o.GetTasks() {
 		r.step(run.Offered{
 			Entry: s.entry,
@@ -197,7 +188,7 @@
 }
 
 // message returns the message that is being put together for the entry.
-func (s *session) message() *linkpb.FromAgent {
+func (s *entrySession) message() *linkpb.FromAgent {
 	if s.pending == nil {
 		s.pending = new(linkpb.FromAgent)
 	}
@@ -212,15 +203,10 @@
 	if s == nil {
 		return
 	}
-	s.last++
-	result := link.ResultMessage(s.last, a)
-	s.results = append(s.results, result)
-	if len(s.results) > maxResults {
-		s.results = s.results[1:]
-	}
+	n := s.results.Add(a)
 	if !s.ended {
 		m := s.message()
-		m.Results = append(m.Results, result)
+		m.Results = append(m.Results, link.ResultMessage(n))
 	}
 }
 
@@ -253,7 +239,7 @@
 	return behind
 }
 
-func (r *Runner) send(s *session, room run.Room, now time.Duration) {
+func (r *Runner) send(s *entrySession, room run.Room, now time.Duration) {
 	m := s.message()
 	s.pending = nil
 	m.Taken = s.taken
