--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -307,6 +307,7 @@
 }
 
 func (e *entryNode) step(ev schedule.Event) {
+	e.site.steps++
 	for _, a := range e.core.Step(e.site.now(), ev) {
 		switch a := a.(type) {
 		case schedule.SendOffers:
--- a/bench/sitesim/site.go
+++ b/bench/sitesim/site.go
@@ -28,6 +28,8 @@
 	lags   map[[2]int]time.Duration
 	orders orderFaults
 	lives  int
+	// steps counts the events that the decision cores took.
+	steps int
 }
 
 // orderFaults are the shares of orders to backend servers that go wrong.
@@ -96,6 +98,9 @@
 // Broken returns the promises that were found broken, with their times.
 func (s *Site) Broken() []string { return s.checks.broken }
 
+// Steps returns how many events the decision cores of the site took.
+func (s *Site) Steps() int { return s.steps }
+
 func (s *Site) now() time.Duration { return s.queue.Now() }
 
 func (s *Site) at(when time.Duration, f func()) { s.queue.Push(when, f) }
--- a/bench/sitesim/sitesim_test.go
+++ b/bench/sitesim/sitesim_test.go
@@ -92,8 +92,11 @@
 // Whatever goes wrong, no task runs twice at once, no capacity is overrun, what was
 // rejected never runs, and nothing starts where it mustn't.
 func TestPromisesHoldUnderRandomFaults(t *testing.T) {
+	steps := 0
+	defer func() { t.Logf("the cores took %d events", steps) }()
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
-		_, r := play(t, randomSite(seed, 12*time.Second, 14))
+		s, r := play(t, randomSite(seed, 12*time.Second, 14))
+		steps += s.Steps()
 		if t.Failed() {
 			return
 		}
--- a/bench/sitesim/vm.go
+++ b/bench/sitesim/vm.go
@@ -139,6 +139,7 @@
 }
 
 func (v *vm) step(e run.Event) {
+	v.site.steps++
 	for _, a := range v.core.Step(v.site.now(), e) {
 		switch a := a.(type) {
 		case run.CallStart:
