schedule: an entry that stood still takes the jobs that came meanwhile

Cause: on waking, an entry has heard no agent for longer than two heartbeats, so that none may get work; it turned away what had come meanwhile as "no backend server in service", 0.05 s before its agents were attached again. Ruled out: "entry stops" (33 jobs, of the two entries under SIGTERM), the evacuation before (too much work waits). Change: the core notes a gap between its steps of more than two heartbeats as its own pause, in the log too; for the time in which a new entry settles (0.4 s) it takes jobs though no backend server is known. One that is cut from its agents while it is awake turns jobs away at once, as before. The test of that let 0.4 s pass without a tick, which no entry does; it ticks now.

--- a/bench/sitesim/load_test.go
+++ b/bench/sitesim/load_test.go
@@ -63,3 +63,15 @@
 		})
 	}
 }
+
+// An entry that stood still has nobody wait in vain: its agents only look silent when
+// it wakes, so the jobs that came meanwhile are not turned away for want of them.
+func TestAnEntryThatStoodStillTurnsNobodyAwayLate(t *testing.T) {
+	s, err := New(scenarioConfig(t, "frozen", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := s.Run(); r.HeldInVain > 0 {
+		t.Errorf("%.4f of the worth was held for long and then turned away, want none", r.HeldInVain)
+	}
+}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -8,9 +8,9 @@
 	"foxtaildock.example/dock/work"
 )
 
-// settleTime is how long a new entry takes every job: its agents are still being
-// attached, so what it knows of the room says little. A session is open within a
-// few round trips.
+// settleTime is how long a new entry takes every job, and one that was held up those
+// for which it knows no backend server: its agents are still being attached, so what
+// it knows of the room says little. A session is open within a few round trips.
 const settleTime = 400 * time.Millisecond
 
 // admit decides whether a job is taken. It returns the answer if it isn't: a job
@@ -37,6 +37,9 @@
 		return ""
 	}
 	if capacity.CPUMilli <= 0 {
+		if c.now-c.woke < settleTime {
+			return "" // the entry's own pause has made its agents look silent
+		}
 		return "no backend server in service"
 	}
 	for i := range j.Steps {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -33,6 +33,7 @@
 	cfg      Config
 	now      time.Duration
 	began    time.Duration // the first step
+	woke     time.Duration // the last step after a pause of the process
 	started  bool
 	jobs     map[work.JobID]*jobState
 	waiting  []*jobState // jobs with tasks to be offered, in order
@@ -102,11 +103,8 @@
 
 // Step takes one event and returns what is to be done. now is monotonic.
 func (c *Core) Step(now time.Duration, e Event) []Action {
-	c.now = max(c.now, now)
-	if !c.started {
-		c.began, c.started = c.now, true
-	}
 	c.out = nil
+	c.advance(now)
 	switch e := e.(type) {
 	case JobArrived:
 		c.jobArrived(e.Job)
@@ -135,6 +133,20 @@
 	return c.out
 }
 
+// advance takes the time of a step. Steps come often, at least with each Tick; if none
+// came for as long as makes agents silent, the process was held up, not they.
+func (c *Core) advance(now time.Duration) {
+	last := c.now
+	c.now = max(c.now, now)
+	switch {
+	case !c.started:
+		c.began, c.woke, c.started = c.now, c.now, true
+	case c.now-last > silentBeats*c.cfg.Terms.Beat:
+		c.woke = c.now
+		c.do(Noted{Event: "entry was held up", Age: c.now - last})
+	}
+}
+
 func (c *Core) do(a Action) { c.out = append(c.out, a) }
 
 // Stats are numbers for the metrics.
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -43,6 +43,14 @@
 	b.out = append(b.out, b.core.Step(b.now, e)...)
 }
 
+// pass lets time pass, with a tick at each step.
+func (b *bench) pass(length, step time.Duration) {
+	for end := b.now + length; b.now < end; {
+		b.now += step
+		b.step(Tick{})
+	}
+}
+
 func (b *bench) take() []Action {
 	out := b.out
 	b.out = nil
@@ -187,7 +195,7 @@
 
 func TestAJobThatNothingCanServeIsRejectedAtOnce(t *testing.T) {
 	b := newBench(t)
-	b.now += settleTime
+	b.pass(settleTime, 100*time.Millisecond)
 	b.job("none", 0, 1)
 	b.agent("a", "1")
 	b.step(JobArrived{Job: Job{
@@ -386,3 +394,25 @@
 		t.Fatal("the task doesn't start elsewhere once the lease is over")
 	}
 }
+
+// An entry that was held up takes jobs before its agents are attached again: they only
+// look silent. One whose agents are silent while it is awake turns them away at once.
+func TestAnEntryThatWakesTakesJobs(t *testing.T) {
+	for name, c := range map[string]struct {
+		tick    time.Duration
+		refused int
+	}{
+		"held up":         {tick: 3 * time.Second, refused: 0},
+		"cut from agents": {tick: 100 * time.Millisecond, refused: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.agent("a", "1")
+			b.pass(3*time.Second, c.tick)
+			b.job("job", 0, 1)
+			if n := len(of[Answer](b.take())); n != c.refused {
+				t.Errorf("%d jobs are turned away, want %d", n, c.refused)
+			}
+		})
+	}
+}
