--- a/bench/runserver/runserver.go
+++ b/bench/runserver/runserver.go
@@ -2,7 +2,7 @@
 // a lease on the server's own steady clock, orders carry a fencing token and an
 // expiry, and ends are listed until they are taken note of. The state machine has
 // no clock and no I/O, so that the same one serves tests in simulated time and, by
-// way of package runhttp, processes.
+// way of package usersite, processes.
 //
 // The server doesn't guard its capacity: it starts what it is told to start, and
 // says so to its watcher.
--- a/bench/sitesim/callers.go
+++ b/bench/sitesim/callers.go
@@ -6,15 +6,10 @@
 	"slices"
 	"time"
 
-	"foxtaildock.example/dock/operator"
 	"foxtaildock.example/dock/schedule"
 	"foxtaildock.example/dock/work"
 )
 
-func operatorChanged(rows operator.Rows) schedule.Event {
-	return schedule.OperatorChanged{Rows: rows}
-}
-
 // callers send jobs, and send them again when an answer is lost.
 type callers struct {
 	site       *Site
--- a/bench/sitesim/faults.go
+++ b/bench/sitesim/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/schedule"
 )
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
@@ -91,6 +92,6 @@
 	s.operator.Version++
 	rows := s.operator
 	for _, e := range s.entries {
-		e.later(learnDelay, func() { e.step(operatorChanged(rows)) })
+		e.later(learnDelay, func() { e.step(schedule.OperatorChanged{Rows: rows}) })
 	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -157,32 +157,17 @@
 	case schedule.Answer:
 		d.answer(a)
 	case schedule.Noted:
-		d.cfg.Log.Info(a.Event, telemetry.Peer(a.Agent), runField(a.Run), telemetry.Why(a.Reason), telemetry.Age(a.Age))
+		d.cfg.Log.Info(a.Event, telemetry.Peer(a.Agent), telemetry.Run(a.Run.String()), telemetry.Why(a.Reason), telemetry.Age(a.Age))
 	}
 }
 
-func runField(r work.Run) telemetry.Field {
-	if r.Task.Job == "" {
-		return telemetry.Run("")
-	}
-	return telemetry.Run(r.String())
-}
-
 func (d *Dispatcher) arrive(e arrival) {
 	e.job.Deadline = clock.Now() + e.patience
 	d.waiters[e.job.ID] = append(d.waiters[e.job.ID], e.answer)
-	d.cfg.Log.Info("job arrived", telemetry.Request(string(e.job.ID)), telemetry.Route(e.job.Route.Name), telemetry.Count(tasksOf(&e.job)), telemetry.Elapsed(e.patience))
+	d.cfg.Log.Info("job arrived", telemetry.Request(string(e.job.ID)), telemetry.Route(e.job.Route.Name), telemetry.Count(e.job.Tasks()), telemetry.Elapsed(e.patience))
 	d.step(schedule.JobArrived{Job: e.job})
 }
 
-func tasksOf(j *schedule.Job) int {
-	n := 0
-	for i := range j.Steps {
-		n += j.Steps[i].Count
-	}
-	return n
-}
-
 // depart takes a caller that has left. The job ends with its last caller.
 func (d *Dispatcher) depart(e departure) {
 	left := d.waiters[e.id]
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -194,20 +194,21 @@
 	for _, r := range m.GetResults() {
 		d.result(a, agent, r)
 	}
-	if w := m.GetWelcome(); w != nil {
+	if m.GetWelcome() != nil {
 		d.links.sessions[agent] = e.session
+	}
+	if d.links.sessions[agent] != e.session {
+		return
+	}
+	a.worked(m)
+	if w := m.GetWelcome(); w != nil {
 		// The first heartbeat goes ahead of offers, which need its lease.
-		a.worked(m)
 		e.session.Send(&linkpb.ToAgent{Heartbeat: a.heartbeat()})
 		d.step(schedule.AgentAttached{
 			Agent: agent, Address: a.address,
 			Held: link.RunsOf(w.GetHeld()), Asked: e.asked,
 		})
 	}
-	if d.links.sessions[agent] != e.session {
-		return
-	}
-	a.worked(m)
 	d.step(schedule.AgentHeard{Agent: agent, Taken: a.sentAt(m.GetHeartbeat())})
 	if r := m.GetRoom(); r != nil {
 		d.step(schedule.AgentRoom{
--- a/run/hold.go
+++ b/run/hold.go
@@ -173,7 +173,6 @@
 	c.samplePace()
 	if c.server.state == serverClearing && c.server.foreign == 0 {
 		c.server.state = serverOpen
-		c.server.foreign = 0
 		c.do(Noted{Event: "backend server taken into use", Incarnation: c.server.report.Server.Incarnation})
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -14,7 +14,6 @@
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/run"
 	"foxtaildock.example/dock/telemetry"
-	"foxtaildock.example/dock/work"
 )
 
 // Backend carries out the orders to the backend server. Each call returns within
@@ -174,10 +173,10 @@
 func (r *Runner) carryOut(a run.Action) {
 	switch a := a.(type) {
 	case run.CallStart:
-		r.cfg.Log.Info("start", runField(a.Run), telemetry.Expiry(a.Expiry), telemetry.Fence(a.Fence))
+		r.cfg.Log.Info("start", telemetry.Run(a.Run.String()), telemetry.Expiry(a.Expiry), telemetry.Fence(a.Fence))
 		go r.callStart(a, r.server)
 	case run.CallStop:
-		r.cfg.Log.Info("stop", runField(a.Run), telemetry.Fence(a.Fence))
+		r.cfg.Log.Info("stop", telemetry.Run(a.Run.String()), telemetry.Fence(a.Fence))
 		go r.callStop(a, r.server)
 	case run.CallHold:
 		go r.callHold(a, r.server)
@@ -202,7 +201,7 @@
 	answer, err := r.cfg.Backend.Start(r.base, server, a)
 	r.cfg.Metrics.called("start", time.Since(began), err)
 	if answer.Reply != run.Started {
-		r.cfg.Log.Warn("start not confirmed", runField(a.Run), telemetry.Result(answer.Reply.String()), telemetry.Err(err))
+		r.cfg.Log.Warn("start not confirmed", telemetry.Run(a.Run.String()), telemetry.Result(answer.Reply.String()), telemetry.Err(err))
 	}
 	r.put(answer)
 }
@@ -212,7 +211,7 @@
 	answer, err := r.cfg.Backend.Stop(r.base, server, a)
 	r.cfg.Metrics.called("stop", time.Since(began), err)
 	if err != nil {
-		r.cfg.Log.Warn("stop not answered", runField(a.Run), telemetry.Err(err))
+		r.cfg.Log.Warn("stop not answered", telemetry.Run(a.Run.String()), telemetry.Err(err))
 	}
 	r.put(answer)
 }
@@ -289,5 +288,3 @@
 // OperatorAge returns how long ago the store is known to have confirmed the
 // operators' rows.
 func (r *Runner) OperatorAge() time.Duration { return clock.Now() - time.Duration(r.age.Load()) }
-
-func runField(run work.Run) telemetry.Field { return telemetry.Run(run.String()) }
--- a/runner/session.go
+++ b/runner/session.go
@@ -197,7 +197,7 @@
 
 // report keeps a result for its entry until the entry has taken note of it.
 func (r *Runner) report(a run.Report) {
-	r.cfg.Log.Info("run ended", runField(a.Run), telemetry.Result(a.Outcome.String()), telemetry.Why(a.Reason), telemetry.Elapsed(a.Ran), telemetry.Peer(a.Entry))
+	r.cfg.Log.Info("run ended", telemetry.Run(a.Run.String()), telemetry.Result(a.Outcome.String()), telemetry.Why(a.Reason), telemetry.Elapsed(a.Ran), telemetry.Peer(a.Entry))
 	r.cfg.Metrics.ended(a.Outcome, a.Ran)
 	s := r.sessions[a.Entry]
 	if s == nil {
@@ -211,7 +211,7 @@
 }
 
 func (r *Runner) reportStalled(a run.ReportStalled) {
-	r.cfg.Log.Warn("run shows no progress", runField(a.Run), telemetry.Peer(a.Entry))
+	r.cfg.Log.Warn("run shows no progress", telemetry.Run(a.Run.String()), telemetry.Peer(a.Entry))
 	if s := r.sessions[a.Entry]; s != nil && !s.ended {
 		m := s.message()
 		m.Stalled = append(m.Stalled, link.KeyOf(a.Run))
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -20,6 +20,15 @@
 	Deadline time.Duration
 }
 
+// Tasks returns the number of tasks of all steps.
+func (j *Job) Tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // Step is a group of like tasks.
 type Step struct {
 	Count    int
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -1,10 +1,6 @@
 package schedule
 
-import (
-	"time"
-
-	"foxtaildock.example/dock/work"
-)
+import "time"
 
 // health is what the results of real tasks say about a backend server.
 type health struct {
@@ -45,17 +41,10 @@
 
 // runStalled moves a task away from a backend server on which it stands still.
 func (c *Core) runStalled(e RunStalled) {
-	j := c.jobs[e.Run.Task.Job]
-	if j == nil {
-		return
-	}
-	t := j.task(e.Run.Task)
-	if t == nil || t.phase != taskPlaced || t.run != e.Run.ID || t.stopping || t.agent.id != e.Agent {
+	_, t := c.underWay(e.Agent, e.Run)
+	if t == nil || t.stopping {
 		return
 	}
-	t.stopping = true
-	t.avoid = e.Agent
 	t.agent.health.failed(c.now)
-	c.do(Noted{Event: "run stands still; moved", Agent: e.Agent, Run: e.Run})
-	c.do(SendStops{Agent: e.Agent, Runs: []work.Run{e.Run}})
+	c.moveOff(t, e.Run, "run stands still; moved")
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/operator"
 	"foxtaildock.example/dock/work"
 )
 
@@ -33,13 +34,12 @@
 // findCandidates notes the agents that have room for anything at all.
 func (c *Core) findCandidates() {
 	c.candidates = c.candidates[:0]
-	first, last := c.priorities()
 	for _, a := range c.order {
 		if !c.mayStart(a) {
 			continue
 		}
-		free := a.free(first)
-		if free.CPUMilli > 0 || first < last && free.CPUMilli == 0 {
+		free := a.free(c.first)
+		if free.CPUMilli > 0 || c.overtakes(c.first) && free.CPUMilli == 0 {
 			c.candidates = append(c.candidates, a)
 		}
 	}
@@ -236,14 +236,10 @@
 // most urgent do, and only where others are less urgent. There they get the next
 // room before whatever other entries hold back. All other tasks wait at their
 // entry, which can still place them wherever room comes first.
-func (c *Core) overtakes(p work.Priority) bool {
-	first, last := c.priorities()
-	return p == first && first < last
-}
+func (c *Core) overtakes(p work.Priority) bool { return p == c.first && c.first < c.last }
 
 // priorities returns the most and the least urgent priority of all routes.
-func (c *Core) priorities() (first, last work.Priority) {
-	m := c.operator.Manifest
+func priorities(m *operator.Manifest) (first, last work.Priority) {
 	if m == nil || len(m.Routes) == 0 {
 		return 0, 0
 	}
--- a/schedule/rescue.go
+++ b/schedule/rescue.go
@@ -29,7 +29,7 @@
 		return
 	}
 	t := j.task(id)
-	if t == nil || t.phase != taskPlaced || t.agent != a || t.stopping || j.runs > 2*j.count() {
+	if t == nil || t.phase != taskPlaced || t.agent != a || t.stopping || j.runs > 2*j.Tasks() {
 		return
 	}
 	s := &j.Steps[id.Step]
@@ -39,11 +39,15 @@
 	if there <= left || !c.roomInTime(a, j, s, expected, left-rescueMargin) {
 		return
 	}
+	c.moveOff(t, work.Run{Task: id, ID: t.run}, "run moved off a slow backend server")
+}
+
+// moveOff stops a run, so that its task starts elsewhere once its end is told.
+func (c *Core) moveOff(t *taskState, run work.Run, event string) {
 	t.stopping = true
-	t.avoid = a.id
-	run := work.Run{Task: id, ID: t.run}
-	c.do(Noted{Event: "run moved off a slow backend server", Agent: a.id, Run: run})
-	c.do(SendStops{Agent: a.id, Runs: []work.Run{run}})
+	t.avoid = t.agent.id
+	c.do(Noted{Event: event, Agent: t.agent.id, Run: run})
+	c.do(SendStops{Agent: t.agent.id, Runs: []work.Run{run}})
 }
 
 // roomInTime reports whether another agent has room and would end the task in time.
@@ -58,12 +62,3 @@
 	}
 	return false
 }
-
-// count is the number of tasks of the job.
-func (j *jobState) count() int {
-	n := 0
-	for i := range j.steps {
-		n += len(j.steps[i].tasks)
-	}
-	return n
-}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -40,8 +40,10 @@
 	agents   map[ident.Incarnation]*agentState
 	order    []*agentState // agents by incarnation
 	operator operator.Rows
-	times    map[string]*routeTimes // by route name
-	placed   placedRates
+	// first and last are the most and the least urgent priority of all routes.
+	first, last work.Priority
+	times       map[string]*routeTimes // by route name
+	placed      placedRates
 	// candidates are the agents with room, while tasks are offered.
 	candidates []*agentState
 	arrivals   uint64
@@ -124,6 +126,7 @@
 		c.runStalled(e)
 	case OperatorChanged:
 		c.operator = e.Rows
+		c.first, c.last = priorities(e.Rows.Manifest)
 	case Tick:
 		c.expireAgents()
 		c.expireJobs()
@@ -324,15 +327,11 @@
 
 func (c *Core) runEnded(e RunEnded) {
 	a := c.agents[e.Agent]
-	j := c.jobs[e.Run.Task.Job]
 	if a != nil {
 		delete(a.runs, e.Run.Task)
 	}
-	if j == nil {
-		return
-	}
-	t := j.task(e.Run.Task)
-	if t == nil || t.phase != taskPlaced || t.run != e.Run.ID || t.agent.id != e.Agent {
+	j, t := c.underWay(e.Agent, e.Run)
+	if t == nil {
 		return
 	}
 	switch e.Outcome {
@@ -354,6 +353,20 @@
 	}
 }
 
+// underWay returns a run that is placed at the agent, with its job. Both are nil if
+// it is another run's turn, or nobody waits for the job any more.
+func (c *Core) underWay(agent ident.Incarnation, run work.Run) (*jobState, *taskState) {
+	j := c.jobs[run.Task.Job]
+	if j == nil {
+		return nil, nil
+	}
+	t := j.task(run.Task)
+	if t == nil || t.phase != taskPlaced || t.run != run.ID || t.agent.id != agent {
+		return nil, nil
+	}
+	return j, t
+}
+
 func (j *jobState) task(t work.Task) *taskState {
 	if t.Step < 0 || t.Step >= len(j.steps) || t.Index < 0 || t.Index >= len(j.steps[t.Step].tasks) {
 		return nil
--- a/work/work.go
+++ b/work/work.go
@@ -37,8 +37,13 @@
 	ID   RunID
 }
 
-// String formats the run for logs.
-func (r Run) String() string { return fmt.Sprintf("%s#%d", r.Task, r.ID) }
+// String formats the run for logs. The zero value, which names no run, is empty.
+func (r Run) String() string {
+	if r == (Run{}) {
+		return ""
+	}
+	return fmt.Sprintf("%s#%d", r.Task, r.ID)
+}
 
 // Demand is what a task needs, or what a backend server has.
 type Demand struct {
