run: tasks are kept in the order of their arrival, not sorted at every step

Cause: each step of an agent's core collected and sorted its tasks three times to get an order that doesn't depend on the map; tasks arrive in that order anyway. Change: a slice beside the map, changed in the two places that change the map.

--- a/run/hold.go
+++ b/run/hold.go
@@ -248,7 +248,7 @@
 // resolveUnlisted decides about runs that an answer lists neither as running nor
 // as ended. Only runs count that the server knew when the call was sent.
 func (c *Core) resolveUnlisted(call uint64, listed map[work.Run]bool) {
-	for _, t := range c.sorted() {
+	for _, t := range c.inOrder() {
 		if listed[t.run] || call < t.heldFrom {
 			continue
 		}
--- a/run/offers.go
+++ b/run/offers.go
@@ -23,6 +23,7 @@
 		demand: e.Demand, expected: e.Expected, arrival: c.arrivals, since: c.now,
 	}
 	c.tasks[e.Run.Task] = t
+	c.held = append(c.held, t)
 	at, _ := slices.BinarySearchFunc(c.queue, t, compareTasks)
 	c.queue = slices.Insert(c.queue, at, t)
 }
@@ -74,6 +75,7 @@
 // end removes a task and tells its entry.
 func (c *Core) end(t *task, outcome work.Outcome, reason string) {
 	delete(c.tasks, t.run.Task)
+	c.held = slices.DeleteFunc(c.held, func(h *task) bool { return h == t })
 	if t.phase == phaseQueued {
 		c.queue = slices.DeleteFunc(c.queue, func(q *task) bool { return q == t })
 	}
--- a/run/orders.go
+++ b/run/orders.go
@@ -82,7 +82,7 @@
 	if c.server.state == serverNone {
 		return
 	}
-	for _, t := range c.sorted() {
+	for _, t := range c.inOrder() {
 		s := &t.stop
 		if !s.wanted || s.answered || t.phase == phaseQueued || t.phase == phaseStarting {
 			continue
--- a/run/run.go
+++ b/run/run.go
@@ -14,7 +14,6 @@
 package run
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -42,7 +41,9 @@
 	server serverState
 	holds  holdState
 	tasks  map[work.Task]*task
-	queue  []*task
+	// held are the same tasks in the order of their arrival.
+	held  []*task
+	queue []*task
 	// entries are the times that the leases of entries count from.
 	entries   map[ident.Incarnation]time.Duration
 	pace      pace
@@ -259,19 +260,12 @@
 			delete(c.entries, entry)
 		}
 	}
-	for _, t := range c.sorted() {
+	for _, t := range c.inOrder() {
 		if _, live := c.entries[t.entry]; !live && !t.stop.wanted {
 			c.stop(t, reasonNoLease)
 		}
 	}
 }
 
-// sorted returns the tasks in an order that doesn't depend on the map.
-func (c *Core) sorted() []*task {
-	list := make([]*task, 0, len(c.tasks))
-	for _, t := range c.tasks {
-		list = append(list, t)
-	}
-	slices.SortFunc(list, func(a, b *task) int { return cmp.Compare(a.arrival, b.arrival) })
-	return list
-}
+// inOrder returns the tasks in the order of their arrival. They may be ended meanwhile.
+func (c *Core) inOrder() []*task { return slices.Clone(c.held) }
--- a/run/server.go
+++ b/run/server.go
@@ -103,7 +103,7 @@
 // doubtRuns hands back what waits, and marks the rest as unsure: the incarnation in
 // use is gone, but orders that it seemed to take may have gone to the next one.
 func (c *Core) doubtRuns() {
-	for _, t := range c.sorted() {
+	for _, t := range c.inOrder() {
 		if t.phase == phaseQueued {
 			c.end(t, work.NotStarted, reasonNewLife)
 			continue
@@ -118,7 +118,7 @@
 // expireUnsure ends the unsure runs that no lease can have kept alive, if no
 // incarnation has told of them.
 func (c *Core) expireUnsure() {
-	for _, t := range c.sorted() {
+	for _, t := range c.inOrder() {
 		if t.phase == phaseUnsure && c.now-t.since > c.cfg.Terms.LapseAny() {
 			c.end(t, work.Lost, reasonNewLife)
 		}
@@ -188,7 +188,7 @@
 		return
 	}
 	silent := c.now - s.heard
-	for _, t := range c.sorted() {
+	for _, t := range c.inOrder() {
 		if t.phase != phaseQueued && t.phase != phaseUnsure {
 			c.end(t, work.Lost, reasonLapsed)
 		}
