The manifest is sent to entries that lack it only; a paused process keeps its sessions

Cause: each entry encoded every version of the manifest for each agent and sent it ahead of the heartbeat that renews the lease. With 1,400 routes (200 KB) to 80 agents the entries stood still for 385 ms, their silence timers ended all sessions on waking, and each session opened again began with the manifest once more. Entries that couldn't reach the store asked all peers each 0.3 s and got the whole manifest for the version that they had.

Ruled out: a longer silence timeout (hides the pause, and lost agents would be found later).

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -65,8 +65,9 @@
 	events chan any
 	base   context.Context
 
-	links *links
-	view  operatorView
+	links        *links
+	view         operatorView
+	rowsRequests rowsRequests
 	// waiters are the callers that wait for each job, owned by the core goroutine.
 	waiters       map[work.JobID][]chan schedule.Answer
 	stoppingSince atomic.Int64 // clock.Now when the process was told to stop, 0 before
@@ -137,6 +138,9 @@
 
 func (d *Dispatcher) handle(e any) {
 	switch e := e.(type) {
+	case schedule.OperatorChanged:
+		d.rowsRequests.updated()
+		d.step(e)
 	case schedule.Event:
 		d.step(e)
 	case submission:
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -52,9 +52,10 @@
 	// row in the table of members, or an announcement.
 	lastSeen atomic.Int64
 
-	mu              sync.Mutex
-	end             session.EntryEnd
-	sentRowsVersion uint64 // version of the operators' rows last sent in this session
+	mu  sync.Mutex
+	end session.EntryEnd
+	// wantsRows asks the agent for the operators' rows with the next heartbeat.
+	wantsRows bool
 }
 
 // Backoff between attempts to open a session.
@@ -128,7 +129,6 @@
 	requestedAt := clock.Now()
 	a.mu.Lock()
 	start := a.end.Open()
-	a.sentRowsVersion = 0
 	a.mu.Unlock()
 	hello := &linkpb.Hello{Entry: string(d.cfg.Self.Incarnation), Agent: string(start.Agent), ResultsSeen: start.ResultsSeen}
 	var open *link.Session
@@ -150,28 +150,22 @@
 // which a session is closed.
 const sessionTimeoutHeartbeats = 3
 
-// heartbeat returns the next heartbeat, with the operators' rows. The manifest is left
-// out if the agent has the current version.
+// heartbeat returns the next heartbeat, with the operators' rows that agents need: the
+// withdrawn failure domains, but not the manifest.
 func (a *agentLink) heartbeat() *linkpb.Heartbeat {
 	rows, age, known := a.links.dispatcher.view.current()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	beat := a.end.NextHeartbeat(clock.Now())
-	b := &linkpb.Heartbeat{Number: beat.Number, ResultsSeen: beat.ResultsSeen, AgentClockMs: beat.AgentClock.Milliseconds()}
-	if !known {
-		return b
+	b := &linkpb.Heartbeat{
+		Number: beat.Number, ResultsSeen: beat.ResultsSeen, AgentClockMs: beat.AgentClock.Milliseconds(),
+		WantsOperator: a.wantsRows,
 	}
-	if a.sentRowsVersion == rows.Version {
-		rows.Manifest = nil // already sent in this session
+	a.wantsRows = false
+	if known {
+		b.OperatorAgeMs = age.Milliseconds()
+		b.Operator = link.WithdrawnMessage(&rows)
 	}
-	message, err := link.OperatorMessage(&rows)
-	if err != nil {
-		a.links.dispatcher.cfg.Log.Error("operators' rows can't be encoded for an agent", telemetry.Err(err))
-		return b
-	}
-	b.OperatorAgeMs = age.Milliseconds()
-	b.Operator = message
-	a.sentRowsVersion = rows.Version
 	return b
 }
 
@@ -225,6 +219,7 @@
 	if o := m.GetOperator(); o != nil {
 		d.setOperatorRowsFromAgent(agent, o)
 	}
+	d.requestNewerRows(a, m.GetOperatorVersion())
 }
 
 // welcome records which incarnation of the agent answered.
@@ -270,18 +265,6 @@
 	})
 }
 
-// setOperatorRowsFromAgent updates the view with operators' rows from an agent, which
-// may reach the store while this entry can't.
-func (d *Dispatcher) setOperatorRowsFromAgent(agent ident.Incarnation, o *linkpb.OperatorRows) {
-	rows, err := link.OperatorOf(o)
-	if err != nil {
-		d.cfg.Log.Warn("invalid operators' rows from an agent", telemetry.Peer(agent), telemetry.Err(err))
-		return
-	}
-	// The message does not say when the store confirmed the rows, so they count as old.
-	go d.setOperatorRows(rows, 0, "agent")
-}
-
 func (l *links) sendOffers(a schedule.SendOffers) {
 	s := l.sessions[a.Agent]
 	if s == nil {
--- a/dispatcher/operator.go
+++ b/dispatcher/operator.go
@@ -63,11 +63,11 @@
 // unreachable, it asks the other entries for their rows.
 func (d *Dispatcher) watchOperator(ctx context.Context) {
 	reach := reachability{log: d.cfg.Log, name: "store: operators' rows"}
-	for ctx.Err() == nil {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
 		requestedAt := clock.Now()
 		rows, err := d.cfg.Store.Operator(ctx)
 		if reach.observe(err); err != nil {
-			d.links.fetchOperatorRows(ctx)
+			d.links.fetchOperatorRows(ctx, attempt)
 			pause.For(ctx, storeRetryDelay)
 			continue
 		}
--- a/dispatcher/peers.go
+++ b/dispatcher/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,13 +22,19 @@
 // memory.
 const peerTimeout = 400 * time.Millisecond
 
+// eachPeer calls all other entries at once and returns when all calls have ended.
 func (l *links) eachPeer(ctx context.Context, call func(context.Context, linkpbconnect.EntryPeerClient)) {
+	l.callPeers(ctx, l.peerAddresses(), call)
+}
+
+// peerAddresses returns the addresses of the other entries, sorted.
+func (l *links) peerAddresses() []string {
 	l.mu.Lock()
-	var addresses []string
-	for address := range l.peers {
-		addresses = append(addresses, address)
-	}
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	return slices.Sorted(maps.Keys(l.peers))
+}
+
+func (l *links) callPeers(ctx context.Context, addresses []string, call func(context.Context, linkpbconnect.EntryPeerClient)) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var wait sync.WaitGroup
@@ -58,11 +66,30 @@
 	return found
 }
 
-// fetchOperatorRows asks the other entries for newer operators' rows.
-func (l *links) fetchOperatorRows(ctx context.Context) {
+// rowsPeers is the number of entries that are asked for their operators' rows at a time.
+// If none of them has newer ones, the next attempt asks others.
+const rowsPeers = 3
+
+// nextPeers returns up to n addresses, beginning at an offset that counts on from call to
+// call.
+func nextPeers(addresses []string, offset, n int) []string {
+	if len(addresses) <= n {
+		return addresses
+	}
+	next := make([]string, n)
+	for i := range next {
+		next[i] = addresses[(offset+i)%len(addresses)]
+	}
+	return next
+}
+
+// fetchOperatorRows asks some of the other entries for newer operators' rows. attempt
+// counts the calls and selects which ones.
+func (l *links) fetchOperatorRows(ctx context.Context, attempt int) {
 	d := l.dispatcher
 	rows, _, _ := d.view.current()
-	l.eachPeer(ctx, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
+	peers := nextPeers(l.peerAddresses(), attempt*rowsPeers, rowsPeers)
+	l.callPeers(ctx, peers, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
 		requestedAt := clock.Now()
 		res, err := peer.Operator(ctx, connect.NewRequest(&linkpb.OperatorRequest{Version: rows.Version}))
 		if err != nil {
@@ -111,14 +138,18 @@
 }
 
 // Operator returns this entry's copy of the operators' rows and its age. The rows are
-// left out if they are unknown or older than the version in the request. An error means
-// that they can't be encoded.
+// left out if they are unknown or older than the version in the request, and the
+// manifest also if they have that version. An error means that they can't be encoded.
 func (p Peer) Operator(_ context.Context, req *connect.Request[linkpb.OperatorRequest]) (*connect.Response[linkpb.OperatorResponse], error) {
 	rows, age, known := p.Dispatcher.view.current()
 	res := &linkpb.OperatorResponse{AgeMs: age.Milliseconds()}
 	if !known || rows.Version < req.Msg.GetVersion() {
 		return connect.NewResponse(res), nil
 	}
+	if rows.Version == req.Msg.GetVersion() {
+		res.Rows = link.WithdrawnMessage(&rows)
+		return connect.NewResponse(res), nil
+	}
 	full, err := link.OperatorMessage(&rows)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
--- a/link/convert.go
+++ b/link/convert.go
@@ -125,6 +125,15 @@
 	return 0, fmt.Errorf("unknown outcome of a run: %v", o)
 }
 
+// WithdrawnMessage converts operators' rows to their message without the manifest.
+func WithdrawnMessage(r *operator.Rows) *linkpb.OperatorRows {
+	m := &linkpb.OperatorRows{Version: r.Version}
+	for _, d := range r.Withdrawn {
+		m.WithdrawnDomains = append(m.WithdrawnDomains, string(d))
+	}
+	return m
+}
+
 // OperatorMessage converts operators' rows to their message. It returns an error if the
 // manifest can't be encoded.
 func OperatorMessage(r *operator.Rows) (*linkpb.OperatorRows, error) {
@@ -132,10 +141,8 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &linkpb.OperatorRows{Version: r.Version, Manifest: manifest}
-	for _, d := range r.Withdrawn {
-		m.WithdrawnDomains = append(m.WithdrawnDomains, string(d))
-	}
+	m := WithdrawnMessage(r)
+	m.Manifest = manifest
 	return m, nil
 }
 
--- a/link/session.go
+++ b/link/session.go
@@ -69,8 +69,8 @@
 	stop := context.AfterFunc(ctx, conns.Close)
 	defer stop()
 	defer conns.Close()
-	silenceTimer := time.AfterFunc(times.SilenceTimeout, func() { end(errSilent) })
-	defer silenceTimer.Stop()
+	silence := &silence{times: times}
+	defer silence.watch(func() { end(errSilent) })()
 	stream := linkpbconnect.NewAgentLinkClient(client, "http://"+address, rpc.ClientOptions()).Attach(ctx)
 	if err := stream.Send(&linkpb.ToAgent{Hello: hello}); err != nil {
 		return fmt.Errorf("opening the session: %w", cause(ctx, err))
@@ -82,7 +82,7 @@
 		if err != nil {
 			return fmt.Errorf("session: %w", cause(ctx, err))
 		}
-		silenceTimer.Reset(times.SilenceTimeout)
+		silence.received(time.Now())
 		h.Received(s, m)
 	}
 }
--- a/link/session_test.go
+++ b/link/session_test.go
@@ -110,3 +110,33 @@
 		t.Fatalf("the session ended with %v, want %v", err, errSilent)
 	}
 }
+
+// A process that was paused reads the messages that arrived meanwhile before it decides
+// that an agent is silent. The sessions of a busy process would all end together
+// otherwise, and it would be busier still with opening them again.
+func TestAPausedProcessKeepsItsSessions(t *testing.T) {
+	times := Times{HeartbeatInterval: 100 * time.Millisecond, SilenceTimeout: 300 * time.Millisecond}
+	s := &silence{times: times}
+	start := time.Now()
+	s.received(start)
+	resumed := start.Add(700 * time.Millisecond)
+	next := s.check(resumed)
+	if next != times.HeartbeatInterval {
+		t.Fatalf("next check after %v, want one heartbeat interval", next)
+	}
+	s.received(resumed.Add(time.Millisecond))
+	if next := s.check(resumed.Add(next)); next <= 0 {
+		t.Fatal("the session ended although a message was read after the pause")
+	}
+}
+
+func TestAnAgentThatStaysSilentAfterAPauseIsGivenUp(t *testing.T) {
+	times := Times{HeartbeatInterval: 100 * time.Millisecond, SilenceTimeout: 300 * time.Millisecond}
+	s := &silence{times: times}
+	start := time.Now()
+	s.received(start)
+	resumed := start.Add(700 * time.Millisecond)
+	if next := s.check(resumed.Add(s.check(resumed))); next != 0 {
+		t.Fatalf("the session goes on for %v, want its end", next)
+	}
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -7,7 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"strings"
+	"sync"
 	"time"
 
 	"foxtaildock.example/dock/ident"
@@ -41,30 +41,64 @@
 	IdleTimeout    time.Duration `json:"idle_timeout"`
 }
 
-// Manifest is one version of the routes and limits.
+// Manifest is one version of the routes and limits. It is not changed once it has been
+// used, since Match keeps an index of its routes.
 type Manifest struct {
 	Version int64   `json:"version"`
 	Routes  []Route `json:"routes"`
 	Limits  Limits  `json:"limits"`
+
+	indexOnce sync.Once
+	index     map[string]hostRoutes // by host
+}
+
+// hostRoutes are the routes of one host.
+type hostRoutes struct {
+	// lengths are the lengths of all prefixes, longest first.
+	lengths  []int
+	byPrefix map[string]int // indexes in Manifest.Routes
 }
 
 // Match returns the route for a host and path: of the host's routes whose prefix the
 // path begins with, the one with the longest prefix. It returns false if there is none.
+// Its cost depends on how many lengths the prefixes of the host have, not on the number
+// of routes. It is safe for concurrent use.
 func (m *Manifest) Match(host, path string) (Route, bool) {
-	best := -1
+	m.indexOnce.Do(m.buildIndex)
+	routes := m.index[host]
+	for _, n := range routes.lengths {
+		if n > len(path) {
+			continue
+		}
+		if i, found := routes.byPrefix[path[:n]]; found {
+			return m.Routes[i], true
+		}
+	}
+	return Route{}, false
+}
+
+// buildIndex fills the index. Of several routes with the same host and prefix, the first
+// one counts.
+func (m *Manifest) buildIndex() {
+	m.index = map[string]hostRoutes{}
 	for i := range m.Routes {
 		r := &m.Routes[i]
-		if r.Host != host || !strings.HasPrefix(path, r.PathPrefix) {
+		routes, known := m.index[r.Host]
+		if !known {
+			routes.byPrefix = map[string]int{}
+		}
+		if _, duplicate := routes.byPrefix[r.PathPrefix]; duplicate {
 			continue
 		}
-		if best < 0 || len(r.PathPrefix) > len(m.Routes[best].PathPrefix) {
-			best = i
+		routes.byPrefix[r.PathPrefix] = i
+		if !slices.Contains(routes.lengths, len(r.PathPrefix)) {
+			routes.lengths = append(routes.lengths, len(r.PathPrefix))
 		}
+		m.index[r.Host] = routes
 	}
-	if best < 0 {
-		return Route{}, false
+	for _, routes := range m.index {
+		slices.SortFunc(routes.lengths, func(a, b int) int { return b - a })
 	}
-	return m.Routes[best], true
 }
 
 // Rows is the state of all operators' rows as of one version of the store.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +29,66 @@
 	}
 }
 
+// linearMatch is the definition of Match: the longest prefix of all routes of the host,
+// and the first of several equal ones.
+func linearMatch(m *Manifest, host, path string) (Route, bool) {
+	best := -1
+	for i := range m.Routes {
+		r := &m.Routes[i]
+		if r.Host != host || !strings.HasPrefix(path, r.PathPrefix) {
+			continue
+		}
+		if best < 0 || len(r.PathPrefix) > len(m.Routes[best].PathPrefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Route{}, false
+	}
+	return m.Routes[best], true
+}
+
+func TestMatchFindsWhatASearchOfAllRoutesFinds(t *testing.T) {
+	path := rapid.StringMatching(`/[ab/]{0,5}`)
+	host := rapid.SampledFrom([]string{"a.example", "b.example"})
+	rapid.Check(t, func(t *rapid.T) {
+		m := &Manifest{}
+		for i := range rapid.IntRange(0, 12).Draw(t, "routes") {
+			m.Routes = append(m.Routes, Route{Name: fmt.Sprint(i), Host: host.Draw(t, "host"), PathPrefix: path.Draw(t, "prefix")})
+		}
+		for range 5 {
+			h, p := host.Draw(t, "request host"), path.Draw(t, "request path")
+			got, found := m.Match(h, p)
+			want, wanted := linearMatch(m, h, p)
+			if got != want || found != wanted {
+				t.Fatalf("%s%s: got route %q, %v, want %q, %v", h, p, got.Name, found, want.Name, wanted)
+			}
+		}
+	})
+}
+
+// longManifest has 2,000 routes of as many hosts, and as many prefixes of one host.
+func longManifest() *Manifest {
+	m := &Manifest{}
+	for i := range 2000 {
+		m.Routes = append(m.Routes,
+			Route{Name: fmt.Sprint("h", i), Host: fmt.Sprintf("h%d.example", i), PathPrefix: "/jobs/"},
+			Route{Name: fmt.Sprint("p", i), Host: "shared.example", PathPrefix: fmt.Sprintf("/jobs-%d/", i)})
+	}
+	return m
+}
+
+// BenchmarkMatchLongManifest is the cost that a long manifest adds to each request. It
+// has to stay below 1 us.
+func BenchmarkMatchLongManifest(b *testing.B) {
+	m := longManifest()
+	for b.Loop() {
+		if _, found := m.Match("shared.example", "/jobs-1999/0123456789abcdef"); !found {
+			b.Fatal("no route found")
+		}
+	}
+}
+
 // Rows arrive in any order, from the store and from peers. Neither the version of the
 // rows nor that of the manifest may ever decrease.
 func TestViewNeverMovesToAnOlderVersion(t *testing.T) {
--- a/runner/presence.go
+++ b/runner/presence.go
@@ -93,11 +93,12 @@
 	p.Log.Info("announced to entries", telemetry.Count(answered))
 }
 
-// followOperator reads the operators' rows from the store while no entry confirms them.
+// followOperator reads the operators' rows from the store while no entry confirms them,
+// and when an entry that can't reach the store asks for them.
 func (p *Presence) followOperator(ctx context.Context) {
 	for pause.For(ctx, operatorRetryInterval) {
 		age := p.Runner.OperatorAge()
-		if age < operatorMaxAge {
+		if age < operatorMaxAge && !p.Runner.rowsAreWanted() {
 			continue
 		}
 		requestedAt := clock.Now()
@@ -109,3 +110,14 @@
 		p.Runner.SetOperatorRows(rows, requestedAt)
 	}
 }
+
+// rowsAreWanted reports whether an entry has asked for the operators' rows since the
+// last call.
+func (r *Runner) rowsAreWanted() bool {
+	select {
+	case <-r.rowsWanted:
+		return true
+	default:
+		return false
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -62,13 +62,17 @@
 // Runner is an agent. Its event loop owns all fields but the channel, the atomic ones
 // and those that are set before it starts.
 type Runner struct {
-	cfg             Config
-	core            *run.Core
-	events          chan any
-	sessions        map[ident.Incarnation]*entrySession
-	view            operator.View
-	ownVersion      uint64 // version of the operators' rows last read from the store by the agent itself
-	server          string // incarnation of the backend server that calls are addressed to
+	cfg      Config
+	core     *run.Core
+	events   chan any
+	sessions map[ident.Incarnation]*entrySession
+	// view has no manifest, since agents decide nothing by it.
+	view operator.View
+	// ownRows are the operators' rows that the agent last read from the store itself,
+	// with the manifest. Entries that can't reach the store may ask for them.
+	ownRows         operator.Rows
+	rowsWanted      chan struct{} // asks Presence to read the operators' rows
+	server          string        // incarnation of the backend server that calls are addressed to
 	idle            atomic.Bool
 	attached        atomic.Int64
 	rowsAsOf        atomic.Int64 // when the store last confirmed the operators' rows, by package clock
@@ -86,6 +90,8 @@
 		core:     run.New(run.Config{Terms: cfg.Terms, QueueLimit: queueLimit, StallAfter: stallAfter, BackfillAfter: backfillAfter}),
 		events:   make(chan any, eventQueueSize),
 		sessions: map[ident.Incarnation]*entrySession{},
+
+		rowsWanted: make(chan struct{}, 1),
 	}
 	r.idle.Store(true)
 	return r
@@ -162,8 +168,26 @@
 	case detachEvent:
 		r.detach(e.session)
 	case operatorRowsEvent:
-		r.ownVersion = e.rows.Version
-		r.setOperatorRows(e.rows, e.confirmed)
+		r.ownRows = e.rows
+		r.setOperatorRows(operator.Rows{Version: e.rows.Version, Withdrawn: e.rows.Withdrawn}, e.confirmed)
+	}
+}
+
+// ownRowsAreNewest reports whether the agent has read the newest operators' rows that it
+// knows of from the store itself, with the manifest.
+func (r *Runner) ownRowsAreNewest() bool {
+	return r.ownRows.Manifest != nil && r.ownRows.Version >= r.view.Rows().Version
+}
+
+// requestOwnRows asks Presence to read the operators' rows, unless the agent has read the
+// newest ones already.
+func (r *Runner) requestOwnRows() {
+	if r.ownRowsAreNewest() {
+		return
+	}
+	select {
+	case r.rowsWanted <- struct{}{}:
+	default: // requested already
 	}
 }
 
--- a/runner/session.go
+++ b/runner/session.go
@@ -38,8 +38,9 @@
 	lastRoom run.Room
 	roomSent bool
 	sentAt   time.Duration
-	// sentVersion is the version of the operators' rows that were sent last.
-	sentVersion uint64
+	// wantsRows is true if the entry has asked for the operators' rows with the
+	// manifest, and they have not been sent yet.
+	wantsRows bool
 }
 
 // outQueueSize is the maximum number of messages that wait to be sent to one entry. The
@@ -167,6 +168,10 @@
 		r.step(run.EntryHeartbeat{Entry: s.entry, AsOf: link.Millis(b.GetAgentClockMs())})
 	}
 	s.pendingMessage() // so that the heartbeat is answered
+	if b.GetWantsOperator() {
+		s.wantsRows = true
+		r.requestOwnRows()
+	}
 	if b.GetOperator() == nil {
 		return
 	}
@@ -256,9 +261,9 @@
 	if !s.roomSent || !s.lastRoom.Equal(&room) {
 		m.Room = link.RoomMessage(room)
 	}
-	if v := r.view.Rows().Version; r.ownVersion == v && v != 0 && s.sentVersion != v {
-		s.sentVersion = v
-		rows, err := link.OperatorMessage(r.view.Rows())
+	if s.wantsRows && r.ownRowsAreNewest() {
+		s.wantsRows = false
+		rows, err := link.OperatorMessage(&r.ownRows)
 		if err != nil {
 			r.cfg.Log.Error("operators' rows can't be encoded for an entry", telemetry.Err(err))
 		}
