Entries use a bounded subset of the agents

Cause: every entry kept a session with every agent, with a heartbeat each 104 ms and an update for each change of room: 1,200 sessions at 80 agents and 15 entries, and the updates of all starts at every entry.

--- a/daemon/platform_entry.go
+++ b/daemon/platform_entry.go
@@ -19,6 +19,15 @@
 // and the duration of one.
 const platformBalancerDelay = 3 * time.Second
 
+// sessionsPerCore is the number of agents that an entry may use for each core that it
+// has. A session of a busy agent takes about 0.3 % of a core, so that half of the
+// processor is left for jobs.
+const sessionsPerCore = 200
+
+// maxSessions returns the largest number of agents that an entry with that many cores
+// uses; 0, for no limit, if the cores aren't known.
+func maxSessions(cores float64) int { return int(sessionsPerCore * cores) }
+
 // RunPlatformEntry runs an entry on the users' platform until the context ends, then
 // stops gracefully. The path is that of the settings file, which is reloaded at
 // SIGHUP. It returns an error if the process can't start or a listener fails.
@@ -36,7 +45,8 @@
 			Incarnation: p.self, Role: directory.RoleEntry, Address: set.Internal.String(), Domain: set.Domain,
 		},
 		Terms: p.terms, RemoteFactor: set.Bounds.RemoteFactor, Grace: set.Bounds.Grace, Seeds: p.seeds(),
-		Store: p.store, Members: p.store.Members(), Log: p.log, Metrics: counters,
+		MaxSessions: maxSessions(set.Limits.Cores),
+		Store:       p.store, Members: p.store.Members(), Log: p.log, Metrics: counters,
 	})
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -31,11 +31,14 @@
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration
 	// Seeds are internal addresses of entries. They may be out of date.
-	Seeds   []string
-	Store   OperatorStore
-	Members directory.Table
-	Log     *telemetry.Logger
-	Metrics *Metrics
+	Seeds []string
+	// MaxSessions is the largest number of agents that the entry's processor allows it to
+	// use; 0 means that there is no limit.
+	MaxSessions int
+	Store       OperatorStore
+	Members     directory.Table
+	Log         *telemetry.Logger
+	Metrics     *Metrics
 }
 
 // OperatorStore is the store of the operators' rows.
@@ -68,6 +71,11 @@
 	links        *links
 	view         operatorView
 	rowsRequests rowsRequests
+	// listedMembers is true once the table of members has been read.
+	listedMembers atomic.Bool
+	// subsetWanted and subsetUsable are the figures of the last choice of agents.
+	subsetWanted atomic.Int64
+	subsetUsable atomic.Int64
 	// waiters are the callers that wait for each job, owned by the core goroutine.
 	waiters       map[work.JobID][]chan schedule.Answer
 	stoppingSince atomic.Int64 // clock.Now when the process was told to stop, 0 before
@@ -99,12 +107,18 @@
 func (d *Dispatcher) run(ctx context.Context) {
 	timer := time.NewTimer(tick)
 	defer timer.Stop()
+	choose := time.NewTicker(chooseInterval)
+	defer choose.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-d.events:
 			d.handle(e)
+		case <-choose.C:
+			d.chooseSubset()
+		case <-d.links.changed:
+			d.chooseSubset()
 		case <-timer.C:
 			d.step(schedule.Tick{})
 			timer.Reset(d.tickInterval())
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -15,19 +15,24 @@
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/schedule"
 	"foxtaildock.example/dock/session"
+	"foxtaildock.example/dock/subset"
 	"foxtaildock.example/dock/telemetry"
 )
 
-// links are the entry's connections: a session with each agent, and the other
-// entries.
+// links are the entry's connections: a session with each agent of its subset, and the
+// other entries.
 type links struct {
 	dispatcher *Dispatcher
 	peerClient *http.Client
 
 	mu sync.Mutex
-	// agents and peers are by address.
+	// known holds all agents and chooses the subset; agents holds those that are used,
+	// and peers the other entries, by address.
+	known  *subset.Chooser
 	agents map[string]*agentLink
 	peers  map[string]directory.Member
+	// changed has an element if the subset may have to be chosen anew.
+	changed chan struct{}
 	// sessions are the open sessions by the agent's incarnation, owned by the core
 	// goroutine.
 	sessions map[ident.Incarnation]*link.Session
@@ -37,6 +42,8 @@
 	return &links{
 		dispatcher: d,
 		peerClient: rpc.NewClient(),
+		known:      subset.New(subset.Config{Self: d.cfg.Self.Address, Domain: d.cfg.Self.Domain, Max: d.cfg.MaxSessions}),
+		changed:    make(chan struct{}, 1),
 		agents:     map[string]*agentLink{},
 		peers:      map[string]directory.Member{},
 		sessions:   map[ident.Incarnation]*link.Session{},
@@ -48,6 +55,15 @@
 	links   *links
 	address string
 	wake    chan struct{}
+	// close ends the link, and openedAt is when it was opened.
+	close    context.CancelFunc
+	openedAt time.Duration
+	// pinned is true if the agent itself has asked for the session. It stays so until
+	// the session ends.
+	pinned atomic.Bool
+	// released is true once the link is no longer part of the subset. The core goroutine
+	// owns it.
+	released bool
 	// lastSeen is clock.Now when the agent last showed that it exists: by a message, a
 	// row in the table of members, or an announcement.
 	lastSeen atomic.Int64
@@ -97,6 +113,7 @@
 	for ctx.Err() == nil {
 		opened := clock.Now()
 		err := a.session(ctx)
+		a.pinned.Store(false)
 		if clock.Now()-opened > maxRedialDelay {
 			backoff = minRedialDelay
 		}
@@ -130,7 +147,10 @@
 	a.mu.Lock()
 	start := a.end.Open()
 	a.mu.Unlock()
-	hello := &linkpb.Hello{Entry: string(d.cfg.Self.Incarnation), Agent: string(start.Agent), ResultsSeen: start.ResultsSeen}
+	hello := &linkpb.Hello{
+		Entry: string(d.cfg.Self.Incarnation), Domain: string(d.cfg.Self.Domain),
+		Agent: string(start.Agent), ResultsSeen: start.ResultsSeen,
+	}
 	var open *link.Session
 	err := link.Run(ctx, a.address, hello, link.Times{HeartbeatInterval: terms.HeartbeatInterval, SilenceTimeout: sessionTimeoutHeartbeats * terms.HeartbeatInterval}, link.Handlers{
 		Received: func(s *link.Session, m *linkpb.FromAgent) {
@@ -180,6 +200,9 @@
 // the room report, which already includes their effect.
 func (d *Dispatcher) handleAgentMessage(e agentMessage) {
 	a, m := e.link, e.message
+	if a.released {
+		return
+	}
 	if e.ended != nil {
 		d.sessionEnded(e)
 		return
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -4,14 +4,16 @@
 	"context"
 	"time"
 
+	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/directory"
 	"foxtaildock.example/dock/link"
 	"foxtaildock.example/dock/pause"
+	"foxtaildock.example/dock/subset"
 	"foxtaildock.example/dock/telemetry"
 )
 
-// addMember adds a process to the known peers, or opens a session with it if it is an
-// agent that is not known yet. For a known agent it ends the redial backoff.
+// addMember adds a process to the known ones. If it is an agent that the entry uses
+// already, the redial backoff ends.
 func (l *links) addMember(m directory.Member) {
 	if m.Address == l.dispatcher.cfg.Self.Address {
 		return
@@ -22,15 +24,45 @@
 		l.peers[m.Address] = m
 		return
 	}
+	l.known.Add(subset.Agent{Address: m.Address, Domain: m.Domain})
 	if a := l.agents[m.Address]; a != nil {
 		a.markSeen()
 		a.redialNow()
-		return
 	}
-	a := &agentLink{links: l, address: m.Address, wake: make(chan struct{}, 1)}
+	l.chooseSoon()
+}
+
+// chooseSoon makes the core goroutine choose the subset anew.
+func (l *links) chooseSoon() {
+	select {
+	case l.changed <- struct{}{}:
+	default: // it will do so anyway
+	}
+}
+
+// pinAgent opens a session with an agent that asks for one, although it may not be in
+// the subset.
+func (l *links) pinAgent(m directory.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.agents[m.Address]
+	if a == nil {
+		if limit := l.dispatcher.cfg.MaxSessions; limit > 0 && len(l.agents) >= 2*limit {
+			return // this entry has too many agents already
+		}
+		a = l.open(m.Address)
+	}
+	a.pinned.Store(true)
+}
+
+// open begins to use an agent. The caller holds mu.
+func (l *links) open(address string) *agentLink {
+	ctx, cancel := context.WithCancel(l.dispatcher.base)
+	a := &agentLink{links: l, address: address, wake: make(chan struct{}, 1), close: cancel, openedAt: clock.Now()}
 	a.markSeen()
-	l.agents[m.Address] = a
-	go a.run(l.dispatcher.base)
+	l.agents[address] = a
+	go a.run(ctx)
+	return a
 }
 
 // removeIfExpired removes an agent that has been unreachable for longer than
@@ -43,11 +75,17 @@
 		return false
 	}
 	delete(l.agents, a.address)
+	l.known.Remove(a.address)
 	l.dispatcher.cfg.Log.Info("agent unreachable for too long; its address is no longer dialled", telemetry.ReasonText(a.address), telemetry.Peer(a.incarnation()))
 	return true
 }
 
-// members returns the processes that the entry knows, including itself.
+// maxAnnounced is the largest number of agents in the answer to an announcement. The
+// rest are found in the table of members.
+const maxAnnounced = 100
+
+// members returns the entries that this one knows, including itself, and up to
+// maxAnnounced agents.
 func (l *links) members() []directory.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -55,14 +93,14 @@
 	for _, p := range l.peers {
 		list = append(list, p)
 	}
-	for address, a := range l.agents {
-		list = append(list, directory.Member{Role: directory.RoleAgent, Address: address, Incarnation: a.incarnation()})
+	agents := l.known.Agents()
+	for _, a := range agents[:min(len(agents), maxAnnounced)] {
+		list = append(list, directory.Member{Role: directory.RoleAgent, Address: a.Address, Domain: a.Domain})
 	}
 	return list
 }
 
-// announceInterval is the interval between announcements to the seeds while no agent is
-// known.
+// announceInterval is the interval between announcements to the seeds.
 const announceInterval = time.Second
 
 // watchMembers follows the table of members and connects to the processes in it. It
@@ -76,6 +114,7 @@
 			pause.For(ctx, storeRetryDelay)
 			continue
 		}
+		d.listedMembers.Store(true)
 		d.addMembers(page)
 		for err == nil && ctx.Err() == nil {
 			var next directory.Page
@@ -102,13 +141,14 @@
 	}
 }
 
-// announce writes the entry's row in the table of members. While the entry knows no
-// agent, it also announces itself to the seeds, in case the store is unreachable.
+// announce writes the entry's row in the table of members. While the entry has no agent
+// or hasn't read the table yet, it also announces itself to the seeds, in case the store
+// is unreachable.
 func (d *Dispatcher) announce(ctx context.Context) {
 	registrar := directory.Registrar{Self: d.cfg.Self, Table: d.cfg.Members, Log: d.cfg.Log}
 	go registrar.Run(ctx)
 	for ctx.Err() == nil {
-		if d.stats.Load().Agents == 0 {
+		if d.stats.Load().Agents == 0 || !d.listedMembers.Load() {
 			d.announceToSeeds(ctx)
 		}
 		pause.For(ctx, announceInterval)
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -47,6 +47,8 @@
 	return []telemetry.Observed{
 		{Name: "foxtaildock.entry.jobs", Help: "Jobs under way.", Read: func() int64 { return int64(d.stats.Load().Jobs) }},
 		{Name: "foxtaildock.entry.waiting", Help: "Jobs with tasks that wait.", Read: func() int64 { return int64(d.stats.Load().Waiting) }},
+		{Name: "foxtaildock.entry.subset.wanted", Help: "Agents that the entry wants to use.", Read: func() int64 { return d.subsetWanted.Load() }},
+		{Name: "foxtaildock.entry.subset.usable", Help: "Agents that the entry can use.", Read: func() int64 { return d.subsetUsable.Load() }},
 		{Name: "foxtaildock.entry.agents", Help: "Agents that are known.", Read: func() int64 { return int64(d.stats.Load().Agents) }},
 		{Name: "foxtaildock.operator.age", Help: "Milliseconds since the store confirmed the operators' rows.", Read: func() int64 {
 			_, age, _ := d.view.current()
--- a/dispatcher/operator_test.go
+++ b/dispatcher/operator_test.go
@@ -34,6 +34,7 @@
 func TestHeartbeatsCarryNoManifest(t *testing.T) {
 	d := newOfflineEntry(t)
 	d.links.addMember(directory.Member{Role: directory.RoleAgent, Address: "a", Incarnation: "i"})
+	d.chooseSubset()
 	for version := uint64(1); version <= 3; version++ {
 		d.view.update(longRows(version), clock.Now())
 		b := d.links.agents["a"].heartbeat()
--- a/dispatcher/peers.go
+++ b/dispatcher/peers.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"foxtaildock.example/dock/clock"
+	"foxtaildock.example/dock/directory"
 	"foxtaildock.example/dock/link"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/linkpb"
@@ -112,11 +113,16 @@
 type Peer struct{ Dispatcher *Dispatcher }
 
 // Announce adds the announced process, relays the announcement to the other entries
-// unless it was relayed already, and returns the known processes.
+// unless it was relayed already, and returns the known processes. With an agent that
+// announces itself here, because too few entries use it, it opens a session.
 func (p Peer) Announce(_ context.Context, req *connect.Request[linkpb.AnnounceRequest]) (*connect.Response[linkpb.AnnounceResponse], error) {
 	d := p.Dispatcher
-	d.links.addMember(link.MemberOf(req.Msg.GetMember()))
+	member := link.MemberOf(req.Msg.GetMember())
+	d.links.addMember(member)
 	if !req.Msg.GetRelayed() {
+		if member.Role == directory.RoleAgent {
+			d.links.pinAgent(member)
+		}
 		relayed := &linkpb.AnnounceRequest{Member: req.Msg.GetMember(), Relayed: true}
 		go d.links.eachPeer(d.base, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
 			if _, err := peer.Announce(ctx, connect.NewRequest(relayed)); err != nil {
--- a/runner/presence.go
+++ b/runner/presence.go
@@ -7,6 +7,7 @@
 
 	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/directory"
+	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/link"
 	"foxtaildock.example/dock/operator"
 	"foxtaildock.example/dock/pause"
@@ -35,12 +36,15 @@
 	// presenceInterval is the pause between two checks of how many entries have a
 	// session with the agent.
 	presenceInterval = 500 * time.Millisecond
-	// missingEntryTimeout is how long an entry may be missing before the agent announces
-	// itself again: the agent's row may have been lost, or the entry may be a new one.
+	// missingEntryTimeout is how long an agent may be used by too few entries before it
+	// announces itself.
 	missingEntryTimeout = 1500 * time.Millisecond
 	// reannounceInterval is the shortest pause between two announcements while some
 	// entry has a session with the agent.
 	reannounceInterval = 5 * time.Second
+	// coverageMaxAge is how long the number of entries in the answers to an announcement
+	// counts as known.
+	coverageMaxAge = time.Minute
 	// operatorMaxAge is the age of the operators' rows above which the agent reads
 	// them from the store itself. Entries confirm them about once a second, and a
 	// withdrawn failure domain has to be out of use within a few seconds.
@@ -49,48 +53,82 @@
 	operatorRetryInterval = 1 * time.Second
 )
 
-// Run writes the agent's row and announces the agent, again whenever entries are
-// missing, until the context ends.
+// Run writes the agent's row and announces the agent whenever too few entries use it,
+// until the context ends.
 func (p *Presence) Run(ctx context.Context) {
 	rewrite := make(chan struct{}, 1)
 	registrar := directory.Registrar{Self: p.Self, Table: p.Table, Log: p.Log, Rewrite: rewrite}
 	go registrar.Run(ctx)
 	go p.followOperator(ctx)
 	client := rpc.NewClient()
-	maxAttached := 0
+	wanted := wantedAtMost
 	completeAt := clock.Now()
 	announced := clock.Now() - reannounceInterval
 	for pause.For(ctx, presenceInterval) {
 		now := clock.Now()
-		if n := p.Runner.Attached(); n > 0 && n >= maxAttached {
-			maxAttached, completeAt = n, now
+		have := coverage{p.Runner.Attached(), p.Runner.AttachedDomains()}
+		if now-announced >= coverageMaxAge {
+			wanted = wantedAtMost // entries may have come since
+		}
+		if have.atLeast(wanted) {
+			completeAt = now
 			continue
 		}
-		if now-completeAt < missingEntryTimeout || now-announced < p.minAnnounceInterval() {
+		if now-completeAt < missingEntryTimeout || now-announced < have.minAnnounceInterval() {
 			continue
 		}
 		announced = now
-		maxAttached = p.Runner.Attached()
-		select {
-		case rewrite <- struct{}{}:
-		default:
+		if have.entries == 0 {
+			select {
+			case rewrite <- struct{}{}:
+			default: // being written already
+			}
 		}
-		p.announce(ctx, client)
+		wanted = p.announce(ctx, client)
 	}
 }
 
+// coverage is a number of entries and of their failure domains.
+type coverage struct{ entries, domains int }
+
+// wantedAtMost is the coverage at which the loss of an entry or of its failure domain
+// leaves the agent in use.
+var wantedAtMost = coverage{entries: 2, domains: 2}
+
+func (c coverage) atLeast(o coverage) bool { return c.entries >= o.entries && c.domains >= o.domains }
+
 // minAnnounceInterval returns the shortest pause between two announcements. It is short
 // while no entry has a session with the agent.
-func (p *Presence) minAnnounceInterval() time.Duration {
-	if p.Runner.Attached() == 0 {
+func (c coverage) minAnnounceInterval() time.Duration {
+	if c.entries == 0 {
 		return missingEntryTimeout
 	}
 	return reannounceInterval
 }
 
-func (p *Presence) announce(ctx context.Context, client *http.Client) {
-	_, answered := link.Announce(ctx, client, p.Seeds, p.Self)
+// announce asks the entries at the seeds to use the agent. It returns the coverage to
+// aim at: wantedAtMost, or less if there are fewer entries.
+func (p *Presence) announce(ctx context.Context, client *http.Client) coverage {
+	members, answered := link.Announce(ctx, client, p.Seeds, p.Self)
 	p.Log.Info("announced to entries", telemetry.Count(answered))
+	if answered == 0 {
+		return wantedAtMost
+	}
+	return coverageOf(members)
+}
+
+// coverageOf returns the coverage that all entries among the members give, at most
+// wantedAtMost.
+func coverageOf(members []directory.Member) coverage {
+	entries := map[string]bool{}
+	domains := map[ident.FailureDomain]bool{}
+	for _, m := range members {
+		if m.Role == directory.RoleEntry {
+			entries[m.Address] = true
+			domains[m.Domain] = true
+		}
+	}
+	return coverage{min(len(entries), wantedAtMost.entries), min(len(domains), wantedAtMost.domains)}
 }
 
 // followOperator reads the operators' rows from the store while no entry confirms them,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -74,7 +74,8 @@
 	rowsWanted      chan struct{} // asks Presence to read the operators' rows
 	server          string        // incarnation of the backend server that calls are addressed to
 	idle            atomic.Bool
-	attached        atomic.Int64
+	attached        atomic.Int64 // entries with an open session
+	attachedDomains atomic.Int64 // failure domains of those entries
 	rowsAsOf        atomic.Int64 // when the store last confirmed the operators' rows, by package clock
 	operatorVersion atomic.Uint64
 	baseCtx         context.Context
@@ -301,6 +302,9 @@
 // Attached returns how many entries have a session with the agent.
 func (r *Runner) Attached() int { return int(r.attached.Load()) }
 
+// AttachedDomains returns in how many failure domains those entries are.
+func (r *Runner) AttachedDomains() int { return int(r.attachedDomains.Load()) }
+
 // setOperatorRows updates the view with operators' rows from an entry or from the store. confirmed is
 // when the store confirmed them, by package clock.
 func (r *Runner) setOperatorRows(rows operator.Rows, confirmed time.Duration) {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"foxtaildock.example/dock/clock"
+	"foxtaildock.example/dock/directory"
+	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/lease"
 	"foxtaildock.example/dock/link"
 	"foxtaildock.example/dock/rpc"
@@ -198,3 +200,27 @@
 	}
 	return u.Utime.Nano() + u.Stime.Nano()
 }
+
+// An agent asks for as much coverage as its entries can give, so that the loss of one
+// domain leaves it in use.
+func TestAnAgentAsksForTwoDomainsIfThereAreTwo(t *testing.T) {
+	entry := func(address string, domain ident.FailureDomain) directory.Member {
+		return directory.Member{Role: directory.RoleEntry, Address: address, Domain: domain}
+	}
+	for _, c := range []struct {
+		name    string
+		members []directory.Member
+		want    coverage
+	}{
+		{"one entry", []directory.Member{entry("a", "d1"), entry("a", "d1")}, coverage{1, 1}},
+		{"one domain", []directory.Member{entry("a", "d1"), entry("b", "d1")}, coverage{2, 1}},
+		{"three domains", []directory.Member{entry("a", "d1"), entry("b", "d2"), entry("c", "d3")}, coverage{2, 2}},
+	} {
+		if got := coverageOf(c.members); got != c.want {
+			t.Errorf("%s: the agent aims at %+v, want %+v", c.name, got, c.want)
+		}
+	}
+	if (coverage{3, 1}).atLeast(coverage{2, 2}) {
+		t.Error("three entries of one domain count as two domains")
+	}
+}
--- a/runner/session.go
+++ b/runner/session.go
@@ -100,7 +100,7 @@
 		s.results = old.results
 	}
 	r.sessions[s.entry] = s
-	r.attached.Store(int64(r.openSessions()))
+	r.countSessions()
 	if s.hello.GetAgent() == string(r.cfg.Self) {
 		s.results.Acknowledge(s.hello.GetResultsSeen())
 	}
@@ -116,14 +116,19 @@
 	r.cfg.Log.Info("entry attached", telemetry.Peer(s.entry))
 }
 
-func (r *Runner) openSessions() int {
+// countSessions updates the numbers of entries and of their failure domains that have
+// an open session.
+func (r *Runner) countSessions() {
 	n := 0
+	domains := map[string]bool{}
 	for _, s := range r.sessions {
 		if !s.ended {
 			n++
+			domains[s.hello.GetDomain()] = true
 		}
 	}
-	return n
+	r.attached.Store(int64(n))
+	r.attachedDomains.Store(int64(len(domains)))
 }
 
 // end closes the session's stream. Its results are kept for the next one.
@@ -139,7 +144,7 @@
 		return
 	}
 	r.end(s)
-	r.attached.Store(int64(r.openSessions()))
+	r.countSessions()
 	r.cfg.Log.Info("entry detached", telemetry.Peer(s.entry))
 }
 
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -80,6 +80,38 @@
 	return a.attached && c.now-a.ackedHeartbeatSentAt <= maxUnansweredHeartbeats*c.cfg.Terms.HeartbeatInterval
 }
 
+// AgentStatus is what the entry needs to know to choose the agents that it uses.
+type AgentStatus struct {
+	// Usable is true if the agent is attached and its backend server accepts tasks.
+	Usable bool
+	// Runs is the number of this entry's runs that the agent may hold.
+	Runs int
+}
+
+// AgentStatus returns the status of an agent, which is zero if the core doesn't know it.
+func (c *Core) AgentStatus(id ident.Incarnation) AgentStatus {
+	a := c.agents[id]
+	if a == nil {
+		return AgentStatus{}
+	}
+	inService := a.server.Incarnation != "" && !a.server.Draining && !c.operator.IsWithdrawn(a.server.Domain)
+	return AgentStatus{Usable: a.attached && inService, Runs: len(a.runs)}
+}
+
+// noRoomAfter is how long a job must have waited before the entry counts as having no
+// room: several times the pause between the ends of two tasks on a busy server.
+const noRoomAfter = 100 * time.Millisecond
+
+// NoRoom reports whether a job has waited for noRoomAfter without a first offer.
+func (c *Core) NoRoom() bool {
+	for _, j := range c.waiting {
+		if !j.offered && c.now-j.arrived >= noRoomAfter {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) agentAttached(e AgentAttached) {
 	a := c.agents[e.Agent]
 	if a == nil {
--- a/telemetry/field_runs.go
+++ b/telemetry/field_runs.go
@@ -27,6 +27,10 @@
 	fieldHeadWait     = "head_wait_ms"
 	fieldCapacity     = "capacity_millicores"
 	fieldAgents       = "agents"
+	fieldWanted       = "wanted"
+	fieldUsable       = "usable"
+	fieldOpened       = "opened"
+	fieldReleased     = "released"
 )
 
 // Run is the run that the line is about: job, step, index and number.
@@ -95,3 +99,15 @@
 
 // Agents is the number of agents that an entry knows.
 func Agents(n int) Field { return Field{fieldAgents, n} }
+
+// Wanted is the number of agents that an entry wants to use.
+func Wanted(n int) Field { return Field{fieldWanted, n} }
+
+// Usable is the number of agents that an entry can use.
+func Usable(n int) Field { return Field{fieldUsable, n} }
+
+// Opened is the number of links that an entry has opened.
+func Opened(n int) Field { return Field{fieldOpened, n} }
+
+// Released is the number of links that an entry has closed since it doesn't need them.
+func Released(n int) Field { return Field{fieldReleased, n} }
