Late jobs of use to their callers are admitted instead of refused

Cause: a job was refused once its expected wait passed 0.45 of what its objective leaves, though it may end late and still be of use (up to three times the objective).

Ruled out by the logs: stale rooms (all 11 agents known, 400 cores), share (0.3 as it should be).

Change: on time (expected wait up to 0.6 of the allowed), late yet of use (0.2 of the useful wait; behind the jobs of its priority in time; reviewed once after 0.2 of the objective), hopeless (refused at once).

--- a/bench/sitesim/load_test.go
+++ b/bench/sitesim/load_test.go
@@ -75,3 +75,15 @@
 		t.Errorf("a share of %.4f of the worth was rejected late, want none", r.RejectedLate)
 	}
 }
+
+// Close to the capacity of the site, short queues come and go. Nearly all jobs must be
+// served: a late answer is better than none.
+func TestShortQueuesRefuseFewJobs(t *testing.T) {
+	s, err := New(scenarioConfig(t, "brim", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := s.Run(); r.Served < 0.99 {
+		t.Errorf("a share of %.4f of the jobs was served, want 0.99", r.Served)
+	}
+}
--- a/bench/sitesim/scenario.go
+++ b/bench/sitesim/scenario.go
@@ -43,6 +43,7 @@
 		{"slow", "two slow backend servers under a burst", site(burstRate(1.1, 1.2, 0, 4*time.Second), slow(1, 4.1), slow(5, 4.1))},
 		{"late", "orders without an answer under a burst, and two slow backend servers", site(burstRate(1.1, 1.2, 0, 4*time.Second), slow(1, 4.1), slow(5, 4.1),
 			Fault{Kind: LateOrders, At: time.Second, For: 8 * time.Second, Magnitude: 0.06})},
+		{"brim", "load close to the capacity of the site, where queues come and go", site(burstRate(1.25, 1.15, 2*time.Second, 8*time.Second))},
 		{"overload", "one and a half times the capacity of the site for a while", site(burstRate(1.1, 1.8, 5*time.Second, 9*time.Second))},
 		{"flood", "three times the usual load for a while", site(burstRate(1.0, 3, 5*time.Second, 9*time.Second))},
 		{"dark", "two backend servers stop answering", site(burstRate(1.0, 1, 0, 0),
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -15,7 +15,14 @@
 const settlePeriod = 400 * time.Millisecond
 
 // admit decides whether a job is admitted. It returns nil if so, otherwise the
-// rejection. A job that cannot end in time is rejected before any task of it runs.
+// rejection.
+//
+// Three prospects are kept apart. A job that is expected to end in time takes its place
+// by priority and arrival. One that is expected to be late, yet early enough to be of
+// use to its caller, is admitted as late: it goes behind the jobs of its priority that
+// can end in time, and its prospect is considered once more after reviewShare of its
+// objective. A job that is expected to end too late for any use is rejected at once,
+// before any task of it runs.
 func (c *Core) admit(j *jobState) *Answer {
 	capacity, largest := c.capacity(j)
 	j.basis = c.basis(j, capacity)
@@ -48,16 +55,32 @@
 			return "larger than every backend server"
 		}
 	}
-	allowed := float64(j.basis.AllowedWait)
-	if float64(j.basis.ExpectedWait) > waitShare*allowed && float64(j.basis.HeadWait) > headWaitShare*allowed {
+	if !c.expectedLate(j) {
+		return ""
+	}
+	j.late, j.underReview = true, true
+	if c.expectedUseless(j, capacity) {
 		return "too much work waits"
 	}
 	return ""
 }
 
+// expectedUseless reports whether so much work goes before a late job that it is
+// expected to end too late for any use.
+func (c *Core) expectedUseless(j *jobState, capacity work.Demand) bool {
+	left := j.usefulWait() - (c.now - j.arrived)
+	return float64(c.expectedWait(j, capacity)) > usefulWaitShare*float64(left)
+}
+
+// expectedLate reports whether so much work waits that the job is expected to be late.
+func (c *Core) expectedLate(j *jobState) bool {
+	allowed := float64(j.basis.AllowedWait)
+	return float64(j.basis.ExpectedWait) > waitShare*allowed && float64(j.basis.HeadWait) > headWaitShare*allowed
+}
+
 // headWaitShare is the part of a job's allowed wait for which the job at the head of
-// the queue must already have waited before the new job is rejected. A queue that has
-// only just formed comes from a few close arrivals and drains soon.
+// the queue must already have waited before the new job counts as late. A queue that
+// has only just formed comes from a few close arrivals and drains soon.
 const headWaitShare = 0.25
 
 // headWait returns how long the first waiting job of the same service and priority
@@ -71,9 +94,19 @@
 	return 0
 }
 
-// waitShare is the part of its allowed wait that a job may be expected to wait. The
-// rest is a margin for errors of the estimate.
-const waitShare = 0.45
+const (
+	// waitShare is the part of its allowed wait that a job may be expected to wait and
+	// still counts as one that ends in time. The rest is a margin for errors of the
+	// estimate.
+	waitShare = 0.6
+	// usefulWaitShare is the part of the wait after which its answer is of no use that a
+	// job admitted as late may be expected to wait. The margin is wider than waitShare's,
+	// since jobs that arrive later and can end in time go before it.
+	usefulWaitShare = 0.2
+	// reviewShare is the part of its objective after which the prospect of a job admitted
+	// as late is considered again. A caller that is refused then can still go elsewhere.
+	reviewShare = 0.2
+)
 
 // capacity returns the total capacity of the backend servers that may run the job,
 // and for each resource the largest capacity that a single one of them has.
@@ -157,6 +190,12 @@
 // useful to its caller.
 const lateFactor = 3
 
+// usefulWait returns how long the job may wait for its first start and still end early
+// enough to be of use to its caller.
+func (j *jobState) usefulWait() time.Duration {
+	return lateFactor*(j.targetEnd-j.arrived) - j.expected
+}
+
 // shed handles jobs of which nothing was offered yet: it moves those that can no
 // longer end in time behind the others of their priority, and rejects those that
 // would end too late to be useful.
@@ -166,7 +205,11 @@
 			continue
 		}
 		waited := c.now - j.arrived
-		if waited > lateFactor*(j.targetEnd-j.arrived)-j.expected {
+		if c.reviewedUseless(j, waited) {
+			c.finish(j, Rejected, "too much work waits")
+			continue
+		}
+		if waited > j.usefulWait() {
 			c.finish(j, Rejected, "waited in vain")
 			continue
 		}
@@ -178,6 +221,17 @@
 	}
 }
 
+// reviewedUseless considers the prospect of a job admitted as late once more, when it has
+// waited for reviewShare of its objective, and reports whether it has none.
+func (c *Core) reviewedUseless(j *jobState, waited time.Duration) bool {
+	if !j.underReview || float64(waited) <= reviewShare*float64(j.targetEnd-j.arrived) {
+		return false
+	}
+	j.underReview = false
+	capacity, _ := c.capacity(j)
+	return c.expectedUseless(j, capacity)
+}
+
 // Range of the retry delay given to rejected callers.
 const (
 	minRetryAfter = time.Second
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -8,7 +8,8 @@
 // Terms: the room of an agent is the capacity of its backend server that is free. The
 // pace and the speed factor of a backend server are ratios of run time to the expected
 // time, so that 2 means twice as slow. A task is placed when it is offered to an agent.
-// A job is late once it can no longer end within its latency objective.
+// A job is late once it can no longer end within its latency objective, or if it was
+// expected not to when it arrived.
 //
 // Invariants:
 //   - A task has at most one run that may be executing: a new run is offered only
@@ -82,8 +83,12 @@
 	targetEnd    time.Duration // when the job has to end to meet its latency objective
 	queued       bool
 	basis        Basis // figures of its admission
-	// late is true once a job of which nothing was offered can no longer end in time.
+	// late is true if nothing of the job was offered while it could still end in time,
+	// or if it was expected to be late when it arrived.
 	late bool
+	// underReview is true for a job admitted as late whose prospect is to be considered
+	// once more.
+	underReview bool
 }
 
 type stepState struct {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -215,6 +215,42 @@
 	}
 }
 
+// fillAgent makes an agent busy with jobs of the least urgent priority and lets one more
+// wait until it heads a standing queue.
+func (b *testBench) fillAgent() {
+	b.attachAgent("a", "1")
+	b.tickFor(settlePeriod, 100*time.Millisecond)
+	b.ackHeartbeat("a")
+	b.submit("running", 2, 4)
+	b.reportRoom("a", 4000)
+	b.submit("waiting", 2, 4)
+	b.now += 40 * time.Millisecond
+	b.ackHeartbeat("a")
+	b.takeActions()
+}
+
+// A queue that a few close arrivals have formed is no reason to refuse a job that is
+// still of use to its caller when it is late. Only a job that would end too late for any
+// use is refused, and at once.
+func TestOnlyAJobThatWouldEndTooLateIsRefused(t *testing.T) {
+	b := newTestBench(t)
+	b.fillAgent()
+	b.submit("late", 2, 1)
+	if answers := actionsOf[Answer](b.takeActions()); len(answers) != 0 {
+		t.Fatalf("answers %+v, want the late job admitted", answers)
+	}
+	if !b.core.jobs["late"].late {
+		t.Error("a job that has to wait for all that runs doesn't count as late")
+	}
+	for i := range 20 {
+		b.submit(fmt.Sprint("flood-", i), 2, 4)
+	}
+	answers := actionsOf[Answer](b.takeActions())
+	if len(answers) == 0 || answers[0].Verdict != Rejected || answers[0].Waited != 0 {
+		t.Fatalf("answers %+v, want rejections at once", answers)
+	}
+}
+
 // A new entry admits jobs while its agents are still attaching.
 func TestANewEntryTakesJobsBeforeItKnowsItsAgents(t *testing.T) {
 	b := newTestBench(t)
