--- a/bench/cmd/foxbench/site.go
+++ b/bench/cmd/foxbench/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"strings"
 	"sync"
 
 	"foxtaildock.example/bench/sitesim"
@@ -16,14 +17,35 @@
 	Kinds    bool   `arg:"--kinds" help:"print a line for each kind of job, of the first seed"`
 }
 
+// scenarios returns the scenarios to run. It returns an error that names the flag with an
+// impossible value.
+func (c *siteCommand) scenarios() ([]sitesim.Scenario, error) {
+	if c.Seeds < 1 {
+		return nil, fmt.Errorf("--seeds is %d, want 1 or more", c.Seeds)
+	}
+	all := sitesim.Scenarios()
+	if c.Scenario == "" {
+		return all, nil
+	}
+	var names []string
+	for _, sc := range all {
+		if sc.Name == c.Scenario {
+			return []sitesim.Scenario{sc}, nil
+		}
+		names = append(names, sc.Name)
+	}
+	return nil, fmt.Errorf("--scenario is %q, want one of %s", c.Scenario, strings.Join(names, ", "))
+}
+
 // run runs the scenarios and prints a line of means for each.
 func (c *siteCommand) run(context.Context) error {
+	scenarios, err := c.scenarios()
+	if err != nil {
+		return err
+	}
 	fmt.Printf("%-10s %-15s %7s %7s %7s %7s %7s\n", "scenario", "benefit", "served", "held", "net", "wasted", "broken")
 	failed := false
-	for _, sc := range sitesim.Scenarios() {
-		if c.Scenario != "" && c.Scenario != sc.Name {
-			continue
-		}
+	for _, sc := range scenarios {
 		failed = c.runScenario(sc) || failed
 	}
 	if failed {
--- a/control/agentlink/peers.go
+++ b/control/agentlink/peers.go
@@ -55,7 +55,7 @@
 	known.Free = a.Free
 	known.Queued = a.Queued
 	known.Pace = a.Pace
-	known.Pace = a.Pace
+	known.Waiting = a.Waiting
 	known.State = a.State
 	known.OutOfService = a.OutOfService
 	return known, ok
--- a/control/agentlink/peers_test.go
+++ b/control/agentlink/peers_test.go
@@ -58,3 +58,16 @@
 		t.Errorf("after the reports of the other entry were dropped the peer is %v, want suspected", got.State)
 	}
 }
+
+// A load-only report replaces every figure of the load, the number of waiting tasks too.
+func TestALoadReportReplacesTheWaitingTasks(t *testing.T) {
+	p := newPeerStates()
+	a := peer(1)
+	a.Waiting = 3
+	p.add("entry", a)
+	load := a
+	load.Address, load.Waiting = "", 7
+	if got, known := p.add("entry", load); !known || got.Waiting != 7 || got.Address != a.Address {
+		t.Errorf("got %d waiting at %s, want 7 at %s", got.Waiting, got.Address, a.Address)
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -260,7 +260,7 @@
 		d.enqueue(callerGone{job.ID, answer})
 		return schedule.Answer{ID: job.ID, Verdict: schedule.Dropped, Reason: "caller left"}
 	case <-d.base.Done():
-		return schedule.Answer{ID: job.ID, Reason: "entry stopped"}
+		return schedule.Answer{ID: job.ID, Verdict: schedule.Interrupted, Reason: "entry stopped", FirstStart: -1}
 	}
 }
 
--- a/run/hold.go
+++ b/run/hold.go
@@ -18,8 +18,7 @@
 	// longPollWait is how long the server may wait before it answers that call.
 	longPollWait time.Duration
 	// shortPoll is the number of the outstanding short poll, 0 if there is none.
-	shortPoll   uint64
-	shortPollAt time.Duration
+	shortPoll uint64
 	// shortPollWanted is true if a short poll is to be sent.
 	shortPollWanted bool
 	// retryAt is the earliest time of the next call after one that failed.
@@ -71,7 +70,6 @@
 	}
 	if h.shortPollWanted && h.shortPoll == 0 {
 		h.shortPoll = h.next
-		h.shortPollAt = c.now
 		h.shortPollWanted = false
 		c.sendHold(0)
 	}
--- a/run/offers.go
+++ b/run/offers.go
@@ -42,6 +42,9 @@
 	if len(c.queue) >= c.cfg.QueueLimit {
 		return reasonFull
 	}
+	if !(work.Demand{}).Fits(e.Demand) {
+		return reasonInvalidDemand // a negative demand would make room for other tasks
+	}
 	return ""
 }
 
--- a/run/run.go
+++ b/run/run.go
@@ -235,7 +235,7 @@
 	reasonClosing         = "agent closes"
 	reasonService         = "other service"
 	reasonFull            = "queue full"
-	reasonOldRun          = "old run"
+	reasonInvalidDemand   = "negative demand"
 	reasonNoLease         = "entry not heard"
 	reasonStopped         = "stopped"
 	reasonServerRestarted = "backend server started anew"
--- a/run/run_test.go
+++ b/run/run_test.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// A negative demand would make room for tasks that don't fit.
+func TestANegativeDemandIsNotStarted(t *testing.T) {
+	h := newHarness(t)
+	h.useServer()
+	h.take()
+	h.step(Offered{Entry: entryA, Run: work.Run{Task: work.Task{Job: "j"}, ID: 1}, Service: "s", Demand: work.Demand{CPUMilli: -4000}})
+	actions := h.take()
+	if n := len(of[CallStart](actions)); n != 0 {
+		t.Errorf("%d runs started, want none", n)
+	}
+	if reports := of[Report](actions); len(reports) != 1 || reports[0].Outcome != work.NotStarted {
+		t.Errorf("reports %+v, want one run that wasn't started", reports)
+	}
+}
+
 func TestNothingStartsOnADrainingServer(t *testing.T) {
 	h := newHarness(t)
 	h.useServer()
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -206,11 +206,14 @@
 	TimedOut
 	// Dropped: the caller left or cancelled the job; running tasks were stopped.
 	Dropped
+	// Interrupted: the entry ended before the job did. Its tasks may have run; the agents
+	// stop those that still do.
+	Interrupted
 )
 
 // String names the verdict for logs.
 func (v Verdict) String() string {
-	return [...]string{"unknown", "completed", "failed", "rejected", "timed out", "dropped"}[v]
+	return [...]string{"unknown", "completed", "failed", "rejected", "timed out", "dropped", "interrupted"}[v]
 }
 
 // LogMessage is a decision or a change in what the core knows, to be logged.
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -38,8 +38,8 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines, up to about 32 KiB, and ends the goroutine. Lines
-// written after it are lost. It must be called once.
+// Close writes the queued lines and ends the goroutine. Lines written after it are lost.
+// It must be called once.
 func (b *BoundedWriter) Close() {
 	close(b.quit)
 	<-b.done
@@ -55,7 +55,10 @@
 		case line := <-b.lines:
 			b.write(w, line)
 		case <-b.quit:
-			b.write(w, nil)
+			for len(b.lines) > 0 {
+				b.write(w, nil)
+			}
+			b.write(w, nil) // the number of dropped lines, if any
 			return
 		}
 	}
@@ -73,6 +76,9 @@
 	if n := b.dropped.Swap(0); n > 0 {
 		chunk = append(chunk, fmt.Sprintf("{\"level\":\"warn\",\"message\":\"log lines dropped\",\"fields\":{\"count\":%d}}\n", n)...)
 	}
+	if len(chunk) == 0 {
+		return
+	}
 	// An error of the log itself can't be logged.
 	_, _ = w.Write(chunk)
 }
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -97,3 +97,30 @@
 		t.Errorf("%s: %d, want %d with %q:\n%s", path, w.Code, status, part, w.Body)
 	}
 }
+
+// stalledWriter blocks its first write until it is released, so that lines queue up.
+type stalledWriter struct {
+	released chan struct{}
+	bytes.Buffer
+}
+
+func (w *stalledWriter) Write(p []byte) (int, error) {
+	<-w.released
+	return w.Buffer.Write(p)
+}
+
+// The last lines of a process tell why it ended, so Close writes all that are queued.
+func TestCloseWritesAllQueuedLines(t *testing.T) {
+	w := &stalledWriter{released: make(chan struct{})}
+	b := NewBoundedWriter(w)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	const lines = 4 * maxChunk / 1024
+	for range lines {
+		_, _ = b.Write(line)
+	}
+	close(w.released)
+	b.Close()
+	if got := strings.Count(w.String(), "\n"); got != lines {
+		t.Errorf("%d of %d lines were written", got, lines)
+	}
+}
