--- a/bench/sitesim/config.go
+++ b/bench/sitesim/config.go
@@ -41,6 +41,8 @@
 	// Rate is the factor on the arrival rate at a given time.
 	Rate   func(at time.Duration) float64
 	Faults []Fault
+	// Subset is the number of agents that each entry wants to use at least; 0 means all.
+	Subset int
 	// Baseline makes entries decide by the simple policy that experiments compare
 	// the product with.
 	Baseline bool
@@ -86,6 +88,12 @@
 	FailingServer
 	// CutLink drops all messages between an entry and an agent for For.
 	CutLink
+	// CutDomain cuts a failure domain off from all others for For. Callers still reach its
+	// entries.
+	CutDomain
+	// SplitDomains makes a failure domain and the next one unreachable for each other for
+	// For, while all others reach both.
+	SplitDomains
 	// SlowEntry makes an entry process the messages of every second agent Magnitude
 	// seconds late, for For: it can't keep up, and starves some connections. Its own
 	// messages are sent in time.
--- a/bench/sitesim/faults.go
+++ b/bench/sitesim/faults.go
@@ -41,6 +41,14 @@
 		s.after(f.For, func() { v.state.failing = false })
 	case CutLink:
 		s.cut([2]int{f.Index % len(s.entries), f.Index % len(s.vms)}, f.For)
+	case CutDomain:
+		cut := s.domain(f.Index)
+		s.cutDomains(f.For, func(entry, agent ident.FailureDomain) bool { return (entry == cut) != (agent == cut) })
+	case SplitDomains:
+		one, other := s.domain(f.Index), s.domain(f.Index+1)
+		s.cutDomains(f.For, func(entry, agent ident.FailureDomain) bool {
+			return entry == one && agent == other || entry == other && agent == one
+		})
 	case SlowEntry:
 		for i := f.Index % 2; i < len(s.vms); i += 2 {
 			s.lag([2]int{e.index, i}, time.Duration(f.Magnitude*float64(time.Second)), f.For)
@@ -67,6 +75,17 @@
 	s.after(length, func() { delete(s.cuts, pair) })
 }
 
+// cutDomains cuts all entries and agents whose domains are apart, for the given length.
+func (s *Site) cutDomains(length time.Duration, apart func(entry, agent ident.FailureDomain) bool) {
+	for e := range s.entries {
+		for v := range s.vms {
+			if apart(s.domain(e), s.domain(v)) {
+				s.cut([2]int{e, v}, length)
+			}
+		}
+	}
+}
+
 // lag makes an entry process the messages of an agent late, for the given length.
 func (s *Site) lag(pair [2]int, late, length time.Duration) {
 	s.lags[pair] = late
--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -1,6 +1,7 @@
 package sitesim
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 	"foxtaildock.example/dock/run"
 	"foxtaildock.example/dock/schedule"
 	"foxtaildock.example/dock/session"
+	"foxtaildock.example/dock/subset"
 	"foxtaildock.example/dock/work"
 )
 
@@ -154,13 +156,16 @@
 	index int
 	self  ident.Incarnation
 	core  entryCore
-	links []*entryLink
+	// links are by index of the VM, nil for agents that the entry doesn't use.
+	links   []*entryLink
+	chooser *subset.Chooser
 }
 
 type entryLink struct {
 	conn      *connection
 	end       session.EntryEnd
 	open      bool
+	openedAt  time.Duration // when the entry began to use the agent
 	dialedAt  time.Duration
 	lastHeard time.Duration
 }
@@ -190,14 +195,66 @@
 	e.core = e.site.newEntryCore()
 	e.links = make([]*entryLink, len(e.site.vms))
 	e.step(schedule.OperatorChanged{Rows: e.site.operator})
+	e.chooser = subset.New(subset.Config{Self: string(e.self), Domain: e.site.domain(e.index), Min: e.site.cfg.Subset})
 	for i := range e.site.vms {
-		e.links[i] = &entryLink{}
-		e.dial(i)
-		e.heartbeatLoop(i)
+		e.chooser.Add(subset.Agent{Address: vmAddress(i), Domain: e.site.domain(i)})
 	}
+	e.choose()
 	e.tick()
 }
 
+// vmAddress returns the address of a VM's agent.
+func vmAddress(i int) string { return fmt.Sprintf("vm-%d", i) }
+
+// chooseInterval is the interval at which an entry reconsiders which agents it uses.
+const chooseInterval = 250 * time.Millisecond
+
+// choose begins to use agents and releases others, as the entry process does.
+func (e *entryNode) choose() {
+	if core, ok := e.core.(*schedule.Core); ok && e.site.cfg.Subset > 0 {
+		d := e.chooser.Decide(e.site.now(), e.subsetState(core))
+		for i := range e.site.vms {
+			switch {
+			case slices.ContainsFunc(d.Open, func(a subset.Agent) bool { return a.Address == vmAddress(i) }):
+				e.use(i)
+			case slices.Contains(d.Release, vmAddress(i)):
+				e.release(i)
+			}
+		}
+	} else if e.links[0] == nil {
+		for i := range e.site.vms {
+			e.use(i)
+		}
+	}
+	e.later(chooseInterval, e.choose)
+}
+
+func (e *entryNode) subsetState(core *schedule.Core) subset.State {
+	// Entries counts so that Subset alone determines how many agents are wanted.
+	s := subset.State{Entries: 4 * len(e.site.vms), NoRoom: core.NoRoom()}
+	for i, l := range e.links {
+		if l == nil {
+			continue
+		}
+		status := core.AgentStatus(l.end.Agent())
+		s.Links = append(s.Links, subset.Link{Address: vmAddress(i), Usable: l.open && status.Usable, Idle: status.Runs == 0, OpenedAt: l.openedAt})
+	}
+	return s
+}
+
+func (e *entryNode) use(i int) {
+	e.links[i] = &entryLink{openedAt: e.site.now()}
+	e.dial(i)
+	e.heartbeatLoop(i, e.links[i])
+}
+
+func (e *entryNode) release(i int) {
+	l := e.links[i]
+	e.detach(i, "no longer in the subset")
+	l.conn.dead = true
+	e.links[i] = nil
+}
+
 func (e *entryNode) tick() {
 	e.step(schedule.Tick{})
 	e.later(entryTick, e.tick)
@@ -215,8 +272,10 @@
 }
 
 // heartbeatLoop sends heartbeats to an agent, and replaces a silent session.
-func (e *entryNode) heartbeatLoop(i int) {
-	l := e.links[i]
+func (e *entryNode) heartbeatLoop(i int, l *entryLink) {
+	if e.links[i] != l {
+		return // released
+	}
 	if e.site.now()-l.lastHeard > missedHeartbeats*e.site.terms.HeartbeatInterval {
 		e.detach(i, "no message from the agent within the silence timeout")
 		e.dial(i)
@@ -224,7 +283,7 @@
 	if l.open {
 		e.sendHeartbeat(i)
 	}
-	e.later(e.site.terms.HeartbeatInterval, func() { e.heartbeatLoop(i) })
+	e.later(e.site.terms.HeartbeatInterval, func() { e.heartbeatLoop(i, l) })
 }
 
 func (e *entryNode) sendHeartbeat(i int) {
@@ -258,12 +317,12 @@
 // connectionClosed handles a connection that the agent has closed.
 func (e *entryNode) connectionClosed(c *connection) {
 	l := e.links[c.agent]
-	if l.conn != c {
+	if l == nil || l.conn != c {
 		return
 	}
 	e.detach(c.agent, "connection closed")
 	e.later(redialDelay, func() {
-		if l.conn == c {
+		if l.conn == c && e.links[c.agent] == l {
 			e.dial(c.agent)
 		}
 	})
@@ -272,7 +331,7 @@
 // receive processes a message of an agent, unless it came over a replaced session.
 func (e *entryNode) receive(i int, c *connection, m toEntry) {
 	l := e.links[i]
-	if l.conn != c {
+	if l == nil || l.conn != c {
 		return
 	}
 	l.lastHeard = e.site.now()
@@ -303,7 +362,7 @@
 
 func (e *entryNode) linkOf(agent ident.Incarnation) (int, bool) {
 	for i, l := range e.links {
-		if l.open && l.end.Agent() == agent {
+		if l != nil && l.open && l.end.Agent() == agent {
 			return i, true
 		}
 	}
--- a/bench/sitesim/sitesim_test.go
+++ b/bench/sitesim/sitesim_test.go
@@ -15,7 +15,7 @@
 // faultKinds are the kinds that random sites draw their faults from.
 var faultKinds = []FaultKind{
 	KillAgent, KillEntry, FreezeAgent, FreezeEntry, SilentServer, CrashServer, SlowServer, StuckServer,
-	FailingServer, CutLink, SlowEntry, LateOrders, LostAnswers, DrainServer, WithdrawDomain, DisconnectCallers,
+	FailingServer, CutLink, CutDomain, SplitDomains, SlowEntry, LateOrders, LostAnswers, DrainServer, WithdrawDomain, DisconnectCallers,
 }
 
 // randomSite returns a site with faults at random times, several of which often
@@ -24,6 +24,7 @@
 	r := rand.New(rand.NewPCG(seed, 7))
 	cfg := StandardSite(seed, length)
 	load := 0.5 + r.Float64()
+	cfg.Subset = int(seed%2) * 5 // every other site has entries that use a part of the agents
 	cfg.Rate = func(time.Duration) float64 { return load }
 	for range faults {
 		cfg.Faults = append(cfg.Faults, Fault{
@@ -107,3 +108,26 @@
 		}
 	}
 }
+
+// While domains can't reach each other, each entry serves with the agents that it
+// reaches. No work is started twice for it, and callers are served again at once after it.
+func TestSitesWithCutDomainsServeWhatTheyReach(t *testing.T) {
+	for _, kind := range []FaultKind{CutDomain, SplitDomains} {
+		cfg := StandardSite(3, 12*time.Second)
+		cfg.Subset = 5
+		cfg.Rate = func(time.Duration) float64 { return 0.4 }
+		cfg.Faults = []Fault{
+			{Kind: kind, At: 2 * time.Second, For: 3 * time.Second, Index: 1},
+			{Kind: kind, At: 7 * time.Second, For: 3 * time.Second, Index: 2},
+		}
+		_, r := simulate(t, cfg)
+		if r.Unanswered > 0 {
+			t.Errorf("fault %d: %d jobs got no answer, want none", kind, r.Unanswered)
+		}
+		// A cut-off domain has a third of the servers for a third of the callers. Only jobs
+		// that run across the cut when it begins have to start again.
+		if r.Served < 0.97 {
+			t.Errorf("fault %d: a share of %.3f of the jobs was served, want 0.97", kind, r.Served)
+		}
+	}
+}
--- a/subset/subset.go
+++ b/subset/subset.go
@@ -33,8 +33,11 @@
 	// Self is the address of the entry.
 	Self   string
 	Domain ident.FailureDomain
+	// Min is the smallest number of usable agents that the entry wants; 0 means
+	// minWanted.
+	Min int
 	// Max is the largest number of usable agents that the entry's processor allows; 0
-	// means that there is no limit. It is at least minWanted in effect.
+	// means that there is no limit. A Max below Min has the effect of Min.
 	Max int
 }
 
@@ -81,6 +84,9 @@
 
 // New returns a chooser that knows no agents.
 func New(cfg Config) *Chooser {
+	if cfg.Min == 0 {
+		cfg.Min = minWanted
+	}
 	return &Chooser{cfg: cfg, agents: map[string]ranked{}, widen: 1}
 }
 
@@ -236,9 +242,9 @@
 // wanted returns the number of usable agents that the entry wants.
 func (c *Chooser) wanted(entries int) int {
 	share := float64(coverage*len(c.agents)) / float64(max(1, entries))
-	n := int(math.Ceil(max(minWanted, share) * c.widen))
+	n := int(math.Ceil(max(float64(c.cfg.Min), share) * c.widen))
 	if c.cfg.Max > 0 {
-		n = min(n, max(c.cfg.Max, minWanted))
+		n = min(n, max(c.cfg.Max, c.cfg.Min))
 	}
 	return min(n, len(c.agents))
 }
