--- a/bench/sitesim/load_test.go
+++ b/bench/sitesim/load_test.go
@@ -79,6 +79,7 @@
 // Close to the capacity of the site, short queues come and go. Nearly all jobs must be
 // served: a late answer is better than none.
 func TestShortQueuesRefuseFewJobs(t *testing.T) {
+	t.Parallel()
 	s, err := New(scenarioConfig(t, "brim", 1))
 	if err != nil {
 		t.Fatal(err)
--- a/bench/sitesim/sitesim_test.go
+++ b/bench/sitesim/sitesim_test.go
@@ -112,6 +112,7 @@
 // While domains can't reach each other, each entry serves with the agents that it
 // reaches. No work is started twice for it, and callers are served again at once after it.
 func TestSitesWithCutDomainsServeWhatTheyReach(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []FaultKind{CutDomain, SplitDomains} {
 		cfg := StandardSite(3, 12*time.Second)
 		cfg.Subset = 5
--- /dev/null
+++ b/dispatcher/submit.go
@@ -0,0 +1,116 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"foxtaildock.example/dock/clock"
+	"foxtaildock.example/dock/schedule"
+	"foxtaildock.example/dock/telemetry"
+	"foxtaildock.example/dock/work"
+)
+
+func (d *Dispatcher) handleSubmission(e submission) {
+	e.job.Deadline = clock.Now() + e.timeout
+	d.waiters[e.job.ID] = append(d.waiters[e.job.ID], e.answer)
+	d.cfg.Log.Info("job arrived", telemetry.JobID(string(e.job.ID)), telemetry.Route(e.job.Route.Name), telemetry.Count(e.job.Tasks()), telemetry.Elapsed(e.timeout))
+	d.step(schedule.JobArrived{Job: e.job})
+}
+
+// handleCallerGone removes a caller that no longer waits. The job is dropped when its
+// last caller has left.
+func (d *Dispatcher) handleCallerGone(e callerGone) {
+	remaining := d.waiters[e.id]
+	for i, w := range remaining {
+		if w == e.answer {
+			remaining = append(remaining[:i:i], remaining[i+1:]...)
+			break
+		}
+	}
+	if len(remaining) > 0 {
+		d.waiters[e.id] = remaining
+		return
+	}
+	delete(d.waiters, e.id)
+	d.step(schedule.JobDropped{ID: e.id, Reason: "caller left"})
+}
+
+func (d *Dispatcher) answer(a schedule.Answer) {
+	fields := []telemetry.Field{
+		telemetry.JobID(string(a.ID)), telemetry.OutcomeText(a.Verdict.String()), telemetry.ReasonText(a.Reason),
+		telemetry.Elapsed(a.Waited), telemetry.Runs(a.Runs), telemetry.RowsVersion(a.Basis.RowsVersion),
+	}
+	if a.FirstStart >= 0 {
+		fields = append(fields, telemetry.FirstStart(a.FirstStart))
+	}
+	if a.Verdict == schedule.Rejected {
+		fields = append(fields, telemetry.RetryAfter(a.RetryAfter))
+		fields = append(fields, basisFields(&a.Basis)...)
+	}
+	d.cfg.Log.Info("job answered", fields...)
+	d.cfg.Metrics.recordAnswer(a)
+	for _, w := range d.waiters[a.ID] {
+		w <- a
+	}
+	delete(d.waiters, a.ID)
+}
+
+// basisFields returns the figures on which the admission of a job was decided.
+func basisFields(b *schedule.Basis) []telemetry.Field {
+	return []telemetry.Field{
+		telemetry.ExpectedWait(b.ExpectedWait), telemetry.AllowedWait(b.AllowedWait), telemetry.HeadWait(b.HeadWait),
+		telemetry.Capacity(b.CapacityMilli), telemetry.Agents(b.Agents),
+	}
+}
+
+// Submit submits the job and waits for its answer. The job times out after the given
+// time, and is dropped if the context ends and no other caller waits for it.
+func (d *Dispatcher) Submit(ctx context.Context, job schedule.Job, timeout time.Duration) schedule.Answer {
+	if reason := d.refusalReason(timeout); reason != "" {
+		return d.turnAway(job.ID, reason)
+	}
+	answer := make(chan schedule.Answer, 1)
+	select {
+	case d.events <- submission{job: job, timeout: timeout, answer: answer}:
+	default:
+		return d.turnAway(job.ID, "entry busy")
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		d.enqueue(callerGone{job.ID, answer})
+		return schedule.Answer{ID: job.ID, Verdict: schedule.Dropped, Reason: "caller left"}
+	case <-d.base.Done():
+		return schedule.Answer{ID: job.ID, Verdict: schedule.Interrupted, Reason: "entry stopped", FirstStart: -1}
+	}
+}
+
+// retryElsewhereAfter is the retry delay for callers rejected because this entry is
+// busy or stopping. It is short, since other entries admit the job at once.
+const retryElsewhereAfter = time.Second
+
+func (d *Dispatcher) turnAway(id work.JobID, reason string) schedule.Answer {
+	a := schedule.Answer{ID: id, Verdict: schedule.Rejected, Reason: reason, RetryAfter: retryElsewhereAfter, FirstStart: -1}
+	d.cfg.Log.Info("job answered", telemetry.JobID(string(id)), telemetry.OutcomeText(a.Verdict.String()), telemetry.ReasonText(reason))
+	d.cfg.Metrics.recordAnswer(a)
+	return a
+}
+
+// answerMargin is how long before the end of the grace period the last answer is due:
+// shortly before the process stops waiting for its work to end.
+const answerMargin = 300 * time.Millisecond
+
+// refusalReason returns why a job with the timeout is rejected, or "". After the signal
+// to stop, jobs are still admitted if they are certain to be answered before the process
+// is killed.
+func (d *Dispatcher) refusalReason(timeout time.Duration) string {
+	since := d.stoppingSince.Load()
+	if since == 0 {
+		return ""
+	}
+	if clock.Now()+timeout > time.Duration(since)+d.cfg.Grace-answerMargin {
+		return "entry stops"
+	}
+	return ""
+}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -62,6 +62,7 @@
 	if c.expectedUseless(j, capacity) {
 		return "too much work waits"
 	}
+	c.emit(AdmittedLate{ID: j.ID, Basis: j.basis})
 	return ""
 }
 
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -174,6 +174,13 @@
 	Basis      Basis
 }
 
+// AdmittedLate says that a job was admitted although it is expected to be late, to be
+// logged.
+type AdmittedLate struct {
+	ID    work.JobID
+	Basis Basis
+}
+
 // Basis holds the figures on which the admission of a job was decided.
 type Basis struct {
 	// ExpectedWait is how long the job was expected to wait, and AllowedWait how long
@@ -226,7 +233,8 @@
 	Age time.Duration
 }
 
-func (SendOffers) action() {}
-func (SendStops) action()  {}
-func (Answer) action()     {}
-func (LogMessage) action() {}
+func (SendOffers) action()   {}
+func (SendStops) action()    {}
+func (Answer) action()       {}
+func (AdmittedLate) action() {}
+func (LogMessage) action()   {}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -236,11 +236,12 @@
 	b := newTestBench(t)
 	b.fillAgent()
 	b.submit("late", 2, 1)
-	if answers := actionsOf[Answer](b.takeActions()); len(answers) != 0 {
+	actions := b.takeActions()
+	if answers := actionsOf[Answer](actions); len(answers) != 0 {
 		t.Fatalf("answers %+v, want the late job admitted", answers)
 	}
-	if !b.core.jobs["late"].late {
-		t.Error("a job that has to wait for all that runs doesn't count as late")
+	if late := actionsOf[AdmittedLate](actions); len(late) != 1 || late[0].ID != "late" || late[0].Basis.ExpectedWait == 0 {
+		t.Errorf("logged as admitted late: %+v, want the job with its expected wait", late)
 	}
 	for i := range 20 {
 		b.submit(fmt.Sprint("flood-", i), 2, 4)
