--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -107,8 +107,10 @@
 	}
 }
 
-// run opens one session after another until the agent has expired.
+// run opens one session after another until the link is released or the agent has
+// expired.
 func (a *agentLink) run(ctx context.Context) {
+	defer a.close()
 	backoff := minRedialDelay
 	for ctx.Err() == nil {
 		opened := clock.Now()
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -71,8 +71,8 @@
 func (l *links) removeIfExpired(a *agentLink, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !a.expired(now) {
-		return false
+	if l.agents[a.address] != a || !a.expired(now) {
+		return false // in the first case, the link was released and may have been opened again
 	}
 	delete(l.agents, a.address)
 	l.known.Remove(a.address)
--- a/dispatcher/members_test.go
+++ b/dispatcher/members_test.go
@@ -102,3 +102,22 @@
 		t.Errorf("%d agents and %d sessions after the release, want none", n, len(d.links.sessions))
 	}
 }
+
+// The end of a released link doesn't remove the one that was opened to the same agent
+// after it.
+func TestTheEndOfAReleasedLinkKeepsItsSuccessor(t *testing.T) {
+	d := newOfflineEntry(t)
+	d.links.addMember(directory.Member{Role: directory.RoleAgent, Address: "a", Incarnation: "i"})
+	d.chooseSubset()
+	released := d.links.agents["a"]
+	d.release("a")
+	d.chooseSubset()
+	successor := d.links.agents["a"]
+	if successor == nil || successor == released {
+		t.Fatal("the agent is not used again")
+	}
+	d.links.removeIfExpired(released, clock.Now()+2*agentExpiry)
+	if d.links.agents["a"] != successor {
+		t.Error("the end of the released link removed its successor")
+	}
+}
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -10,6 +10,7 @@
 	"foxtaildock.example/dock/work"
 )
 
+// handleSubmission passes a job to the core and records that its caller waits for it.
 func (d *Dispatcher) handleSubmission(e submission) {
 	e.job.Deadline = clock.Now() + e.timeout
 	d.waiters[e.job.ID] = append(d.waiters[e.job.ID], e.answer)
@@ -35,6 +36,7 @@
 	d.step(schedule.JobDropped{ID: e.id, Reason: "caller left"})
 }
 
+// answer logs the answer of a job and passes it to the callers that wait for it.
 func (d *Dispatcher) answer(a schedule.Answer) {
 	fields := []telemetry.Field{
 		telemetry.JobID(string(a.ID)), telemetry.OutcomeText(a.Verdict.String()), telemetry.ReasonText(a.Reason),
@@ -90,6 +92,7 @@
 // busy or stopping. It is short, since other entries admit the job at once.
 const retryElsewhereAfter = time.Second
 
+// turnAway returns the rejection of a job that the core doesn't see.
 func (d *Dispatcher) turnAway(id work.JobID, reason string) schedule.Answer {
 	a := schedule.Answer{ID: id, Verdict: schedule.Rejected, Reason: reason, RetryAfter: retryElsewhereAfter, FirstStart: -1}
 	d.cfg.Log.Info("job answered", telemetry.JobID(string(id)), telemetry.OutcomeText(a.Verdict.String()), telemetry.ReasonText(reason))
