A request whose caller has left before it was read is not submitted

The server tells the handler of the closed connection a moment after the handler has begun: by then the tasks were offered, and ran until their stop (46 ms).

Ruled out: entry paused (no gap at either entry), leases (both held theirs), subsets (either entry may get any job).

Change: before a job is handed on, the handler looks at its connection without reading from it; a closed one is logged as 'caller left before its request was read'.

--- a/daemon/platform_entry.go
+++ b/daemon/platform_entry.go
@@ -70,7 +70,9 @@
 	if err := p.listen("internal", p.set.Internal, rpc.NewServer(internal)); err != nil {
 		return err
 	}
-	if err := p.listen("callers", p.set.Callers, plainServer(platform.NewCallerHandler(d))); err != nil {
+	callers := plainServer(platform.NewCallerHandler(d))
+	callers.ConnContext = platform.WithConnection
+	if err := p.listen("callers", p.set.Callers, callers); err != nil {
 		return err
 	}
 	if err := p.listen("readiness", p.set.Readiness, plainServer(platform.NewReadinessHandler(d))); err != nil {
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// CallerLeft records that a job wasn't submitted, since its caller had disconnected
+// before its request was read. The caller may have submitted it elsewhere meanwhile.
+func (d *Dispatcher) CallerLeft(id work.JobID) {
+	a := schedule.Answer{ID: id, Verdict: schedule.Dropped, Reason: "caller left before its request was read", FirstStart: -1}
+	d.cfg.Log.Info("job answered", telemetry.JobID(string(id)), telemetry.OutcomeText(a.Verdict.String()), telemetry.ReasonText(a.Reason))
+	d.cfg.Metrics.recordAnswer(a)
+}
+
 // retryElsewhereAfter is the retry delay for callers rejected because this entry is
 // busy or stopping. It is short, since other entries admit the job at once.
 const retryElsewhereAfter = time.Second
