A stopping entry logs who closed a connection, and how many are open and busy

Callers saw requests cut at the end of a planned stop. The log called them 'caller left', although the entry itself had closed the connections, and said nothing of the connections at that moment. Now 'job answered' has the reason 'connection closed by the stopping entry', and 'closing the callers' connections' has the open and the busy connections and the age of the last arrival. Connections are tracked by a listener that wraps theirs; the order of a stop is as before.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -79,9 +79,13 @@
 	if err != nil {
 		return err
 	}
+	p.serve(l)
+	return nil
+}
+
+func (p *platformProcess) serve(l *listener) {
 	p.listeners = append(p.listeners, l)
 	go l.serve(p.failed)
-	return nil
 }
 
 // listenMetrics registers the metrics of the role and serves /metrics and the
--- a/daemon/platform_entry.go
+++ b/daemon/platform_entry.go
@@ -51,7 +51,8 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.Start(running)
-	if err := p.serveEntry(d); err != nil {
+	callers := newConnections()
+	if err := p.serveEntry(d, callers); err != nil {
 		return err
 	}
 	go p.watchSettings(running)
@@ -59,20 +60,27 @@
 	err = p.await(ctx)
 	d.BeginShutdown()
 	p.finish(platformBalancerDelay, d.Idle)
+	p.logConnections("closing the callers' connections", callers)
+	d.BeginClose()
 	p.close()
 	p.log.Info("entry ended", telemetry.Elapsed(time.Since(p.started)))
 	return err
 }
 
-func (p *platformProcess) serveEntry(d *dispatcher.Dispatcher) error {
+// logConnections logs how many connections of callers are open, and how many of them
+// have a request in progress.
+func (p *platformProcess) logConnections(text string, callers *connections) {
+	n := callers.counts()
+	p.log.Info(text, telemetry.OpenConnections(n.open), telemetry.BusyConnections(n.busy), telemetry.Age(callers.sinceArrival()))
+}
+
+func (p *platformProcess) serveEntry(d *dispatcher.Dispatcher, connections *connections) error {
 	internal := http.NewServeMux()
 	internal.Handle(linkpbconnect.NewEntryPeerHandler(dispatcher.Peer{Dispatcher: d}, rpc.HandlerOptions()))
 	if err := p.listen("internal", p.set.Internal, rpc.NewServer(internal)); err != nil {
 		return err
 	}
-	callers := plainServer(platform.NewCallerHandler(d))
-	callers.ConnContext = platform.WithConnection
-	if err := p.listen("callers", p.set.Callers, callers); err != nil {
+	if err := p.listenCallers(d, connections); err != nil {
 		return err
 	}
 	if err := p.listen("readiness", p.set.Readiness, plainServer(platform.NewReadinessHandler(d))); err != nil {
@@ -80,3 +88,18 @@
 	}
 	return p.listenMetrics(d.Observed(), d.Ready)
 }
+
+func (p *platformProcess) listenCallers(d *dispatcher.Dispatcher, connections *connections) error {
+	if !p.set.Callers.IsValid() {
+		return nil
+	}
+	server := plainServer(platform.NewCallerHandler(d))
+	server.ConnContext = platform.WithConnection
+	l, err := listenWith("callers", p.set.Callers, server)
+	if err != nil {
+		return err
+	}
+	l.socket = connections.track(server, l.socket)
+	p.serve(l)
+	return nil
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -79,6 +79,7 @@
 	// waiters are the callers that wait for each job, owned by the core goroutine.
 	waiters       map[work.JobID][]chan schedule.Answer
 	stoppingSince atomic.Int64 // clock.Now when the process was told to stop, 0 before
+	closing       atomic.Bool  // the process closes the connections of its callers
 	stats         atomic.Pointer[schedule.Stats]
 }
 
@@ -146,6 +147,7 @@
 	callerGone struct {
 		id     work.JobID
 		answer chan schedule.Answer
+		reason string
 	}
 	coreQuery struct{ run func(*schedule.Core) }
 )
@@ -201,6 +203,9 @@
 // BeginShutdown tells the entry that its process is stopping. From then on it is not ready.
 func (d *Dispatcher) BeginShutdown() { d.stoppingSince.Store(int64(clock.Now())) }
 
+// BeginClose tells the entry that its process now closes the connections of its callers.
+func (d *Dispatcher) BeginClose() { d.closing.Store(true) }
+
 // ShuttingDown reports whether the process is stopping.
 func (d *Dispatcher) ShuttingDown() bool { return d.stoppingSince.Load() != 0 }
 
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -33,7 +33,16 @@
 		return
 	}
 	delete(d.waiters, e.id)
-	d.step(schedule.JobDropped{ID: e.id, Reason: "caller left"})
+	d.step(schedule.JobDropped{ID: e.id, Reason: e.reason})
+}
+
+// disconnectReason returns why the connection of a waiting caller has ended: the caller
+// has left, or this process has closed it.
+func (d *Dispatcher) disconnectReason() string {
+	if d.closing.Load() {
+		return "connection closed by the stopping entry"
+	}
+	return "caller left"
 }
 
 // answer logs the answer of a job and passes it to the callers that wait for it.
@@ -81,8 +90,9 @@
 	case a := <-answer:
 		return a
 	case <-ctx.Done():
-		d.enqueue(callerGone{job.ID, answer})
-		return schedule.Answer{ID: job.ID, Verdict: schedule.Dropped, Reason: "caller left"}
+		reason := d.disconnectReason()
+		d.enqueue(callerGone{job.ID, answer, reason})
+		return schedule.Answer{ID: job.ID, Verdict: schedule.Dropped, Reason: reason}
 	case <-d.base.Done():
 		return schedule.Answer{ID: job.ID, Verdict: schedule.Interrupted, Reason: "entry stopped", FirstStart: -1}
 	}
--- a/telemetry/field_runs.go
+++ b/telemetry/field_runs.go
@@ -31,6 +31,8 @@
 	fieldUsable       = "usable"
 	fieldOpened       = "opened"
 	fieldReleased     = "released"
+	fieldOpenConns    = "open_connections"
+	fieldBusyConns    = "busy_connections"
 )
 
 // Run is the run that the line is about: job, step, index and number.
@@ -111,3 +113,9 @@
 
 // Released is the number of links that an entry has closed since it doesn't need them.
 func Released(n int) Field { return Field{fieldReleased, n} }
+
+// OpenConnections is the number of open connections of callers.
+func OpenConnections(n int) Field { return Field{fieldOpenConns, n} }
+
+// BusyConnections is the number of callers' connections with a request in progress.
+func BusyConnections(n int) Field { return Field{fieldBusyConns, n} }
