--- a/bench/usersite/caller.go
+++ b/bench/usersite/caller.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"foxtaildock.example/dock/work"
 )
 
 // Reply is an entry's answer to a job.
@@ -24,23 +26,33 @@
 // Submit sends a job of equal tasks to an entry and waits for its answer until the
 // timeout, which is also the deadline of the job.
 func (c *Caller) Submit(ctx context.Context, entry, id string, tasks int, estimate time.Duration, timeout time.Duration) Reply {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.do(jobRequest(entry, id, tasks, estimate, timeout).WithContext(ctx))
+}
+
+// Demand is the demand of each task of a caller's job.
+var Demand = work.Demand{CPUMilli: 1000, MemoryMB: 64}
+
+// jobRequest returns the request that submits a job of equal tasks to an entry.
+func jobRequest(entry, id string, tasks int, estimate, timeout time.Duration) *http.Request {
 	body, err := json.Marshal(map[string]any{
 		"spec": "work", "bestEffort": true,
-		"steps": []map[string]any{{"count": tasks, "cpu": 1000, "memMb": 64, "estimateMs": estimate.Milliseconds()}},
+		"steps": []map[string]any{{
+			"count": tasks, "cpu": Demand.CPUMilli, "memMb": Demand.MemoryMB, "estimateMs": estimate.Milliseconds(),
+		}},
 	})
 	if err != nil {
-		return Reply{}
+		panic(err) // numbers and strings can always be encoded
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+Prefix+id, bytes.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry+Prefix+id, bytes.NewReader(body))
 	if err != nil {
-		return Reply{}
+		panic(err) // the address and the id are the bench's own
 	}
 	req.Host = Host
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
-	return c.do(req)
+	return req
 }
 
 // Cancel asks an entry to cancel a job.
--- a/bench/usersite/site.go
+++ b/bench/usersite/site.go
@@ -37,6 +37,7 @@
 	Checks   *Checks
 	servers  []*http.Server
 	stop     context.CancelFunc
+	slot     int
 }
 
 // Ports of every VM.
@@ -60,10 +61,24 @@
 var Domains = []string{"north", "middle", "south"}
 
 // address returns the loopback address of a VM. The second and third number come from
-// the process id, so that sites of several processes do not collide.
-func address(kind, index int) string {
+// the process id and the site's slot, so that sites do not collide.
+func (s *Site) address(kind, index int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64+(pid>>8)&0x3f, pid&0xff, 1+kind*100+index)
+	return fmt.Sprintf("127.%d.%d.%d", 64*(1+s.slot)+(pid>>8)&0x3f, pid&0xff, 1+kind*100+index)
+}
+
+// maxSites is how many sites a process can have at the same time.
+const maxSites = 3
+
+// slots contains the numbers of the sites that a process may start.
+var slots = freeSlots()
+
+func freeSlots() chan int {
+	free := make(chan int, maxSites)
+	for i := range maxSites {
+		free <- i
+	}
+	return free
 }
 
 const (
@@ -72,11 +87,11 @@
 	kindStore = 2
 )
 
-// Start starts a site. It returns an error if an address is in use or a process can't
-// be started.
+// Start starts a site, after another one has been closed if there are maxSites already.
+// It returns an error if an address is in use or a process can't be started.
 func Start(cfg Config) (*Site, error) {
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Site{cfg: cfg, Store: NewMetadataStore(), Checks: NewChecks(), stop: stop}
+	s := &Site{cfg: cfg, Store: NewMetadataStore(), Checks: NewChecks(), stop: stop, slot: <-slots}
 	if err := s.start(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -88,7 +103,7 @@
 	if err := s.Store.Put("op", "config", manifest()); err != nil {
 		return err
 	}
-	if err := s.serve(fmt.Sprintf("%s:%d", address(kindStore, 0), portStore), s.Store); err != nil {
+	if err := s.serve(fmt.Sprintf("%s:%d", s.address(kindStore, 0), portStore), s.Store); err != nil {
 		return err
 	}
 	for i := range s.cfg.Agents {
@@ -141,7 +156,7 @@
 var capacity = work.Demand{CPUMilli: 8000, MemoryMB: 4096}
 
 func (s *Site) startBackend(ctx context.Context, i int) error {
-	vm := address(kindAgent, i)
+	vm := s.address(kindAgent, i)
 	watcher := &watcher{checks: s.Checks, backend: i}
 	b := NewBackend(BackendConfig{
 		ID: fmt.Sprintf("server-%d", i), Service: Service, Zone: Domains[i%len(Domains)],
@@ -167,21 +182,36 @@
 }
 
 func (s *Site) settings(name string, i, kind int) string {
-	ip := address(kind, i)
+	ip := s.address(kind, i)
 	text := fmt.Sprintf("nodeName = %q\nip = %q\nzone = %q\nportRange = [%d, %d]\nseeds = [%q]\n",
-		name, ip, Domains[i%len(Domains)], portInternal, portInternal+15, fmt.Sprintf("%s:%d", address(kindEntry, 0), portControl))
+		name, ip, Domains[i%len(Domains)], portInternal, portInternal+15, fmt.Sprintf("%s:%d", s.address(kindEntry, 0), portControl))
 	if kind == kindAgent {
 		text += fmt.Sprintf("app = \"%s:%d\"\n[listen]\ncontrol = \"%s:%d\"\n", ip, portApp, ip, portControl)
 	} else {
 		text += fmt.Sprintf("[listen]\nfrontend = \"%s:%d\"\nreadiness = \"%s:%d\"\n", ip, portCallers, ip, portReadiness)
 	}
 	return text + fmt.Sprintf("[limits]\nmemoryMb = 152\n[bounds]\ngraceS = 6\nconfigApplyMs = 2000\nholdMaxMs = 1000\n"+
-		"graceStopMs = 50\nretryMs = 1300\nremoteFactor = 1.5\n[platform]\naddress = \"%s:%d\"\n", address(kindStore, 0), portStore)
+		"graceStopMs = 50\nretryMs = 1300\nremoteFactor = 1.5\n[platform]\naddress = \"%s:%d\"\n", s.address(kindStore, 0), portStore)
 }
 
 // CallerAddress returns the address at which an entry accepts jobs.
 func (s *Site) CallerAddress(entry int) string {
-	return fmt.Sprintf("%s:%d", address(kindEntry, entry), portCallers)
+	return fmt.Sprintf("%s:%d", s.address(kindEntry, entry), portCallers)
+}
+
+// readyTimeout is how long the platform waits for the answer of a readiness check.
+const readyTimeout = time.Second
+
+// Ready reports whether an entry is ready, so that the platform may send callers to it.
+func (s *Site) Ready(entry int) bool {
+	client := http.Client{Timeout: readyTimeout}
+	defer client.CloseIdleConnections()
+	res, err := client.Get(fmt.Sprintf("http://%s:%d/ready", s.address(kindEntry, entry), portReadiness))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = res.Body.Close() }()
+	return res.StatusCode == http.StatusOK
 }
 
 // Close kills the processes of the site and closes its servers.
@@ -198,6 +228,7 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
+	slots <- s.slot
 }
 
 // Checks compares what the backend servers see with the guarantees of the system.
