--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Targets: build test lint demo prove measure generate
 GO ?= go
 BIN := bin
+# BENCHFLAGS are flags of "go test" for the tests in bench.
+BENCHFLAGS ?=
 
 .PHONY: build test lint demo prove measure generate ci
 
@@ -17,7 +19,7 @@
 
 test: lint build
 	$(GO) test ./... 
-	cd bench && $(GO) test ./...
+	cd bench && $(GO) test $(BENCHFLAGS) ./...
 
 # generate rebuilds the committed protocol code. Nobody needs it for building.
 generate:
--- a/bench/usersite/site_test.go
+++ b/bench/usersite/site_test.go
@@ -41,12 +41,16 @@
 // closes the site and reports violations.
 func startSite(t *testing.T, entries, agents int, runTime time.Duration) *Site {
 	t.Helper()
-	s, err := Start(Config{
-		Daemon: daemonPath, Dir: t.TempDir(), Entries: entries, Agents: agents,
-		Plan: func(work.Run, string) runserver.Plan {
-			return runserver.Plan{Demand: work.Demand{CPUMilli: 1000, MemoryMB: 64}, Length: runTime}
-		},
+	return startPlannedSite(t, entries, agents, func(work.Run, string) runserver.Plan {
+		return runserver.Plan{Demand: Demand, Length: runTime}
 	})
+}
+
+// startPlannedSite starts a site whose tasks run as planned. When the test ends, it closes
+// the site and reports violations.
+func startPlannedSite(t *testing.T, entries, agents int, plan func(work.Run, string) runserver.Plan) *Site {
+	t.Helper()
+	s, err := Start(Config{Daemon: daemonPath, Dir: t.TempDir(), Entries: entries, Agents: agents, Plan: plan})
 	if err != nil {
 		t.Fatal(err)
 	}
