bench: a job that outlasts the grace period ends without an answer (known red)

Jobs that were accepted before SIGTERM may run longer than the grace period. Their callers need an answer before the process ends, 502 or 504, so that they send the job again at once.

--- a/bench/usersite/stops_test.go
+++ b/bench/usersite/stops_test.go
@@ -177,6 +177,44 @@
 		entry, name, began.Format("15:04:05.000"), time.Since(began).Round(time.Millisecond), byItself)
 }
 
+// A job that was accepted before SIGTERM may outlast the grace period. Its caller gets an
+// answer that allows it to send the job again.
+func TestAJobThatOutlastsTheGracePeriodIsAnswered(t *testing.T) {
+	t.Parallel()
+	const jobs = 6
+	s := startSite(t, 1, 2, GracePeriod+3*time.Second)
+	c := make([]*Connection, jobs)
+	replies := make([]Exchange, jobs)
+	var wait sync.WaitGroup
+	for i := range jobs {
+		c[i] = NewConnection(s.CallerAddress(0))
+		wait.Go(func() {
+			replies[i] = submitReady(t, c[i], fmt.Sprintf("%016x", i), GracePeriod+3*time.Second)
+		})
+	}
+	awaitStarts(t, s, jobs)
+	stopEntry(t, s, 0, "long jobs")
+	wait.Wait()
+	for _, x := range replies {
+		if x.Reply.Status != http.StatusBadGateway && x.Reply.Status != http.StatusGatewayTimeout {
+			t.Errorf("job %s was %s with %+v after %v, want status 502 or 504",
+				x.Job, x.Outcome, x.Reply, x.Ended.Sub(x.Sent).Round(time.Millisecond))
+		}
+	}
+}
+
+// submitReady sends a job, again while the entry rejects it because it has just started.
+func submitReady(t *testing.T, c *Connection, id string, estimate time.Duration) Exchange {
+	for {
+		x := c.Submit(id, 1, estimate, 3*GracePeriod)
+		rejected := x.Reply.Status == http.StatusTooManyRequests || x.Reply.Status == http.StatusServiceUnavailable
+		if !rejected && x.Outcome != Refused || t.Context().Err() != nil {
+			return x
+		}
+		time.Sleep(rejectedPause)
+	}
+}
+
 // Callers go to the next entry when one doesn't answer. They lose no job while all entries
 // are stopped and started again in turn. Issue 26: entries cut requests that they had read.
 func TestEntriesThatStopInTurnLoseNothing(t *testing.T) {
