A stopping entry drains its callers' connections before it closes anything

Cause: the entry ended at the first moment after the balancer's delay at which it had no job, by closing its listeners one after the other under one timeout of 100 ms. The internal listener has HTTP/2 connections that stay open, so it used the timeout up. The callers' listener went on taking requests, and its turn came when the timeout was over: all its requests in progress were cut at once. Class of fault: "idle at one moment" was taken for "nothing will arrive", and a budget was shared by steps of a sequence.

Ruled out: jobs longer than the grace period (that is a fault of its own, still listed), callers that leave (the log said so falsely), lost answers of agents.

Change: the decision core `shutdown` sees the connections, not only the jobs. After the balancer's delay it waits for a quiet moment to close idle connections, refuses new ones only when none is open (two thirds into the grace period at the latest), and ends when no connection is left. Idle connections are closed by letting their reads time out, so that a request of which a byte was read keeps its connection. Answers written during a stop end their connection, also those of requests that began before it. Other listeners are closed afterwards, all at once.

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"foxtaildock.example/dock/clock"
+	"foxtaildock.example/dock/platform"
 )
 
 // connections tracks the connections of the callers' server, so that a stopping entry
@@ -68,8 +69,13 @@
 	connections *connections
 	// busy is true from the first byte of a request that is read to the end of its answer.
 	busy bool
+	// answered is true once a request on the connection was answered.
+	answered bool
 	// since is when the connection was accepted, or when its last answer ended.
 	since time.Duration
+	// expired is true if closeIdle has let the read of the next request time out. The
+	// server closes the connection then.
+	expired bool
 }
 
 // Read reads from the connection, and marks it as busy if anything was read.
@@ -81,15 +87,41 @@
 	return n, err
 }
 
+// received records that a part of a request was read. If the connection has been expired
+// since the read began, it stays open for the request.
 func (cs *connections) received(c *callerConn) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if !c.busy {
-		c.busy = true
-		cs.lastArrival = clock.Now()
+	if c.busy {
+		return
+	}
+	c.busy = true
+	cs.lastArrival = clock.Now()
+	if c.expired {
+		c.expired = false
+		_ = c.SetReadDeadline(time.Time{}) // it fails only on a closed connection
 	}
 }
 
+// closeIdle closes the connections on which no request is in progress or waits to be read.
+// A connection without any request yet is spared until it is newFor old. It never cuts
+// a request of which a byte was read: it only lets reads time out, and a read that has
+// got bytes keeps its connection.
+func (cs *connections) closeIdle(newFor time.Duration) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.open {
+		if c.busy || !c.answered && clock.Now()-c.since < newFor || platform.HasUnread(c.TCPConn) {
+			continue
+		}
+		c.expired = true
+		_ = c.SetReadDeadline(past) // it fails only on a closed connection
+	}
+}
+
+// past is a time at which reads time out at once.
+var past = time.Unix(1, 0)
+
 // stateChanged is the ConnState hook of the server.
 func (cs *connections) stateChanged(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
@@ -100,7 +132,7 @@
 	defer cs.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.busy = false
+		c.busy, c.answered = false, true
 		c.since = clock.Now()
 	case http.StateClosed, http.StateHijacked:
 		delete(cs.open, c)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 	"foxtaildock.example/dock/lease"
 	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/shutdown"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -105,13 +107,15 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
 
-// close closes the listeners.
+// close closes all listeners at once, so that none of them uses up the time of another.
 func (p *platformProcess) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	var wait sync.WaitGroup
 	for _, l := range p.listeners {
-		l.shutdown(ctx)
+		wait.Go(func() { l.shutdown(ctx) })
 	}
+	wait.Wait()
 }
 
 // closeTimeout is how long close waits for the last responses to be sent.
@@ -148,13 +152,12 @@
 // is idle.
 const stopPollInterval = 20 * time.Millisecond
 
-// finish waits until the process is idle, at least for atLeast, and at most until
-// exitMargin before the grace period ends, when the platform kills the process.
-func (p *platformProcess) finish(atLeast time.Duration, idle func() bool) {
+// finish waits until the process is idle, and at most until the limit of its grace period.
+func (p *platformProcess) finish(idle func() bool) {
 	began := time.Now()
-	limit := p.set.Bounds.Grace - exitMargin
+	limit := shutdown.Limit(p.set.Bounds.Grace)
 	for time.Since(began) < limit {
-		if time.Since(began) >= atLeast && idle() {
+		if idle() {
 			return
 		}
 		pause.For(context.Background(), stopPollInterval)
@@ -162,10 +165,6 @@
 	p.log.Warn("grace period ended with work still in flight", telemetry.Elapsed(time.Since(began)))
 }
 
-// exitMargin is the part of the grace period that is reserved for the exit of the
-// process itself.
-const exitMargin = 250 * time.Millisecond
-
 // await blocks until the context ends, or returns the error of a failed listener.
 func (p *platformProcess) await(ctx context.Context) error {
 	select {
--- a/daemon/platform_agent.go
+++ b/daemon/platform_agent.go
@@ -50,7 +50,7 @@
 	p.log.Info("agent started", telemetry.Address(set.Internal), telemetry.Elapsed(time.Since(p.started)))
 	err = p.await(ctx)
 	r.Close()
-	p.finish(0, r.Idle)
+	p.finish(r.Idle)
 	p.close()
 	p.log.Info("agent ended", telemetry.Elapsed(time.Since(p.started)))
 	return err
--- a/daemon/platform_entry.go
+++ b/daemon/platform_entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -11,6 +12,7 @@
 	"foxtaildock.example/dock/platform"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/linkpb/linkpbconnect"
+	"foxtaildock.example/dock/shutdown"
 	"foxtaildock.example/dock/telemetry"
 )
 
@@ -40,6 +42,7 @@
 	if err != nil {
 		return fmt.Errorf("metrics: %w", err)
 	}
+	plan := shutdown.NewPlan(set.Bounds.Grace, platformBalancerDelay)
 	d := dispatcher.New(dispatcher.Config{
 		Self: directory.Member{
 			Incarnation: p.self, Role: directory.RoleEntry, Address: set.Internal.String(), Domain: set.Domain,
@@ -51,55 +54,50 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.Start(running)
-	callers := newConnections()
-	if err := p.serveEntry(d, callers); err != nil {
+	callers, err := p.serveEntry(d)
+	if err != nil {
 		return err
 	}
 	go p.watchSettings(running)
 	p.log.Info("entry started", telemetry.Address(set.Callers), telemetry.Elapsed(time.Since(p.started)))
 	err = p.await(ctx)
-	d.BeginShutdown()
-	p.finish(platformBalancerDelay, d.Idle)
-	p.logConnections("closing the callers' connections", callers)
-	d.BeginClose()
+	stopEntry(d, callers, plan, p.log)
 	p.close()
 	p.log.Info("entry ended", telemetry.Elapsed(time.Since(p.started)))
 	return err
 }
 
-// logConnections logs how many connections of callers are open, and how many of them
-// have a request in progress.
-func (p *platformProcess) logConnections(text string, callers *connections) {
-	n := callers.counts()
-	p.log.Info(text, telemetry.OpenConnections(n.open), telemetry.BusyConnections(n.busy), telemetry.Age(callers.sinceArrival()))
-}
-
-func (p *platformProcess) serveEntry(d *dispatcher.Dispatcher, connections *connections) error {
+// serveEntry opens the listeners of an entry. It returns the one for callers.
+func (p *platformProcess) serveEntry(d *dispatcher.Dispatcher) (*callerListener, error) {
 	internal := http.NewServeMux()
 	internal.Handle(linkpbconnect.NewEntryPeerHandler(dispatcher.Peer{Dispatcher: d}, rpc.HandlerOptions()))
 	if err := p.listen("internal", p.set.Internal, rpc.NewServer(internal)); err != nil {
-		return err
+		return nil, err
 	}
-	if err := p.listenCallers(d, connections); err != nil {
-		return err
+	callers, err := p.listenCallers(d)
+	if err != nil {
+		return nil, err
 	}
 	if err := p.listen("readiness", p.set.Readiness, plainServer(platform.NewReadinessHandler(d))); err != nil {
-		return err
+		return nil, err
 	}
-	return p.listenMetrics(d.Observed(), d.Ready)
+	return callers, p.listenMetrics(d.Observed(), d.Ready)
 }
 
-func (p *platformProcess) listenCallers(d *dispatcher.Dispatcher, connections *connections) error {
+func (p *platformProcess) listenCallers(d *dispatcher.Dispatcher) (*callerListener, error) {
 	if !p.set.Callers.IsValid() {
-		return nil
+		return nil, errNoCallersAddress
 	}
 	server := plainServer(platform.NewCallerHandler(d))
 	server.ConnContext = platform.WithConnection
 	l, err := listenWith("callers", p.set.Callers, server)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	l.socket = connections.track(server, l.socket)
+	callers := &callerListener{listener: l, connections: newConnections()}
+	l.socket = callers.connections.track(server, l.socket)
 	p.serve(l)
-	return nil
+	return callers, nil
 }
+
+var errNoCallersAddress = errors.New("settings: found no listen address for callers; an entry needs one")
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -19,6 +19,8 @@
 	name   string
 	socket net.Listener
 	server *http.Server
+	// refusing is true once the listener accepts no more connections.
+	refusing atomic.Bool
 }
 
 // listen opens a listener for a plain HTTP server with the handler.
@@ -35,13 +37,21 @@
 	return &listener{name: name, socket: socket, server: server}, nil
 }
 
-// serve serves until the listener is shut down. Any other end is sent to failed.
+// serve serves until the listener is shut down or stops accepting. Any other end is sent to
+// failed.
 func (l *listener) serve(failed chan<- error) {
-	if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
+	err := l.server.Serve(l.socket)
+	if !l.refusing.Load() && !errors.Is(err, http.ErrServerClosed) {
 		failed <- fmt.Errorf("listener %s: %w", l.name, err)
 	}
 }
 
+// stopAccepting refuses new connections. Those that are open go on being served.
+func (l *listener) stopAccepting() error {
+	l.refusing.Store(true)
+	return l.socket.Close()
+}
+
 // shutdown stops accepting and waits for the requests in flight until the context
 // ends; then it closes their connections.
 func (l *listener) shutdown(ctx context.Context) {
