Jobs that outlast a planned stop of their entry are answered

Callers saw: a job accepted before SIGTERM whose tasks last longer than the grace period ended without an answer when the process did.

Cause: nothing in the entry knew that it would end; `finish` waited for the jobs until shortly before the end of the grace period and then cut them.

Change: the schedule core is told at SIGTERM by when it has to answer everything (`EntryDraining`): 0.6 s before the end of the grace period, or a fifth of it. Jobs that are left then are answered: 429 if none of their tasks was ever offered, so that they have certainly not run, else 502, and their runs are stopped.

TestAJobThatOutlastsAPlannedStopIsAnswered shows the same on the core.

--- a/daemon/platform_entry.go
+++ b/daemon/platform_entry.go
@@ -47,7 +47,7 @@
 		Self: directory.Member{
 			Incarnation: p.self, Role: directory.RoleEntry, Address: set.Internal.String(), Domain: set.Domain,
 		},
-		Terms: p.terms, RemoteFactor: set.Bounds.RemoteFactor, Grace: set.Bounds.Grace, Seeds: p.seeds(),
+		Terms: p.terms, RemoteFactor: set.Bounds.RemoteFactor, AnswerWithin: plan.AnswerBy, Seeds: p.seeds(),
 		MaxSessions: maxSessions(set.Limits.Cores),
 		Store:       p.store, Members: p.store.Members(), Log: p.log, Metrics: counters,
 	})
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,8 +28,8 @@
 	Terms lease.Terms
 	// RemoteFactor is the factor by which a task takes longer away from its data.
 	RemoteFactor float64
-	// Grace is the time from the signal to stop until the process is killed.
-	Grace time.Duration
+	// AnswerWithin is the time from the signal to stop until all jobs are answered.
+	AnswerWithin time.Duration
 	// Seeds are internal addresses of entries. They may be out of date.
 	Seeds []string
 	// MaxSessions is the largest number of agents that the entry's processor allows it to
@@ -200,8 +200,13 @@
 	}
 }
 
-// BeginShutdown tells the entry that its process is stopping. From then on it is not ready.
-func (d *Dispatcher) BeginShutdown() { d.stoppingSince.Store(int64(clock.Now())) }
+// BeginShutdown tells the entry that its process is stopping. From then on it is not
+// ready, and within Config.AnswerWithin it answers all jobs.
+func (d *Dispatcher) BeginShutdown() {
+	now := clock.Now()
+	d.stoppingSince.Store(int64(now))
+	d.enqueue(schedule.EntryDraining{AnswerBy: now + d.cfg.AnswerWithin})
+}
 
 // BeginClose tells the entry that its process now closes the connections of its callers.
 func (d *Dispatcher) BeginClose() { d.closing.Store(true) }
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -118,19 +118,15 @@
 	return a
 }
 
-// answerMargin is how long before the end of the grace period the last answer is due:
-// shortly before the process stops waiting for its work to end.
-const answerMargin = 300 * time.Millisecond
-
 // refusalReason returns why a job with the timeout is rejected, or "". After the signal
-// to stop, jobs are still admitted if they are certain to be answered before the process
-// is killed.
+// to stop, jobs are still admitted if their callers wait no longer than until all jobs are
+// answered.
 func (d *Dispatcher) refusalReason(timeout time.Duration) string {
 	since := d.stoppingSince.Load()
 	if since == 0 {
 		return ""
 	}
-	if clock.Now()+timeout > time.Duration(since)+d.cfg.Grace-answerMargin {
+	if clock.Now()+timeout > time.Duration(since)+d.cfg.AnswerWithin {
 		return "entry stops"
 	}
 	return ""
--- /dev/null
+++ b/schedule/drain_test.go
@@ -0,0 +1,40 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+)
+
+// A job that outlasted the grace period of its entry was cut without an answer.
+func TestAJobThatOutlastsAPlannedStopIsAnswered(t *testing.T) {
+	b := newTestBench(t)
+	b.attachAgent("a", "1")
+	b.submit("running", 0, 4)
+	b.submit("never offered", 2, 1)
+	b.takeActions()
+	answerBy := b.now + 400*time.Millisecond
+	b.step(EntryDraining{AnswerBy: answerBy})
+	for b.now < answerBy {
+		if early := actionsOf[Answer](b.takeActions()); len(early) != 0 {
+			t.Fatalf("answers %+v at %v, want none before %v", early, b.now, answerBy)
+		}
+		b.ackHeartbeat("a")
+		b.reportRoom("a", 4000)
+		b.tickFor(10*time.Millisecond, 10*time.Millisecond)
+	}
+	actions := b.takeActions()
+	verdicts := map[string]Verdict{}
+	for _, a := range actionsOf[Answer](actions) {
+		verdicts[string(a.ID)] = a.Verdict
+	}
+	if verdicts["running"] != Interrupted || verdicts["never offered"] != Rejected {
+		t.Errorf("verdicts %v, want running interrupted and never offered rejected", verdicts)
+	}
+	stopped := 0
+	for _, s := range actionsOf[SendStops](actions) {
+		stopped += len(s.Runs)
+	}
+	if stopped != 4 {
+		t.Errorf("%d runs are stopped, want the 4 of the interrupted job", stopped)
+	}
+}
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -118,6 +118,10 @@
 // OperatorChanged is a new version of the operators' rows.
 type OperatorChanged struct{ Rows operator.Rows }
 
+// EntryDraining says that the entry process stops as planned. Jobs that haven't ended by
+// AnswerBy are answered then.
+type EntryDraining struct{ AnswerBy time.Duration }
+
 // Tick is the periodic event on which the core checks deadlines and leases.
 type Tick struct{}
 
@@ -130,6 +134,7 @@
 func (RunEnded) event()             {}
 func (RunStalled) event()           {}
 func (OperatorChanged) event()      {}
+func (EntryDraining) event()        {}
 func (Tick) event()                 {}
 
 // Action is an output of the core, for the process to carry out.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -43,11 +43,14 @@
 	startedAt time.Duration // time of the first step
 	resumedAt time.Duration // time of the first step after the last pause of the process
 	started   bool
-	jobs      map[work.JobID]*jobState
-	waiting   []*jobState // jobs with tasks to be offered, in the order of compareJobs
-	agents    map[ident.Incarnation]*agentState
-	order     []*agentState // agents by incarnation
-	operator  operator.Rows
+	// answerBy is when all jobs have to be answered because the entry stops, 0 if it
+	// doesn't.
+	answerBy time.Duration
+	jobs     map[work.JobID]*jobState
+	waiting  []*jobState // jobs with tasks to be offered, in the order of compareJobs
+	agents   map[ident.Incarnation]*agentState
+	order    []*agentState // agents by incarnation
+	operator operator.Rows
 	// mostUrgent and leastUrgent are the smallest and largest priority number of all routes.
 	mostUrgent, leastUrgent work.Priority
 	times                   map[string]*routeTimes // by route name
@@ -93,9 +96,12 @@
 	case OperatorChanged:
 		c.operator = e.Rows
 		c.mostUrgent, c.leastUrgent = priorities(e.Rows.Manifest)
+	case EntryDraining:
+		c.answerBy = e.AnswerBy
 	case Tick:
 		c.expireAgents()
 		c.expireJobs()
+		c.interruptJobs()
 		c.reassignSlowRuns()
 	}
 	c.dispatch()
@@ -210,6 +216,24 @@
 	c.shed()
 }
 
+// interruptJobs answers the jobs that are left when the entry ends: as rejected if none of
+// their tasks was offered, so that they have certainly not run, else as interrupted.
+func (c *Core) interruptJobs() {
+	if c.answerBy == 0 || c.now < c.answerBy {
+		return
+	}
+	for _, j := range c.sortedJobs() {
+		verdict := Interrupted
+		if !j.offered {
+			verdict = Rejected
+		}
+		c.finish(j, verdict, reasonStopping)
+	}
+}
+
+// reasonStopping is why a stopping entry refuses or interrupts a job.
+const reasonStopping = "entry stops"
+
 // runSkip is added to the run number when a backend server refuses a run as old: it
 // has seen a higher number, because the job was submitted before through an entry that
 // is gone.
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -11,11 +11,16 @@
 
 import "time"
 
-// exitMargin is the part of the grace period that is reserved for the exit itself, but no
-// more than the share maxExitMargin.
+// Margins before the end of the grace period, when the platform kills the process. Each
+// takes at most its share of the period.
 const (
-	exitMargin    = 250 * time.Millisecond
-	maxExitMargin = 0.1
+	// answerMargin is how long before that end the last answer is due, so that it can
+	// still be written.
+	answerMargin      = 600 * time.Millisecond
+	answerMarginShare = 0.2
+	// exitMargin is the part of the grace period that is reserved for the exit itself.
+	exitMargin      = 250 * time.Millisecond
+	exitMarginShare = 0.1
 )
 
 // Quiet is how long no connection and no request may have arrived before idle connections
@@ -31,6 +36,8 @@
 	// it accepts no more. Callers are refused after that and go elsewhere, while the
 	// process still has time for the requests that it has read.
 	LastAccept time.Duration
+	// AnswerBy is when all work in progress is given up and answered.
+	AnswerBy time.Duration
 	// Limit is when the process ends in any case.
 	Limit time.Duration
 }
@@ -39,14 +46,22 @@
 // balancer may take to notice that the process isn't ready; at most half of the grace
 // period is waited for it.
 func NewPlan(grace, balancer time.Duration) Plan {
-	p := Plan{Balancer: min(balancer, grace/2), Limit: Limit(grace)}
+	p := Plan{
+		Balancer: min(balancer, grace/2),
+		AnswerBy: grace - min(answerMargin, share(grace, answerMarginShare)),
+		Limit:    Limit(grace),
+	}
 	p.LastAccept = p.Balancer + (grace-p.Balancer)/3
 	return p
 }
 
 // Limit returns how long after the signal a process with a grace period ends in any case.
 func Limit(grace time.Duration) time.Duration {
-	return grace - min(exitMargin, time.Duration(float64(grace)*maxExitMargin))
+	return grace - min(exitMargin, share(grace, exitMarginShare))
+}
+
+func share(d time.Duration, part float64) time.Duration {
+	return time.Duration(float64(d) * part)
 }
 
 // Observation is the state of the process at one moment of its stop.
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -43,6 +43,16 @@
 	t.Fatal("the process doesn't end")
 }
 
+func TestAnswersHaveTimeToBeWrittenBeforeTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := time.Duration(rapid.IntRange(500, 20000).Draw(t, "grace ms")) * time.Millisecond
+		p := NewPlan(g, balancer)
+		if !(p.Balancer < p.LastAccept && p.LastAccept < p.AnswerBy && p.AnswerBy+poll < p.Limit && p.Limit < g) {
+			t.Errorf("plan %+v for a grace period of %v isn't in order", p, g)
+		}
+	})
+}
+
 // Properties of every stop: connections are accepted and kept until the balancer's delay is
 // over, nothing open is cut before the limit, no decision is taken back, and the process
 // ends within the grace period.
