A stopping entry refuses only jobs that it can't end

Cause: jobs were refused by the time that their callers would wait: a caller that waits for 5.5 s was refused at once, although its job could have been answered 3 times over before the end. Class of fault: a bound for the worst case taken for the expected one. Since jobs that are left are answered now, a wrong guess costs one more submission, not the answer.

Change: the refusal moves from the shell into the core (`admit.go`), which knows the work: a stopping entry admits a job that is expected to end within half of the time until it answers everything.

Failed before: TestAStoppingEntryRefusesOnlyJobsThatItCanNotEnd (both jobs were admitted by the core and refused by the shell).

--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -77,9 +77,6 @@
 // Submit submits the job and waits for its answer. The job times out after the given
 // time, and is dropped if the context ends and no other caller waits for it.
 func (d *Dispatcher) Submit(ctx context.Context, job schedule.Job, timeout time.Duration) schedule.Answer {
-	if reason := d.refusalReason(timeout); reason != "" {
-		return d.turnAway(job.ID, reason)
-	}
 	answer := make(chan schedule.Answer, 1)
 	select {
 	case d.events <- submission{job: job, timeout: timeout, answer: answer}:
@@ -117,17 +114,3 @@
 	d.cfg.Metrics.recordAnswer(a)
 	return a
 }
-
-// refusalReason returns why a job with the timeout is rejected, or "". After the signal
-// to stop, jobs are still admitted if their callers wait no longer than until all jobs are
-// answered.
-func (d *Dispatcher) refusalReason(timeout time.Duration) string {
-	since := d.stoppingSince.Load()
-	if since == 0 {
-		return ""
-	}
-	if clock.Now()+timeout > time.Duration(since)+d.cfg.AnswerWithin {
-		return "entry stops"
-	}
-	return ""
-}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -30,7 +30,7 @@
 	if reason == "" {
 		return nil
 	}
-	return &Answer{ID: j.ID, Verdict: Rejected, Reason: reason, RetryAfter: c.retryAfter(j), FirstStart: -1, Basis: j.basis}
+	return &Answer{ID: j.ID, Verdict: Rejected, Reason: reason, RetryAfter: c.retryAfter(j, reason), FirstStart: -1, Basis: j.basis}
 }
 
 func (c *Core) basis(j *jobState, capacity work.Demand) Basis {
@@ -41,6 +41,9 @@
 }
 
 func (c *Core) admitReason(j *jobState, capacity, largest work.Demand) string {
+	if c.answerBy > 0 && !c.endsBeforeStop(j) {
+		return reasonStopping
+	}
 	if c.now-c.startedAt < settlePeriod {
 		return ""
 	}
@@ -66,6 +69,18 @@
 	return ""
 }
 
+// drainShare is the part of the time until a stopping entry answers all jobs within which
+// a new job must be expected to end. The rest is a margin, since a job that is interrupted
+// has to be submitted again.
+const drainShare = 0.5
+
+// endsBeforeStop reports whether a job is expected to end well before the entry, which is
+// stopping, answers all jobs.
+func (c *Core) endsBeforeStop(j *jobState) bool {
+	left := float64(c.answerBy - c.now)
+	return float64(j.basis.ExpectedWait+j.expected) <= drainShare*left
+}
+
 // expectedUseless reports whether so much work goes before a late job that it is
 // expected to end too late for any use.
 func (c *Core) expectedUseless(j *jobState, capacity work.Demand) bool {
@@ -241,8 +256,12 @@
 	spreadRetryAfter = 3 * time.Second
 )
 
-// retryAfter returns the retry delay, with jitter derived from a hash of the job ID.
-func (c *Core) retryAfter(j *jobState) time.Duration {
+// retryAfter returns the retry delay, with jitter derived from a hash of the job ID. It is
+// short if only this entry refuses the job, since other entries admit it at once.
+func (c *Core) retryAfter(j *jobState, reason string) time.Duration {
+	if reason == reasonStopping {
+		return minRetryAfter
+	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(j.ID))
 	return minRetryAfter + time.Duration(h.Sum32()%1000)*spreadRetryAfter/1000
--- a/schedule/drain_test.go
+++ b/schedule/drain_test.go
@@ -38,3 +38,23 @@
 		t.Errorf("%d runs are stopped, want the 4 of the interrupted job", stopped)
 	}
 }
+
+// A stopping entry refused jobs by the time that their callers would wait, although it
+// could have answered them.
+func TestAStoppingEntryRefusesOnlyJobsThatItCanNotEnd(t *testing.T) {
+	b := newTestBench(t)
+	b.attachAgent("a", "1")
+	b.tickFor(settlePeriod, 10*time.Millisecond)
+	b.ackHeartbeat("a")
+	b.step(EntryDraining{AnswerBy: b.now + time.Second})
+	b.submit("short", 0, 1) // its caller waits for 10 s, its tasks take 100 ms
+	if answers := actionsOf[Answer](b.takeActions()); len(answers) != 0 {
+		t.Errorf("answers %+v, want the job admitted", answers)
+	}
+	b.now += 900 * time.Millisecond
+	b.submit("late", 0, 1)
+	answers := actionsOf[Answer](b.takeActions())
+	if len(answers) != 1 || answers[0].Verdict != Rejected || answers[0].Reason != reasonStopping || answers[0].RetryAfter != minRetryAfter {
+		t.Errorf("answers %+v, want the job rejected because the entry stops", answers)
+	}
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -181,7 +181,7 @@
 		a.FirstStart = j.firstOffer - j.arrived
 	}
 	if v == Rejected {
-		a.RetryAfter = c.retryAfter(j)
+		a.RetryAfter = c.retryAfter(j, reason)
 	}
 	c.emit(a)
 }
