A stopping agent waits until its results are acknowledged

Found while looking for the cause of LOST elsewhere: the agent took "no task is held" for "nothing is left to do" and began to close its listener, although the results of the last runs might not have reached their entries. They had the 100 ms of the closing; a result that takes longer is lost, and its task runs again after the lease.

Change: an agent is idle once it holds no task and the entries with an open session have acknowledged all results, which they do with their next heartbeat. It doesn't wait for entries that are gone.

Failed before: TestAnAgentIsNotIdleUntilItsResultsAreAcknowledged ("the agent is idle before the entry has acknowledged the result").

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -119,7 +119,7 @@
 			r.step(run.Tick{})
 		}
 		roomPending := r.flush()
-		r.idle.Store(r.core.Idle())
+		r.idle.Store(r.core.Idle() && r.delivered())
 		timer.Reset(r.tick(roomPending))
 	}
 }
@@ -296,7 +296,8 @@
 // Close makes the agent accept no more tasks. Running tasks are finished.
 func (r *Runner) Close() { r.enqueue(run.Closing{}) }
 
-// Idle reports whether the agent holds no task.
+// Idle reports whether the agent holds no task, and the entries with an open session have
+// acknowledged the results of all others.
 func (r *Runner) Idle() bool { return r.idle.Load() && len(r.events) == 0 }
 
 // Attached returns how many entries have a session with the agent.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -60,13 +60,19 @@
 
 // serveAgent starts an agent with an instantServer, and returns the agent's address.
 func serveAgent(t testing.TB) (address string) {
+	t.Helper()
+	_, address = startAgent(t)
+	return address
+}
+
+func startAgent(t testing.TB) (r *Runner, address string) {
 	t.Helper()
 	terms, err := lease.New(1300*time.Millisecond, time.Second, 50*time.Millisecond)
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := &instantServer{began: time.Now()}
-	r := New(Config{Self: "agent", Domain: "d", Terms: terms, Backend: server, Log: telemetry.Discard()})
+	r = New(Config{Self: "agent", Domain: "d", Terms: terms, Backend: server, Log: telemetry.Discard()})
 	r.Start(t.Context())
 	r.Report(run.ServerReported{
 		Server:      work.Server{Incarnation: "server", Service: "s", Domain: "d", Capacity: work.Demand{CPUMilli: 4000, MemoryMB: 1000}},
@@ -81,7 +87,7 @@
 	http := rpc.NewServer(mux)
 	go func() { _ = http.Serve(listener) }()
 	t.Cleanup(func() { _ = http.Close() })
-	return listener.Addr().String()
+	return r, listener.Addr().String()
 }
 
 // testTimeout limits each wait of a test. Only a failing test waits as long.
@@ -158,6 +164,35 @@
 	})
 }
 
+// An agent that stops as planned ended as soon as it held no task, whether or not its last
+// results had reached their entry. Their tasks would have run again.
+func TestAnAgentIsNotIdleUntilItsResultsAreAcknowledged(t *testing.T) {
+	r, address := startAgent(t)
+	offered := false
+	runSession(t, address, &linkpb.Hello{Entry: "entry", Agent: "agent"}, func(s *link.Session, m *linkpb.FromAgent) bool {
+		if inUse(m) && !offered {
+			offered = true
+			offer(s, 1, m.GetClockMs())
+		}
+		if len(m.GetResults()) == 0 {
+			return false
+		}
+		for began := time.Now(); time.Since(began) < 2*idleTick; time.Sleep(time.Millisecond) {
+			if r.Idle() {
+				t.Fatal("the agent is idle before the entry has acknowledged the result")
+			}
+		}
+		newest := m.GetResults()[len(m.GetResults())-1].GetSequence()
+		s.Send(&linkpb.ToAgent{Heartbeat: &linkpb.Heartbeat{Number: 2, ResultsSeen: newest}})
+		for began := time.Now(); !r.Idle(); time.Sleep(time.Millisecond) {
+			if time.Since(began) > testTimeout {
+				t.Fatal("the agent isn't idle although all results are acknowledged")
+			}
+		}
+		return true
+	})
+}
+
 // Nothing starts for an entry that has returned no clock value of the agent: opening a
 // session alone gives no lease.
 func TestNothingStartsWithoutALease(t *testing.T) {
--- a/runner/session.go
+++ b/runner/session.go
@@ -235,6 +235,16 @@
 	}
 }
 
+// delivered reports whether the entries with an open session have acknowledged all results.
+func (r *Runner) delivered() bool {
+	for _, s := range r.sessions {
+		if !s.ended && len(s.results.Unacknowledged()) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // flush sends each entry its pending message, or an update of the room. It returns true
 // if an update is held back because of roomUpdateInterval.
 func (r *Runner) flush() (roomPending bool) {
