Listeners of the product's own entry are shut down at the same time

The cause of LOST elsewhere, seen by reading: the entry of the product's own deployment shut its listeners down one after the other under one grace period. A listener with requests that don't end left no time for the next one, which went on taking requests until its turn came and then cut them.

Change: `shutdownAll` shuts listeners down at the same time, for that entry and for the processes on the users' platform. The internal listener of that entry stays last, since its requests in progress need it.

Failed before (listeners one after the other): TestNoListenerTakesRequestsWhileAnotherShutsDown ("the other listener refuses connections: not within 20s").

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -91,9 +91,7 @@
 func (p *agentProcess) close(listeners []*listener) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	for _, l := range listeners {
-		l.shutdown(ctx)
-	}
+	shutdownAll(ctx, listeners)
 }
 
 // ready returns nil if the agent can start tasks, else the reason why not.
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -201,9 +201,9 @@
 	p.entry.StopAccepting()
 	ctx, cancel := context.WithTimeout(context.Background(), p.set.Shutdown.Grace)
 	defer cancel()
-	for i := len(listeners) - 1; i >= 0; i-- {
-		listeners[i].shutdown(ctx)
-	}
+	internal, others := listeners[0], listeners[1:]
+	shutdownAll(ctx, others)
+	internal.shutdown(ctx) // last, since requests in progress need it
 }
 
 // The methods below are called by the controller.
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync"
 	"syscall"
 	"time"
 
@@ -107,15 +106,11 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
 
-// close closes all listeners at once, so that none of them uses up the time of another.
+// close closes all listeners.
 func (p *platformProcess) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	var wait sync.WaitGroup
-	for _, l := range p.listeners {
-		wait.Go(func() { l.shutdown(ctx) })
-	}
-	wait.Wait()
+	shutdownAll(ctx, p.listeners)
 }
 
 // closeTimeout is how long close waits for the last responses to be sent.
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -60,6 +61,16 @@
 	}
 }
 
+// shutdownAll shuts the listeners down at the same time, so that none of them uses up the
+// time of another.
+func shutdownAll(ctx context.Context, listeners []*listener) {
+	var wait sync.WaitGroup
+	for _, l := range listeners {
+		wait.Go(func() { l.shutdown(ctx) })
+	}
+	wait.Wait()
+}
+
 // swappableHandler is a handler that can be replaced while it serves, for a process
 // that continues under a new incarnation.
 type swappableHandler struct{ current atomic.Pointer[http.Handler] }
