bench: a soak of planned stops and reloads

All of it and the callers' jobs follow from the seed. Checks: each request that an entry read has a whole answer; no process ends by itself; and those that the soak had.

--- a/bench/cmd/foxbench/soak.go
+++ b/bench/cmd/foxbench/soak.go
@@ -5,21 +5,26 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"foxtaildock.example/bench/soak"
 )
 
 // soakCommand runs the fault soak on real processes, once for each seed.
 type soakCommand struct {
-	Seeds   int           `arg:"--seeds" default:"3" help:"number of seeds"`
-	First   uint64        `arg:"--first" default:"1" help:"the first seed"`
-	Length  time.Duration `arg:"--length" default:"15s" help:"duration of the load for each seed"`
-	Entries int           `arg:"--entries" default:"2" help:"number of entries"`
-	Agents  int           `arg:"--agents" default:"4" help:"number of agents"`
-	Callers int           `arg:"--callers" default:"8" help:"number of callers"`
-	Pause   time.Duration `arg:"--pause" default:"700ms" help:"mean time between faults"`
-	Dir     string        `arg:"--dir" help:"directory for settings and logs [default: a new one, kept and printed if a seed fails]"`
+	Seeds    int           `arg:"--seeds" default:"3" help:"number of seeds"`
+	First    uint64        `arg:"--first" default:"1" help:"the first seed"`
+	Length   time.Duration `arg:"--length" default:"15s" help:"duration of the load for each seed"`
+	Entries  int           `arg:"--entries" default:"2" help:"number of entries"`
+	Agents   int           `arg:"--agents" default:"4" help:"number of agents"`
+	Callers  int           `arg:"--callers" default:"8" help:"number of callers"`
+	Parallel int           `arg:"--parallel" default:"1" help:"number of seeds that run at the same time, up to 3"`
+	Pause    time.Duration `arg:"--pause" default:"700ms" help:"mean time between faults"`
+	Planned  bool          `arg:"--planned" help:"only planned stops and reloads; every request that an entry read must be answered"`
+	Dir      string        `arg:"--dir" help:"directory for settings and logs [default: a new one, kept and printed if a seed fails]"`
 }
 
 func (c *soakCommand) run(ctx context.Context) error {
@@ -27,15 +32,23 @@
 	if err != nil {
 		return err
 	}
-	failed := false
+	daemon := filepath.Join(filepath.Dir(self), "foxtaildockd")
+	var failed atomic.Bool
+	var seeds errgroup.Group
+	seeds.SetLimit(max(1, c.Parallel))
 	for i := range c.Seeds {
-		violated, err := c.runSeed(ctx, filepath.Join(filepath.Dir(self), "foxtaildockd"), c.First+uint64(i))
-		if err != nil {
+		seeds.Go(func() error {
+			violated, err := c.runSeed(ctx, daemon, c.First+uint64(i))
+			if violated {
+				failed.Store(true)
+			}
 			return err
-		}
-		failed = failed || violated
+		})
+	}
+	if err := seeds.Wait(); err != nil {
+		return err
 	}
-	if failed {
+	if failed.Load() {
 		return errViolated
 	}
 	return nil
@@ -52,22 +65,23 @@
 	}
 	r, err := soak.Run(ctx, soak.Config{
 		Daemon: daemon, Dir: dir, Seed: seed, Length: c.Length, Entries: c.Entries, Agents: c.Agents,
-		Callers: c.Callers, Pause: c.Pause,
+		Callers: c.Callers, Pause: c.Pause, Planned: c.Planned,
 	})
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d jobs, %d completed, %d rejected, %d without an answer, %d runs, %d faults, %d guarantee violations\n",
+	line := fmt.Sprintf("seed %d: %d jobs, %d completed, %d rejected, %d without an answer, %d runs, %d faults, %d guarantee violations\n",
 		seed, r.Jobs, r.Completed, r.Rejected, r.Unanswered, r.Starts, len(r.Faults), len(r.Violations))
 	if len(r.Violations) == 0 {
+		fmt.Print(line)
 		if c.Dir == "" {
 			return false, os.RemoveAll(dir)
 		}
 		return false, nil
 	}
-	for _, line := range append(r.Faults, r.Violations...) {
-		fmt.Println("   ", line)
+	for _, detail := range append(r.Faults, r.Violations...) {
+		line += "    " + detail + "\n"
 	}
-	fmt.Println("    logs:", dir)
+	fmt.Print(line + "    logs: " + dir + "\n") // at once, since seeds may run in parallel
 	return true, nil
 }
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -29,6 +29,9 @@
 	Callers int
 	// Pause is the mean time between the starts of two faults.
 	Pause time.Duration
+	// Planned restricts the faults to planned stops and reloads. Each request that an
+	// entry has read must then be answered.
+	Planned bool
 }
 
 // Result sums up a run: counts of jobs by outcome, the number of runs that started, the
@@ -48,16 +51,20 @@
 
 // run is the state of one run of the soak.
 type run struct {
-	cfg    Config
-	site   *usersite.Site
-	mu     sync.Mutex
-	result Result
+	cfg      Config
+	site     *usersite.Site
+	planned  sync.WaitGroup // planned work that goes on
+	stopping sync.Map       // processes that are being stopped as planned
+
+	mu        sync.Mutex
+	result    Result
+	exchanges []usersite.Exchange
 }
 
 // Run runs the soak with one seed. It returns an error if the site can't be started.
 func Run(ctx context.Context, cfg Config) (*Result, error) {
 	random := rand.New(rand.NewPCG(cfg.Seed, 3))
-	taskPlanner := &planner{random: rand.New(rand.NewPCG(cfg.Seed, 5))}
+	taskPlanner := &planner{random: rand.New(rand.NewPCG(cfg.Seed, 5)), planned: cfg.Planned}
 	site, err := usersite.Start(usersite.Config{
 		Daemon: cfg.Daemon, Dir: cfg.Dir, Entries: cfg.Entries, Agents: cfg.Agents, Plan: taskPlanner.plan,
 	})
@@ -66,58 +73,95 @@
 	}
 	defer site.Close()
 	r := &run{cfg: cfg, site: site}
-	loadCtx, cancel := context.WithTimeout(ctx, cfg.Length)
-	defer cancel()
-	var wait sync.WaitGroup
-	for i := range cfg.Callers {
-		wait.Go(func() { r.runCaller(loadCtx, i) })
+	r.loadAndFaults(ctx, random)
+	if cfg.Planned {
+		if err := r.checkPlanned(); err != nil {
+			return nil, err
+		}
 	}
-	wait.Go(func() { r.injectFaults(loadCtx, random) })
-	wait.Wait()
 	r.result.Starts = site.Checks.Starts()
 	r.result.Violations = site.Checks.Violations()
 	return &r.result, nil
 }
 
+// loadAndFaults injects faults for the length of the run. The callers send jobs meanwhile,
+// and until the planned work has ended.
+func (r *run) loadAndFaults(ctx context.Context, random *rand.Rand) {
+	loadCtx, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	faultsCtx, endFaults := context.WithTimeout(ctx, r.cfg.Length)
+	defer endFaults()
+	var callers sync.WaitGroup
+	for i := range r.cfg.Callers {
+		callers.Go(func() { r.runCaller(loadCtx, i) })
+	}
+	r.injectFaults(faultsCtx, random)
+	r.planned.Wait()
+	endLoad()
+	callers.Wait()
+}
+
 // planner decides at random what runs do. All backend servers share it.
 type planner struct {
-	mu     sync.Mutex
-	random *rand.Rand
+	mu      sync.Mutex
+	random  *rand.Rand
+	planned bool // whether some runs outlast the grace period of a planned stop
 }
 
 func (p *planner) plan(work.Run, string) runserver.Plan {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return runserver.Plan{
-		Demand: work.Demand{CPUMilli: 1000, MemoryMB: 64},
+	plan := runserver.Plan{
+		Demand: usersite.Demand,
 		Length: time.Duration(20+p.random.IntN(180)) * time.Millisecond,
 		Fails:  p.random.IntN(200) == 0,
 	}
+	if p.planned && p.random.IntN(longRunEvery) == 0 {
+		plan.Length = usersite.GracePeriod + time.Second
+	}
+	return plan
+}
+
+// caller is one caller with a connection to each entry.
+type caller struct {
+	random *rand.Rand
+	conns  []*usersite.Connection
 }
 
 // runCaller simulates one caller: it sends one job after the other, and sends a job
 // again to a random entry while its answer is lost.
 func (r *run) runCaller(ctx context.Context, number int) {
-	random := rand.New(rand.NewPCG(r.cfg.Seed, uint64(100+number)))
-	var c usersite.Caller
+	c := &caller{random: rand.New(rand.NewPCG(r.cfg.Seed, uint64(100+number)))}
+	for entry := range r.cfg.Entries {
+		c.conns = append(c.conns, usersite.NewConnection(r.site.CallerAddress(entry)))
+	}
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%04x%04x%08x", r.cfg.Seed&0xffff, number, n)
-		r.submitJob(&c, random, id, 1+random.IntN(6))
+		r.submitJob(c, id, 1+c.random.IntN(6))
+		time.Sleep(r.thinkTime(c.random))
+	}
+	for _, conn := range c.conns {
+		conn.Close()
 	}
 }
 
+// refusedPause is the pause of a caller after an entry didn't accept its connection.
+const refusedPause = 20 * time.Millisecond
+
 // submitJob sends one job until it has a final answer or its caller's time is over.
-func (r *run) submitJob(c *usersite.Caller, random *rand.Rand, id string, tasks int) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
-	defer cancel()
+func (r *run) submitJob(c *caller, id string, tasks int) {
+	began := time.Now()
 	submissions, rejections := 0, 0
-	for ctx.Err() == nil {
-		entry := random.IntN(r.cfg.Entries)
+	for time.Since(began) < callerTimeout {
+		x := r.submitOnce(c, id, tasks, callerTimeout-time.Since(began))
+		if x.Outcome == usersite.Refused {
+			time.Sleep(refusedPause)
+			continue
+		}
 		submissions++
-		reply := c.Submit(ctx, r.site.CallerAddress(entry), id, tasks, 110*time.Millisecond, callerTimeout)
-		switch reply.Status {
+		switch x.Reply.Status {
 		case http.StatusOK:
-			r.answered(id, tasks, reply.State)
+			r.answered(id, tasks, x.Reply.State)
 			return
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 			rejections++
@@ -125,14 +169,22 @@
 			time.Sleep(100 * time.Millisecond)
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(resend):
-		}
+		time.Sleep(resend)
 	}
 	r.count(func(res *Result) { res.Unanswered++ })
 }
 
+// submitOnce sends a job to a random entry and records how that ended.
+func (r *run) submitOnce(c *caller, id string, tasks int, timeout time.Duration) usersite.Exchange {
+	entry := c.random.IntN(len(c.conns))
+	x := c.conns[entry].Submit(id, tasks, 110*time.Millisecond, r.requestTimeout(c.random, timeout))
+	x.Entry = entry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.exchanges = append(r.exchanges, x)
+	return x
+}
+
 func (r *run) count(f func(*Result)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -222,15 +274,12 @@
 	}
 }
 
-// gracePeriod is the time that the users allow from SIGTERM to SIGKILL.
-const gracePeriod = 6 * time.Second
-
 func stopFor(p *cluster.Process, d time.Duration) {
 	if p.Signal(syscall.SIGTERM) != nil {
 		return
 	}
 	go func() {
-		if p.Wait(gracePeriod) != nil {
+		if p.Wait(usersite.GracePeriod) != nil {
 			_ = p.Kill()
 		}
 		time.Sleep(d)
@@ -238,9 +287,18 @@
 	}()
 }
 
+// kinds returns the kinds of faults of the run.
+func (r *run) kinds() []fault {
+	if r.cfg.Planned {
+		return plannedWork
+	}
+	return faults
+}
+
 // injectFaults injects one fault after the other, some of which overlap, until the load
 // ends.
 func (r *run) injectFaults(ctx context.Context, random *rand.Rand) {
+	kinds := r.kinds()
 	for {
 		wait := time.Duration(random.ExpFloat64() * float64(r.cfg.Pause))
 		select {
@@ -248,7 +306,7 @@
 			return
 		case <-time.After(wait):
 		}
-		f := faults[random.IntN(len(faults))]
+		f := kinds[random.IntN(len(kinds))]
 		length := 200*time.Millisecond + time.Duration(random.Int64N(int64(3*time.Second)))
 		r.mu.Lock()
 		r.result.Faults = append(r.result.Faults, fmt.Sprintf("%s %s for %v", time.Now().Format("15:04:05.000"), f.name, length.Round(time.Millisecond)))
