Agents tell a backend server that went down from one that is cut off or silent

On-call could not see which runs went down with a backend server: the agent's `run ended` said `lease lapsed` for a crash as for a server that is cut off or frozen.

A refused connection comes from the VM itself, where agent and server both are, and means that no process listens: evidence that the server is gone. Runs that lapse while connections are refused end as `backend server refuses connections`, with the crashed incarnation in `backend_server`; those of a replaced incarnation keep `backend server started anew`. A server that has left or drained has not crashed: `backend server left`. Metric foxtaildock_runs_crashed_total at agents.

A start to which the connection was refused was not sent.

--- a/run/events.go
+++ b/run/events.go
@@ -88,13 +88,15 @@
 	RefusedInvalid
 	// RefusedBusy: the server is unhealthy and did nothing.
 	RefusedBusy
+	// RefusedConnection: no process listens at the server's address, so nothing was sent.
+	RefusedConnection
 	// NoAnswer: the start may have been carried out, or may still be.
 	NoAnswer
 )
 
 // String returns the reply's name for logs and for reasons of reports.
 func (r StartReply) String() string {
-	return [...]string{"unknown", "started", "old", "late", "room", "fence", "bad", "busy", "no answer"}[r]
+	return [...]string{"unknown", "started", "old", "late", "room", "fence", "bad", "busy", "connection refused", "no answer"}[r]
 }
 
 // StopAnswered is the result of CallStop.
@@ -156,7 +158,10 @@
 	// Refused is true if the server has answered that it refuses the agent's fencing
 	// token.
 	Refused bool
-	Stamp   Stamp
+	// ConnectionRefused is true if no process listens at the server's address: its process
+	// has ended. A server that is cut off or frozen doesn't refuse connections.
+	ConnectionRefused bool
+	Stamp             Stamp
 }
 
 // Tick is the passing of time without another event.
@@ -212,6 +217,9 @@
 	Outcome work.Outcome
 	Ran     time.Duration // since CallStart, 0 if it was never issued
 	Reason  string
+	// Server is the incarnation of the backend server that was told to start the run,
+	// empty if none was.
+	Server string
 }
 
 // ReportStalled tells an entry that a run has made no progress for Config.StallAfter.
@@ -225,6 +233,7 @@
 	Text        string        // the log message
 	Incarnation string        // of the backend server, empty if unknown
 	Age         time.Duration // how long the server has been silent, if that is the cause
+	Reason      string
 }
 
 func (CallStart) action()     {}
--- a/run/hold.go
+++ b/run/hold.go
@@ -147,6 +147,7 @@
 	}
 	c.holds.failing = true
 	c.holds.failedAt = c.now
+	c.server.refuses = c.server.refuses || e.ConnectionRefused
 	c.holds.retryAt = c.now + holdRetryDelay
 	c.holds.shortPollWanted = c.holds.shortPollWanted || c.hasUnresolved()
 	if e.Refused {
@@ -169,6 +170,7 @@
 		return
 	}
 	c.holds.failing = false
+	c.server.refuses = false
 	c.processEnds(e.Ended)
 	if e.Stamp.Clock < c.holds.listedAt {
 		return // a newer list was processed already
@@ -268,7 +270,7 @@
 		case phaseOrphaned:
 			// The call's fencing token makes the server refuse a start that is still
 			// on its way.
-			c.end(t, work.Lost, reasonServerRestarted)
+			c.end(t, work.Lost, t.lostReason)
 		}
 	}
 }
--- a/run/offers.go
+++ b/run/offers.go
@@ -89,5 +89,5 @@
 	if t.phase != phaseQueued {
 		ran = c.now - t.started
 	}
-	c.emit(Report{Entry: t.entry, Run: t.run, Outcome: outcome, Ran: ran, Reason: reason})
+	c.emit(Report{Entry: t.entry, Run: t.run, Outcome: outcome, Ran: ran, Reason: reason, Server: t.server})
 }
--- a/run/orders.go
+++ b/run/orders.go
@@ -46,6 +46,7 @@
 	t.phase = phaseStarting
 	t.since = c.now
 	t.started = c.now
+	t.server = c.server.report.Server.Incarnation
 	t.progressedAt = c.now
 	t.expiry = c.extendLease()
 	c.emit(CallStart{Run: t.run, Spec: t.spec, Expiry: t.expiry, Fence: c.server.fence})
--- a/run/run.go
+++ b/run/run.go
@@ -97,6 +97,7 @@
 	arrival  uint64
 	since    time.Duration // when it entered its current phase
 	started  time.Duration // when CallStart was issued
+	server   string        // incarnation of the backend server that CallStart was sent to
 	expiry   time.Duration // of its start, on the server's clock
 	// listedFrom is the number of the first CallHold whose answer must list the run.
 	listedFrom   uint64
@@ -104,6 +105,8 @@
 	percent      int
 	progressedAt time.Duration // when the percent last changed
 	stalled      bool
+	// lostReason is why an orphaned run counts as lost if no list has it.
+	lostReason string
 }
 
 // stopState is the progress of stopping a run.
@@ -239,11 +242,20 @@
 	reasonNoLease         = "entry not heard"
 	reasonStopped         = "stopped"
 	reasonServerRestarted = "backend server started anew"
+	reasonServerRefuses   = "backend server refuses connections"
+	reasonServerLeft      = "backend server left"
 	reasonLeaseLapsed     = "lease lapsed"
 	reasonNotListed       = "run not listed"
 	reasonReplaced        = "replaced by a later sending"
 )
 
+// ServerWentDown reports whether a run that was lost for the reason was lost because its
+// backend server itself went down: not as planned, and not the agent, the entry or the
+// network.
+func ServerWentDown(reason string) bool {
+	return reason == reasonServerRestarted || reason == reasonServerRefuses
+}
+
 // refusal returns why no task may be started now, or "" if tasks may be started.
 func (c *Core) refusal() string {
 	switch {
--- a/run/server.go
+++ b/run/server.go
@@ -37,6 +37,8 @@
 	lastSeen int64
 	// foreign is the number of runs on the server that the agent doesn't hold.
 	foreign int
+	// refuses is true while no process listens at the server's address.
+	refuses bool
 }
 
 // clockLowerBound returns a time that the server's clock has certainly reached: it
@@ -70,7 +72,7 @@
 func (c *Core) adopt(e ServerReported) {
 	before := max(c.server.fence, c.holds.fence)
 	c.pace = pace{}
-	c.orphanRuns()
+	c.orphanRuns(c.goneReason())
 	c.holds.failing = false
 	c.holds.listedAt = 0
 	c.server = serverState{
@@ -95,13 +97,33 @@
 	if c.server.phase == serverNone || c.server.report.Server.Incarnation != e.Incarnation {
 		return
 	}
-	c.abandon()
+	c.abandon(reasonServerLeft)
 	c.emit(LogMessage{Text: "backend server left", Incarnation: e.Incarnation})
 }
 
+// goneReason returns why the runs of an incarnation that has a successor are lost. One
+// that drained before has ended as planned.
+func (c *Core) goneReason() string {
+	if c.server.report.Server.Draining {
+		return reasonServerLeft
+	}
+	return reasonServerRestarted
+}
+
+// lapseReason returns why the runs of a silent server are lost.
+func (c *Core) lapseReason() string {
+	switch {
+	case !c.server.refuses:
+		return reasonLeaseLapsed
+	case c.server.report.Server.Draining:
+		return reasonServerLeft
+	}
+	return reasonServerRefuses
+}
+
 // abandon stops using the current incarnation while its successor isn't known yet.
-func (c *Core) abandon() {
-	c.orphanRuns()
+func (c *Core) abandon(reason string) {
+	c.orphanRuns(reason)
 	c.holds.fence = max(c.holds.fence, c.server.fence)
 	c.server = serverState{}
 }
@@ -109,12 +131,15 @@
 // orphanRuns returns the waiting tasks to their entries and marks all other runs as
 // orphaned: the current incarnation is gone, but starts that it seemed to accept may
 // have reached its successor.
-func (c *Core) orphanRuns() {
+func (c *Core) orphanRuns(reason string) {
 	for _, t := range c.inOrder() {
 		if t.phase == phaseQueued {
 			c.end(t, work.NotStarted, reasonServerRestarted)
 			continue
 		}
+		if t.phase != phaseOrphaned {
+			t.lostReason = reason
+		}
 		t.phase = phaseOrphaned
 		t.since = c.now
 		t.stop = stopState{wanted: t.stop.wanted}
@@ -127,7 +152,7 @@
 func (c *Core) expireOrphaned() {
 	for _, t := range c.inOrder() {
 		if t.phase == phaseOrphaned && c.now-t.since > c.cfg.Terms.MaxRunAfterAnyRenewal() {
-			c.end(t, work.Lost, reasonServerRestarted)
+			c.end(t, work.Lost, t.lostReason)
 		}
 	}
 }
@@ -145,7 +170,7 @@
 	}
 	if s.StartUnixMs != c.server.report.StartUnixMs {
 		if s.StartUnixMs > c.server.report.StartUnixMs {
-			c.abandon()
+			c.abandon(c.goneReason())
 			c.emit(LogMessage{Text: "another incarnation of the backend server answers"})
 		}
 		return false
@@ -199,11 +224,11 @@
 	silent := c.now - s.lastContact
 	for _, t := range c.inOrder() {
 		if t.phase != phaseQueued && t.phase != phaseOrphaned {
-			c.end(t, work.Lost, reasonLeaseLapsed)
+			c.end(t, work.Lost, c.lapseReason())
 		}
 	}
 	if s.phase == serverInUse {
 		s.phase = serverClearing
-		c.emit(LogMessage{Text: "backend server silent; its leases have lapsed", Incarnation: s.report.Server.Incarnation, Age: silent})
+		c.emit(LogMessage{Text: "backend server silent; its leases have lapsed", Incarnation: s.report.Server.Incarnation, Age: silent, Reason: c.lapseReason()})
 	}
 }
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"foxtaildock.example/dock/run"
 	"foxtaildock.example/dock/telemetry"
 	"foxtaildock.example/dock/work"
 )
@@ -15,6 +16,7 @@
 // Metrics holds the counters and histograms of an agent. A nil value records nothing.
 type Metrics struct {
 	runs     metric.Int64Counter
+	crashed  metric.Int64Counter
 	duration metric.Float64Histogram
 	calls    metric.Float64Histogram
 }
@@ -22,22 +24,26 @@
 // NewMetrics creates the instruments. The error joins those of the meter.
 func NewMetrics(m metric.Meter) (*Metrics, error) {
 	runs, errRuns := m.Int64Counter("foxtaildock.runs", metric.WithDescription("Runs ended, by outcome."))
+	crashed, errCrashed := m.Int64Counter("foxtaildock.runs.crashed", metric.WithDescription("Runs that went down with their backend server."))
 	duration, errDuration := m.Float64Histogram("foxtaildock.run.duration",
 		metric.WithUnit("s"), metric.WithDescription("Time from the order to start to the end of a run."),
 		metric.WithExplicitBucketBoundaries(telemetry.DurationBounds()...))
 	calls, errCalls := m.Float64Histogram("foxtaildock.backend.call.duration",
 		metric.WithUnit("s"), metric.WithDescription("Time of the calls to the backend server, by call and by whether it was answered."),
 		metric.WithExplicitBucketBoundaries(telemetry.DurationBounds()...))
-	return &Metrics{runs: runs, duration: duration, calls: calls}, errors.Join(errRuns, errDuration, errCalls)
+	return &Metrics{runs: runs, crashed: crashed, duration: duration, calls: calls}, errors.Join(errRuns, errCrashed, errDuration, errCalls)
 }
 
-func (m *Metrics) observeRun(outcome work.Outcome, ran time.Duration) {
+func (m *Metrics) observeRun(a run.Report) {
 	if m == nil {
 		return
 	}
-	m.runs.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome.String())))
-	if outcome == work.Done {
-		m.duration.Record(context.Background(), ran.Seconds())
+	m.runs.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", a.Outcome.String())))
+	if a.Outcome == work.Lost && run.ServerWentDown(a.Reason) {
+		m.crashed.Add(context.Background(), 1)
+	}
+	if a.Outcome == work.Done {
+		m.duration.Record(context.Background(), a.Ran.Seconds())
 	}
 }
 
--- a/runner/session.go
+++ b/runner/session.go
@@ -214,8 +214,8 @@
 // report logs a result, adds it to the next message to its entry, and keeps it for later
 // sessions until the entry has acknowledged it.
 func (r *Runner) report(a run.Report) {
-	r.cfg.Log.Info("run ended", telemetry.Run(a.Run.String()), telemetry.OutcomeText(a.Outcome.String()), telemetry.ReasonText(a.Reason), telemetry.Elapsed(a.Ran), telemetry.Peer(a.Entry))
-	r.cfg.Metrics.observeRun(a.Outcome, a.Ran)
+	r.cfg.Log.Info("run ended", telemetry.Run(a.Run.String()), telemetry.OutcomeText(a.Outcome.String()), telemetry.ReasonText(a.Reason), telemetry.Elapsed(a.Ran), telemetry.Peer(a.Entry), telemetry.Backend(a.Server))
+	r.cfg.Metrics.observeRun(a)
 	s := r.sessions[a.Entry]
 	if s == nil {
 		return
