A job whose task has taken three backend servers down is given up, at every entry

What callers saw: a job whose task crashes the servers that start it was started for as long as its caller waited, and each time the runs of all others on that server were lost.

Cause: only ends `failed` counted as attempts. A run that is lost put its task back without a count, whatever took it, and each entry knew only of its own runs, so that a job submitted again after a kill began anew.

Reports go through the session's outbox, so each entry gets each exactly once. Entries count them per task, and answer `failed` at the third, also when the job arrives. Runs of one task follow one another, so after the third crash there is no start, and two are allowed for reports that are missed. The copy for other entries has the outcome unspecified: run numbers of two entries may be the same, and older entries ignore it, with an error in the log.

A suspect task is kept apart from others, and its third run is made alone, by offering it with the whole capacity of a server as its demand, so that it convicts the guilty and acquits the others.

--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -279,6 +279,10 @@
 	if !isNew {
 		return
 	}
+	if link.CrashedElsewhere(r) {
+		d.step(schedule.RunCrashedElsewhere{Agent: agent, Run: link.RunOf(r.GetTask())})
+		return
+	}
 	outcome, err := link.OutcomeOf(r.GetOutcome())
 	if err != nil {
 		d.cfg.Log.Error("invalid result from an agent", telemetry.Peer(agent), telemetry.Err(err))
--- a/link/convert.go
+++ b/link/convert.go
@@ -109,10 +109,21 @@
 // ResultMessage converts the numbered report of a run's end to its message.
 func ResultMessage(n session.NumberedResult[run.Report]) *linkpb.Result {
 	r := n.Value
-	return &linkpb.Result{
+	m := &linkpb.Result{
 		Sequence: n.Sequence, Task: KeyOf(r.Run), Outcome: outcomes[r.Outcome],
 		RanMs: r.Ran.Milliseconds(), Reason: r.Reason,
 	}
+	if r.ForOtherEntry {
+		m.Outcome = linkpb.Outcome_OUTCOME_UNSPECIFIED
+	}
+	return m
+}
+
+// CrashedElsewhere reports whether a result is about a run of another entry that went down
+// with its backend server. It isn't the end of a run of the receiving entry, although the
+// numbers of both may be the same.
+func CrashedElsewhere(r *linkpb.Result) bool {
+	return r.GetOutcome() == linkpb.Outcome_OUTCOME_UNSPECIFIED && run.ServerWentDown(r.GetReason())
 }
 
 // OutcomeOf converts the message of an outcome. It returns an error for an unknown one.
--- a/run/events.go
+++ b/run/events.go
@@ -217,6 +217,9 @@
 	Outcome work.Outcome
 	Ran     time.Duration // since CallStart, 0 if it was never issued
 	Reason  string
+	// ForOtherEntry is true in the copy of the report for an entry that didn't start the
+	// run, since the job may be submitted there next.
+	ForOtherEntry bool
 	// Server is the incarnation of the backend server that was told to start the run,
 	// empty if none was.
 	Server string
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -66,6 +66,8 @@
 	core     *run.Core
 	events   chan any
 	sessions map[ident.Incarnation]*entrySession
+	// witnessed are the runs that went down with the backend server, by time.
+	witnessed []witnessed
 	// view has no manifest, since agents decide nothing by it.
 	view operator.View
 	// ownRows are the operators' rows that the agent last read from the store itself,
--- a/runner/session.go
+++ b/runner/session.go
@@ -98,6 +98,8 @@
 	if old := r.sessions[s.entry]; old != nil {
 		r.end(old)
 		s.results = old.results
+	} else {
+		r.tellNewEntry(s, clock.Now())
 	}
 	r.sessions[s.entry] = s
 	r.countSessions()
@@ -216,10 +218,17 @@
 func (r *Runner) report(a run.Report) {
 	r.cfg.Log.Info("run ended", telemetry.Run(a.Run.String()), telemetry.OutcomeText(a.Outcome.String()), telemetry.ReasonText(a.Reason), telemetry.Elapsed(a.Ran), telemetry.Peer(a.Entry), telemetry.Backend(a.Server))
 	r.cfg.Metrics.observeRun(a)
-	s := r.sessions[a.Entry]
-	if s == nil {
-		return
+	if s := r.sessions[a.Entry]; s != nil {
+		s.addResult(a)
+	}
+	if a.Outcome == work.Lost && run.ServerWentDown(a.Reason) {
+		r.tellOtherEntries(a, clock.Now())
 	}
+}
+
+// addResult keeps a result for the entry and, while the session is open, adds it to the
+// next message.
+func (s *entrySession) addResult(a run.Report) {
 	n := s.results.Add(a)
 	if !s.ended {
 		m := s.pendingMessage()
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -109,6 +109,13 @@
 	Reason  string
 }
 
+// RunCrashedElsewhere reports a run of another entry that went down with its backend
+// server. The job may be, or may later be, submitted to this entry.
+type RunCrashedElsewhere struct {
+	Agent ident.Incarnation
+	Run   work.Run
+}
+
 // RunStalled reports a run that has made no progress for a while.
 type RunStalled struct {
 	Agent ident.Incarnation
@@ -128,6 +135,7 @@
 func (AgentRoomReported) event()    {}
 func (AgentMessageReceived) event() {}
 func (RunEnded) event()             {}
+func (RunCrashedElsewhere) event()  {}
 func (RunStalled) event()           {}
 func (OperatorChanged) event()      {}
 func (Tick) event()                 {}
@@ -205,7 +213,8 @@
 const (
 	// Completed: every task is done.
 	Completed Verdict = iota + 1
-	// FailedJob: a task has used up the attempts that its route allows.
+	// FailedJob: a task has used up the attempts that its route allows, or has taken down
+	// too many backend servers.
 	FailedJob
 	// Rejected: nothing of the job has run, and nothing will.
 	Rejected
@@ -231,6 +240,8 @@
 	Reason string
 	// Age is the age of the information behind the decision.
 	Age time.Duration
+	// Crashes is the number of backend servers that went down under the task.
+	Crashes int
 }
 
 func (SendOffers) action()   {}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -49,6 +49,8 @@
 	phase    taskPhase
 	run      work.RunID
 	failures int
+	// crashes is the number of backend servers that went down under the task.
+	crashes  int
 	agent    *agentState
 	placedAt time.Duration
 	stopping bool
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -56,6 +56,8 @@
 	// tooSlow: only agents with slow backend servers have room, where the task would be
 	// late, while it could still end in time on another agent.
 	tooSlow
+	// notAlone: the task has to run alone, and no backend server may be emptied for it now.
+	notAlone
 )
 
 // dispatchJob offers the waiting tasks of a job until one finds no agent.
@@ -107,6 +109,9 @@
 	t.placedAt = c.now
 	task := work.Task{Job: j.ID, Step: step, Index: index}
 	demand := j.Steps[step].Demand
+	if t.runsAlone() {
+		demand = a.server.Capacity
+	}
 	a.runs[task] = t.run
 	a.inFlight = append(a.inFlight, sentOffer{sequence: a.sequence + 1, priority: j.Route.Priority, demand: demand})
 	offers[a] = append(offers[a], OfferedTask{
@@ -141,6 +146,9 @@
 // can still end in time on another one that has no room yet.
 func (c *Core) choose(j *jobState, step int, t *taskState) (*agentState, searchResult) {
 	s := &j.Steps[step]
+	if t.runsAlone() {
+		return c.chooseAlone(j, s)
+	}
 	expected := c.expectedTask(j.Route.Name, s)
 	var best *agentState
 	var bestCost time.Duration
@@ -152,7 +160,7 @@
 		if !ok {
 			continue
 		}
-		if t.avoid == a.id {
+		if t.avoid == a.id || t.suspect() && c.holdsSuspect(a) {
 			cost += avoidPenalty
 		}
 		if best == nil || cost < bestCost {
@@ -181,8 +189,9 @@
 	return false
 }
 
-// avoidPenalty is added to the cost of an agent at which the task failed, so that any
-// other agent with room is preferred.
+// avoidPenalty is added to the cost of an agent at which the task failed, and to the cost
+// of one with another suspect task for a suspect one, so that any other agent with room is
+// preferred.
 const avoidPenalty = time.Minute
 
 // acceptsOffers reports whether the agent may be offered tasks now.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -17,6 +17,8 @@
 //     under which it ran has certainly expired.
 //   - Rejected is answered only for a job of which no run was started.
 //   - Completed is answered only once every task is done.
+//   - No run of a task is offered after maxCrashes backend servers have gone down under
+//     it, as far as the agents beside them have told.
 package schedule
 
 import (
@@ -52,6 +54,7 @@
 	mostUrgent, leastUrgent work.Priority
 	times                   map[string]*routeTimes // by route name
 	placed                  placedRates
+	crashes                 crashHistory
 	// candidates are the agents with room; valid only during dispatch.
 	candidates []*agentState
 	arrivals   uint64
@@ -61,10 +64,11 @@
 // New returns a core that knows no agents and no jobs yet.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg:    cfg,
-		jobs:   map[work.JobID]*jobState{},
-		agents: map[ident.Incarnation]*agentState{},
-		times:  map[string]*routeTimes{},
+		cfg:     cfg,
+		jobs:    map[work.JobID]*jobState{},
+		agents:  map[ident.Incarnation]*agentState{},
+		times:   map[string]*routeTimes{},
+		crashes: crashHistory{counts: map[work.Task]int{}},
 	}
 }
 
@@ -88,6 +92,8 @@
 		c.agentMessageReceived(e)
 	case RunEnded:
 		c.runEnded(e)
+	case RunCrashedElsewhere:
+		c.recordCrash(e.Run)
 	case RunStalled:
 		c.runStalled(e)
 	case OperatorChanged:
@@ -151,6 +157,10 @@
 		return // repeated submission: the callers share the answer
 	}
 	j := c.newJob(job)
+	if !c.recallCrashes(j) {
+		c.finish(j, FailedJob, reasonCrashes)
+		return
+	}
 	if rejection := c.admit(j); rejection != nil {
 		c.emit(*rejection)
 		return
@@ -220,6 +230,9 @@
 	if a != nil {
 		delete(a.runs, e.Run.Task)
 	}
+	if e.crashed() && c.recordCrash(e.Run) {
+		return
+	}
 	j, t := c.findRun(e.Agent, e.Run)
 	if t == nil {
 		return
@@ -276,7 +289,7 @@
 // requeue makes a placed task wait for another run.
 func (c *Core) requeue(j *jobState, id work.Task, t *taskState, reason string) {
 	if t.agent != nil {
-		c.emit(LogMessage{Text: "task requeued", Agent: t.agent.id, Run: work.Run{Task: id, ID: t.run}, Reason: reason})
+		c.emit(LogMessage{Text: "task requeued", Agent: t.agent.id, Run: work.Run{Task: id, ID: t.run}, Reason: reason, Crashes: t.crashes})
 	}
 	t.phase = taskWaiting
 	t.agent = nil
--- a/telemetry/field_runs.go
+++ b/telemetry/field_runs.go
@@ -20,6 +20,7 @@
 	fieldWithdrawn    = "withdrawn"
 	fieldFirstStart   = "first_start_ms"
 	fieldRuns         = "runs"
+	fieldCrashes      = "crashes"
 	fieldRetryAfter   = "retry_after_ms"
 	fieldDependency   = "dependency"
 	fieldExpectedWait = "expected_wait_ms"
@@ -43,6 +44,9 @@
 // Route is the route of a job.
 func Route(name string) Field { return Field{fieldRoute, name} }
 
+// Crashes is the number of backend servers that went down under a task.
+func Crashes(n int) Field { return Field{fieldCrashes, n} }
+
 // Backend is the incarnation of a backend server.
 func Backend(incarnation string) Field { return Field{fieldBackend, incarnation} }
 
