Entries learn at once that a backend server's capacity has changed

What callers saw: when a backend server's capacity shrank while it ran, entries went on to offer for the former one until something else changed in the agent's room; the tasks waited at the agent instead of at a server with room. When it grew again, the room lay idle as long.

Cause: Room.Equal, which decides whether entries are told, compared all but the capacity.

LIMIT holds before and after: the agent starts within the capacity that the server last reported, what is being stopped counts, and what runs is neither stopped nor doubled.

--- a/run/run.go
+++ b/run/run.go
@@ -185,7 +185,7 @@
 // no update then.
 func (r *Room) Equal(o *Room) bool {
 	return r.Server.Incarnation == o.Server.Incarnation && r.Server.Draining == o.Server.Draining &&
-		r.Used == o.Used && r.Closed == o.Closed && r.Pace == o.Pace && slices.Equal(r.Queued, o.Queued)
+		r.Server.Capacity == o.Server.Capacity && r.Used == o.Used && r.Closed == o.Closed && r.Pace == o.Pace && slices.Equal(r.Queued, o.Queued)
 }
 
 // Room returns the state of the backend server as of the last step.
