A waiting task that no longer fits into its shrunk backend server is returned

What callers saw: when a backend server's capacity shrank below the demand of a task that waited at its agent, that task could never start there, and after BackfillAfter (100 ms) it held up every task behind it, until its caller left.

Cause: the agent's queue took any demand and waited for room that can't come. The offer was right when it was sent. It matters more since suspect tasks are offered with the whole capacity.

Now such a task is returned as not started, and its entry places it by the new capacity.

Failed before (package run): TestATaskLargerThanAShrunkServerIsReturned reports [], want the large task as not started 0 tasks start beside it, want 1

--- a/run/capacity_test.go
+++ b/run/capacity_test.go
@@ -1,6 +1,11 @@
 package run
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"foxtaildock.example/dock/work"
+)
 
 // reportCapacity lets the server report another capacity, as one that shrinks or grows
 // while it runs.
@@ -47,3 +52,27 @@
 		t.Error("the room counts as unchanged though the capacity has shrunk")
 	}
 }
+
+// A waiting task that no longer fits into the server at all held up all others.
+func TestATaskLargerThanAShrunkServerIsReturned(t *testing.T) {
+	h := newHarness(t)
+	h.useServer()
+	h.step(offer(0))
+	h.started(0)
+	large := offer(1)
+	large.Demand.CPUMilli = 4000
+	h.step(large)
+	h.take()
+	h.reportCapacity(2, 3000)
+	h.now += h.core.cfg.BackfillAfter + time.Millisecond
+	h.step(EntryHeartbeat{Entry: entryA, AsOf: h.now})
+	h.step(offer(2))
+	out := h.take()
+	reports := of[Report](out)
+	if len(reports) != 1 || reports[0].Run != large.Run || reports[0].Outcome != work.NotStarted {
+		t.Errorf("reports %+v, want the large task as not started", reports)
+	}
+	if n := len(of[CallStart](out)); n != 1 {
+		t.Errorf("%d tasks start beside it, want 1", n)
+	}
+}
--- a/run/orders.go
+++ b/run/orders.go
@@ -19,11 +19,22 @@
 	}
 }
 
+// returnTooLarge returns the waiting tasks that don't fit into the server even when nothing
+// runs there, since its capacity has shrunk after they were offered.
+func (c *Core) returnTooLarge() {
+	for _, t := range slices.Clone(c.queue) {
+		if !t.demand.Fits(c.server.report.Server.Capacity) {
+			c.end(t, work.NotStarted, reasonTooLarge)
+		}
+	}
+}
+
 // startQueued starts waiting tasks while they fit into the server's free capacity.
 func (c *Core) startQueued() {
 	if c.refusal() != "" || c.server.foreign > 0 || c.silent() {
 		return
 	}
+	c.returnTooLarge()
 	room := c.server.report.Server.Capacity.Minus(c.used())
 	for i := 0; i < len(c.queue); {
 		t := c.queue[i]
--- a/run/run.go
+++ b/run/run.go
@@ -238,6 +238,7 @@
 	reasonClosing         = "agent closes"
 	reasonService         = "other service"
 	reasonFull            = "queue full"
+	reasonTooLarge        = "larger than the backend server"
 	reasonInvalidDemand   = "negative demand"
 	reasonNoLease         = "entry not heard"
 	reasonStopped         = "stopped"
