A pipelined request counts as in progress while its entry stops

No read showed it, so its connection counted as idle, and a stopping entry let its reads time out. The server took that for a caller that had left, and the caller, who was there, got 200 "cancelled".

Change: a handler around the callers' handler marks the connection of each request as busy, beside the reads.

Failed before: TestAPipelinedRequestCountsAsInProgress ("connections {open:1 busy:0}, want one that is busy"; "the request in progress was interrupted").

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -30,9 +31,28 @@
 // must serve.
 func (cs *connections) track(server *http.Server, l net.Listener) net.Listener {
 	server.ConnState = cs.stateChanged
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(platform.WithConnection(ctx, c), trackedKey{}, c)
+	}
+	server.Handler = cs.trackRequests(server.Handler)
 	return trackedListener{l, cs}
 }
 
+// trackedKey is the key of a request's callerConn in its context.
+type trackedKey struct{}
+
+// trackRequests returns a handler that marks the connection of each request as busy. Reads
+// alone don't show all requests: the server may have read the next one together with the
+// last.
+func (cs *connections) trackRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(trackedKey{}).(*callerConn); ok {
+			cs.received(c)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // trackedListener accepts connections that are tracked.
 type trackedListener struct {
 	net.Listener
@@ -58,7 +78,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.lastArrival = clock.Now()
-	c := &callerConn{TCPConn: tcp, connections: cs, since: cs.lastArrival}
+	c := &callerConn{TCPConn: tcp, connections: cs, acceptedAt: cs.lastArrival}
 	cs.open[c] = struct{}{}
 	return c
 }
@@ -69,12 +89,12 @@
 	connections *connections
 	// busy is true from the first byte of a request that is read to the end of its answer.
 	busy bool
-	// answered is true once a request on the connection was answered.
-	answered bool
-	// since is when the connection was accepted, or when its last answer ended.
-	since time.Duration
+	// acceptedAt is when the connection was accepted, and answered is true once a request on
+	// it was answered.
+	acceptedAt time.Duration
+	answered   bool
 	// expired is true if closeIdle has let the read of the next request time out. The
-	// server closes the connection then.
+	// server closes the connection then, unless a part of a request was read before.
 	expired bool
 }
 
@@ -87,8 +107,8 @@
 	return n, err
 }
 
-// received records that a part of a request was read. If the connection has been expired
-// since the read began, it stays open for the request.
+// received records that a part of a request was read. A connection that has been expired
+// meanwhile stays open for the request.
 func (cs *connections) received(c *callerConn) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -104,14 +124,15 @@
 }
 
 // closeIdle closes the connections on which no request is in progress or waits to be read.
-// A connection without any request yet is spared until it is newFor old. It never cuts
+// A connection without any request yet stays open until it is newFor old. It never cuts
 // a request of which a byte was read: it only lets reads time out, and a read that has
 // got bytes keeps its connection.
 func (cs *connections) closeIdle(newFor time.Duration) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for c := range cs.open {
-		if c.busy || !c.answered && clock.Now()-c.since < newFor || platform.HasUnread(c.TCPConn) {
+		isNew := !c.answered && clock.Now()-c.acceptedAt < newFor
+		if c.busy || isNew || platform.HasUnread(c.TCPConn) {
 			continue
 		}
 		c.expired = true
@@ -133,7 +154,6 @@
 	switch state {
 	case http.StateIdle:
 		c.busy, c.answered = false, true
-		c.since = clock.Now()
 	case http.StateClosed, http.StateHijacked:
 		delete(cs.open, c)
 	}
--- a/daemon/connections_test.go
+++ b/daemon/connections_test.go
@@ -76,6 +76,47 @@
 	}
 }
 
+// The second request was in the server's buffer already when the first was answered, and
+// counted as none.
+func TestAPipelinedRequestCountsAsInProgress(t *testing.T) {
+	begun, release := make(chan struct{}, 2), make(chan struct{}, 2)
+	interrupted := make(chan struct{}, 2)
+	l, tracked := trackedServer(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		select {
+		case <-release:
+		case <-r.Context().Done():
+			interrupted <- struct{}{}
+		}
+	}))
+	c := dial(t, l)
+	const request = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
+	if _, err := fmt.Fprint(c, request+request); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	release <- struct{}{}
+	<-begun
+	for range 100 {
+		tracked.closeIdle(0)
+	}
+	if n := tracked.counts(); n != (connectionCounts{open: 1, busy: 1}) {
+		t.Errorf("connections %+v, want one that is busy", n)
+	}
+	release <- struct{}{}
+	reader := bufio.NewReader(c)
+	for i := range 2 {
+		if _, err := http.ReadResponse(reader, nil); err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+	}
+	select {
+	case <-interrupted:
+		t.Error("the request in progress was interrupted")
+	default:
+	}
+}
+
 func TestAConnectionThatWasJustAcceptedIsNotClosed(t *testing.T) {
 	l, tracked := trackedServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	c := dial(t, l)
--- a/daemon/platform_entry.go
+++ b/daemon/platform_entry.go
@@ -89,7 +89,6 @@
 		return nil, errNoCallersAddress
 	}
 	server := plainServer(platform.NewCallerHandler(d))
-	server.ConnContext = platform.WithConnection
 	l, err := listenWith("callers", p.set.Callers, server)
 	if err != nil {
 		return nil, err
