A stopping agent waits for entries that open their session again

Its idle flag could also be that of before an event that was just taken from the queue.

Change: an ended session with results that weren't acknowledged counts until the entry's lease must have lapsed; the flag is false while an event is processed. The wait for idleness counts suspensions, as the entry's stop does.

Failed before: TestAnAgentIsNotIdleWhileASessionIsOpenedAgain ("the agent is idle before the entry can have opened another session").

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/lease"
 	"foxtaildock.example/dock/pause"
@@ -149,15 +150,15 @@
 
 // finish waits until the process is idle, and at most until the limit of its grace period.
 func (p *platformProcess) finish(idle func() bool) {
-	began := time.Now()
+	began := clock.Now()
 	limit := shutdown.Limit(p.set.Bounds.Grace)
-	for time.Since(began) < limit {
+	for clock.Now()-began < limit {
 		if idle() {
 			return
 		}
 		pause.For(context.Background(), stopPollInterval)
 	}
-	p.log.Warn("grace period ended with work still in flight", telemetry.Elapsed(time.Since(began)))
+	p.log.Warn("grace period ended with work still in flight", telemetry.Elapsed(clock.Now()-began))
 }
 
 // await blocks until the context ends, or returns the error of a failed listener.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -115,13 +115,14 @@
 		case <-ctx.Done():
 			return
 		case e := <-r.events:
+			r.idle.Store(false) // until its effect is known
 			r.handle(e)
 			r.handleQueued()
 		case <-timer.C:
 			r.step(run.Tick{})
 		}
 		roomPending := r.flush()
-		r.idle.Store(r.core.Idle() && r.delivered())
+		r.idle.Store(r.core.Idle() && r.delivered(clock.Now()))
 		timer.Reset(r.tick(roomPending))
 	}
 }
@@ -298,8 +299,8 @@
 // Close makes the agent accept no more tasks. Running tasks are finished.
 func (r *Runner) Close() { r.enqueue(run.Closing{}) }
 
-// Idle reports whether the agent holds no task, and the entries with an open session have
-// acknowledged the results of all others.
+// Idle reports whether the agent holds no task, and all entries that are not gone have
+// acknowledged the results of their tasks.
 func (r *Runner) Idle() bool { return r.idle.Load() && len(r.events) == 0 }
 
 // Attached returns how many entries have a session with the agent.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -193,6 +193,33 @@
 	})
 }
 
+// A session was reset while the last result was on its way, and the agent ended before the
+// entry had opened another.
+func TestAnAgentIsNotIdleWhileASessionIsOpenedAgain(t *testing.T) {
+	r, address := startAgent(t)
+	offered := false
+	runSession(t, address, &linkpb.Hello{Entry: "entry", Agent: "agent"}, func(s *link.Session, m *linkpb.FromAgent) bool {
+		if inUse(m) && !offered {
+			offered = true
+			offer(s, 1, m.GetClockMs())
+		}
+		return len(m.GetResults()) > 0
+	})
+	for began := time.Now(); r.Attached() > 0; time.Sleep(time.Millisecond) {
+		if time.Since(began) > testTimeout {
+			t.Fatal("the session doesn't end")
+		}
+	}
+	if r.Idle() {
+		t.Error("the agent is idle before the entry can have opened another session")
+	}
+	for began := time.Now(); !r.Idle(); time.Sleep(time.Millisecond) {
+		if time.Since(began) > testTimeout {
+			t.Fatal("the agent waits for an entry that is gone")
+		}
+	}
+}
+
 // Nothing starts for an entry that has returned no clock value of the agent: opening a
 // session alone gives no lease.
 func TestNothingStartsWithoutALease(t *testing.T) {
--- a/runner/session.go
+++ b/runner/session.go
@@ -26,6 +26,8 @@
 	// closed ends the handler of the session.
 	closed chan struct{}
 	ended  bool
+	// endedAt is when the session ended, by package clock.
+	endedAt time.Duration
 	// results holds the results that the entry hasn't acknowledged yet.
 	results session.Outbox[run.Report]
 	// processed is the sequence of the entry's last message that was processed.
@@ -137,6 +139,7 @@
 func (r *Runner) end(s *entrySession) {
 	if !s.ended {
 		s.ended = true
+		s.endedAt = clock.Now()
 		close(s.closed)
 	}
 }
@@ -244,10 +247,12 @@
 	}
 }
 
-// delivered reports whether the entries with an open session have acknowledged all results.
-func (r *Runner) delivered() bool {
+// delivered reports whether all results were acknowledged, except by entries that are gone:
+// one whose session has ended opens another while its lease lasts.
+func (r *Runner) delivered(now time.Duration) bool {
 	for _, s := range r.sessions {
-		if !s.ended && len(s.results.Unacknowledged()) > 0 {
+		gone := s.ended && now-s.endedAt > r.cfg.Terms.Entry
+		if !gone && len(s.results.Unacknowledged()) > 0 {
 			return false
 		}
 	}
