A stopping entry offers no job that can't end before it does

Change: a job of which nothing was offered is rejected as soon as its expected run time no longer fits before the end, and its caller goes to another entry at once.

Failed before: TestAJobThatCanNotEndBeforeAPlannedStopIsNotOffered (no answer, and one task offered 90 ms before the end). The case of a job that was never offered moves there from TestAJobThatOutlastsAPlannedStopIsAnswered, which expected its rejection only at the end.

--- a/schedule/drain_test.go
+++ b/schedule/drain_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"foxtaildock.example/dock/work"
 )
 
 // A job that outlasted the grace period of its entry was cut without an answer.
@@ -10,7 +12,6 @@
 	b := newTestBench(t)
 	b.attachAgent("a", "1")
 	b.submit("running", 0, 4)
-	b.submit("never offered", 2, 1)
 	b.takeActions()
 	answerBy := b.now + 400*time.Millisecond
 	b.step(EntryDraining{AnswerBy: answerBy})
@@ -23,12 +24,9 @@
 		b.tickFor(10*time.Millisecond, 10*time.Millisecond)
 	}
 	actions := b.takeActions()
-	verdicts := map[string]Verdict{}
-	for _, a := range actionsOf[Answer](actions) {
-		verdicts[string(a.ID)] = a.Verdict
-	}
-	if verdicts["running"] != Interrupted || verdicts["never offered"] != Rejected {
-		t.Errorf("verdicts %v, want running interrupted and never offered rejected", verdicts)
+	answers := actionsOf[Answer](actions)
+	if len(answers) != 1 || answers[0].Verdict != Interrupted {
+		t.Errorf("answers %+v, want the job interrupted", answers)
 	}
 	stopped := 0
 	for _, s := range actionsOf[SendStops](actions) {
@@ -39,6 +37,31 @@
 	}
 }
 
+// A job that got room just before the end of its entry was offered and interrupted at once.
+func TestAJobThatCanNotEndBeforeAPlannedStopIsNotOffered(t *testing.T) {
+	b := newTestBench(t)
+	b.attachAgent("a", "1")
+	b.submit("running", 0, 4)
+	b.submit("waiting", 2, 1)
+	b.takeActions()
+	answerBy := b.now + 400*time.Millisecond
+	b.step(EntryDraining{AnswerBy: answerBy})
+	for range 31 {
+		b.ackHeartbeat("a")
+		b.reportRoom("a", 4000)
+		b.tickFor(10*time.Millisecond, 10*time.Millisecond)
+	}
+	answers := actionsOf[Answer](b.takeActions())
+	if len(answers) != 1 || answers[0].ID != "waiting" || answers[0].Verdict != Rejected {
+		t.Errorf("answers %+v, want the waiting job rejected when less than its 100 ms of work are left", answers)
+	}
+	b.endRun("a", runOf("running", 0, 1), work.Done)
+	b.reportRoom("a", 3000)
+	if n := len(offered(b.takeActions())); n != 0 {
+		t.Errorf("%d tasks are offered 90 ms before the end of the entry, want none", n)
+	}
+}
+
 // A stopping entry refused jobs by the time that their callers would wait, although it
 // could have answered them.
 func TestAStoppingEntryRefusesOnlyJobsThatItCanNotEnd(t *testing.T) {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -107,7 +107,7 @@
 	case Tick:
 		c.expireAgents()
 		c.expireJobs()
-		c.interruptJobs()
+		c.endDrainedJobs()
 		c.reassignSlowRuns()
 	}
 	c.dispatch()
@@ -226,18 +226,20 @@
 	c.shed()
 }
 
-// interruptJobs answers the jobs that are left when the entry ends: as rejected if none of
-// their tasks was offered, so that they have certainly not run, else as interrupted.
-func (c *Core) interruptJobs() {
-	if c.answerBy == 0 || c.now < c.answerBy {
+// endDrainedJobs answers jobs of a stopping entry. One of which no task was offered is
+// rejected as soon as it can't end any more, since it has certainly not run and another
+// entry can take it. All that are left at the end are answered then.
+func (c *Core) endDrainedJobs() {
+	if c.answerBy == 0 {
 		return
 	}
 	for _, j := range c.sortedJobs() {
-		verdict := Interrupted
-		if !j.offered {
-			verdict = Rejected
+		switch {
+		case !j.offered && c.now+j.expected >= c.answerBy:
+			c.finish(j, Rejected, reasonStopping)
+		case c.now >= c.answerBy:
+			c.finish(j, Interrupted, reasonStopping)
 		}
-		c.finish(j, verdict, reasonStopping)
 	}
 }
 
