--- a/bench/usersite/stops_test.go
+++ b/bench/usersite/stops_test.go
@@ -139,6 +139,11 @@
 	if r.completed() == 0 {
 		t.Error("no job was completed")
 	}
+	for _, x := range r.exchanges {
+		if x.Outcome == Answered && x.Reply.State == "cancelled" {
+			t.Errorf("job %s is answered as cancelled by entry %d, though nobody has cancelled it", x.Job, x.Entry)
+		}
+	}
 	for _, x := range unanswered {
 		t.Errorf("entry %d has read job %s, which was %s after %v; sent at %s",
 			x.Entry, x.Job, x.Outcome, x.Ended.Sub(x.Sent).Round(time.Millisecond), x.Sent.Format("15:04:05.000"))
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -6,7 +6,7 @@
 // Invariants:
 //   - Before the limit the process ends only when no connection of a caller is open, so
 //     that each request that it has read has been answered.
-//   - Connections are accepted until the balancer has taken the process out of rotation.
+//   - Connections are accepted until the balancer has had its time to notice the stop.
 package shutdown
 
 import "time"
@@ -100,7 +100,7 @@
 
 // Step decides what to do at a moment of the stop. At a quiet moment after the balancer's
 // delay it begins to close idle connections. Once none is open it refuses new ones, and a
-// step later it ends the stop, if none was accepted in between. It takes nothing back.
+// step later it ends the stop, if none was accepted in between. No decision is reversed.
 func (s *Stop) Step(o Observation) Decision {
 	if o.Elapsed >= s.plan.Balancer && o.SinceArrival >= Quiet || o.Elapsed >= s.plan.LastAccept {
 		s.closing = true
