Only a backend server that is at most half full is emptied for a run alone

What callers saw: with crashes counted per task, jobs were refused while servers stood nearly idle: each entry emptied a server for the third run of a suspect task, however full it was, and half of the servers were down already.

Cause: chooseAlone took the server with the least work, without a bound. Most suspect tasks' callers leave before, so the room was given up for nothing. A server that has come back from a crash is empty and is taken as before.

TestABusyServerIsNotEmptiedForASuspectTask was written with the change; without the bound the task is offered to the busy server.

--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -137,6 +137,11 @@
 	return nil
 }
 
+// maxUsedToEmpty is the largest share of a backend server's capacity in use at which it may
+// be emptied for a run that has to be alone. Emptying a fuller one costs the other jobs more
+// room than the end of a suspect task is worth.
+const maxUsedToEmpty = 0.5
+
 // chooseAlone returns the agent with the least work at which the task may run alone. The
 // task is offered with the whole capacity of the backend server as its demand: the agent
 // starts it once nothing else runs there, and starts nothing beside it.
@@ -152,7 +157,7 @@
 			continue
 		}
 		used := 1 - float64(a.free(j.Route.Priority).CPUMilli)/float64(capacity.CPUMilli)
-		if best == nil || used < bestUsed {
+		if used <= maxUsedToEmpty && (best == nil || used < bestUsed) {
 			best, bestUsed = a, used
 		}
 	}
--- a/schedule/crashes_test.go
+++ b/schedule/crashes_test.go
@@ -180,6 +180,24 @@
 	}
 }
 
+// A run alone waits for a server with little work rather than taking the room of many jobs.
+func TestABusyServerIsNotEmptiedForASuspectTask(t *testing.T) {
+	b := newTestBench(t)
+	b.attachAgent("a", "1")
+	b.submit("suspect", 0, 1)
+	b.takeActions()
+	b.step(RunCrashedElsewhere{Agent: "a", Run: runOf("suspect", 0, 7)})
+	b.reportRoom("a", 3000)
+	b.crash("a", runOf("suspect", 0, 1))
+	if runs := offered(b.takeActions()); len(runs) != 0 {
+		t.Fatalf("%v are offered to a busy server, want none", runs)
+	}
+	b.reportRoom("a", 2000)
+	if runs := offered(b.takeActions()); len(runs) != 1 {
+		t.Fatalf("%v are offered to a server that is half empty, want the suspect task", runs)
+	}
+}
+
 func TestCrashesAreForgotten(t *testing.T) {
 	h := crashHistory{counts: map[work.Task]int{}}
 	for i := range 3 * maxCrashRecords {
