bench: planned stops that need SIGKILL are counted, failing ones reported

StopAsPlanned took any exit code other than 0 for a process that had to be killed. A process that fails while it stops is an error now, in the tests and in the soak. One that SIGTERM ends while it is just starting, before it has a handler, ends by itself. The soak prints how many planned stops there were and how many needed SIGKILL.

--- a/bench/cmd/foxbench/soak.go
+++ b/bench/cmd/foxbench/soak.go
@@ -72,6 +72,9 @@
 	}
 	line := fmt.Sprintf("seed %d: %d jobs, %d completed, %d rejected, %d without an answer, %d runs, %d faults, %d guarantee violations\n",
 		seed, r.Jobs, r.Completed, r.Rejected, r.Unanswered, r.Starts, len(r.Faults), len(r.Violations))
+	if c.Planned {
+		line += fmt.Sprintf("    %d planned stops, %d of them ended by SIGKILL\n", r.Stops, r.Killed)
+	}
 	if len(r.Violations) == 0 {
 		fmt.Print(line)
 		if c.Dir == "" {
--- a/bench/soak/planned.go
+++ b/bench/soak/planned.go
@@ -84,15 +84,26 @@
 }
 
 func (r *run) stopOnce(p *cluster.Process, down time.Duration) {
-	if _, err := usersite.StopAsPlanned(p); err != nil {
+	killed, err := usersite.StopAsPlanned(p)
+	if err != nil {
 		r.site.Checks.Fail("%s can't be stopped: %v", p.Name, err)
 	}
+	r.countStop(killed)
 	time.Sleep(down)
 	if err := p.Start(); err != nil {
 		r.site.Checks.Fail("%s can't be started again: %v", p.Name, err)
 	}
 }
 
+func (r *run) countStop(killed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Stops++
+	if killed {
+		r.result.Killed++
+	}
+}
+
 // checkPlanned reports the requests that were read and not answered, and the processes
 // that have ended although they were started again.
 func (r *run) checkPlanned() error {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -38,8 +38,11 @@
 // faults that were injected, and the violations of guarantees.
 type Result struct {
 	Jobs, Completed, Rejected, Unanswered, Starts int
-	Faults                                        []string
-	Violations                                    []string
+	// Stops counts planned stops, and Killed those whose process had to be killed at the end
+	// of its grace period. Both are 0 without Config.Planned.
+	Stops, Killed int
+	Faults        []string
+	Violations    []string
 }
 
 // resend is the time after which the users' callers send a job again whose answer was
--- a/bench/usersite/stops.go
+++ b/bench/usersite/stops.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"syscall"
 	"time"
 
@@ -16,16 +18,32 @@
 const GracePeriod = 6 * time.Second
 
 // StopAsPlanned stops a process as the platform does: with SIGTERM, and with SIGKILL
-// if it still runs at the end of the grace period. It reports whether the process ended
-// by itself.
-func StopAsPlanned(p *cluster.Process) (byItself bool, err error) {
+// if it still runs at the end of the grace period. It reports whether SIGKILL was needed,
+// and returns an error if the process failed.
+func StopAsPlanned(p *cluster.Process) (killed bool, err error) {
 	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return false, err
 	}
-	if err := p.Wait(GracePeriod); err == nil {
-		return true, nil
+	err = p.Wait(GracePeriod)
+	switch {
+	case errors.Is(err, cluster.ErrStillRunning):
+		return true, p.Kill()
+	case endedBySIGTERM(err):
+		return false, nil
+	default:
+		return false, err
+	}
+}
+
+// endedBySIGTERM reports whether SIGTERM itself ended a process, which had not installed
+// its handler yet because it was just starting.
+func endedBySIGTERM(err error) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
 	}
-	return false, p.Kill()
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM
 }
 
 // Unanswered returns the exchanges whose request their entry has read and not answered.
--- a/bench/usersite/stops_test.go
+++ b/bench/usersite/stops_test.go
@@ -169,12 +169,12 @@
 
 func stopEntry(t *testing.T, s *Site, entry int, name string) {
 	began := time.Now()
-	byItself, err := StopAsPlanned(s.Entries[entry])
+	killed, err := StopAsPlanned(s.Entries[entry])
 	if err != nil {
 		t.Error(err)
 	}
-	t.Logf("entry %d (%s): SIGTERM at %s, ended %v later, by itself: %v",
-		entry, name, began.Format("15:04:05.000"), time.Since(began).Round(time.Millisecond), byItself)
+	t.Logf("entry %d (%s): SIGTERM at %s, ended %v later, killed: %v",
+		entry, name, began.Format("15:04:05.000"), time.Since(began).Round(time.Millisecond), killed)
 }
 
 // A job that was accepted before SIGTERM may outlast the grace period. Its caller gets an
