--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -129,17 +129,26 @@
 // inUse reports whether the message says that the agent's backend server is in use.
 func inUse(m *linkpb.FromAgent) bool { return m.GetRoom().GetIncarnation() != "" }
 
+// offerWhenInUse returns a function that offers one task, at the first message which says that
+// the agent's backend server is in use.
+func offerWhenInUse() func(*link.Session, *linkpb.FromAgent) {
+	offered := false
+	return func(s *link.Session, m *linkpb.FromAgent) {
+		if inUse(m) && !offered {
+			offered = true
+			offer(s, 1, m.GetClockMs())
+		}
+	}
+}
+
 // A result is sent again in the next session until the entry has acknowledged it.
 func TestAResultOutlivesItsSession(t *testing.T) {
 	address := serveAgent(t)
 	hello := &linkpb.Hello{Entry: "entry", Agent: "agent"}
 	var newest *linkpb.Result
-	offered := false
+	offerOnce := offerWhenInUse()
 	runSession(t, address, hello, func(s *link.Session, m *linkpb.FromAgent) bool {
-		if inUse(m) && !offered {
-			offered = true
-			offer(s, 1, m.GetClockMs())
-		}
+		offerOnce(s, m)
 		for _, newest = range m.GetResults() {
 			if newest.GetOutcome() == linkpb.Outcome_OUTCOME_DONE {
 				return true
@@ -168,12 +177,9 @@
 // results had reached their entry. Their tasks would have run again.
 func TestAnAgentIsNotIdleUntilItsResultsAreAcknowledged(t *testing.T) {
 	r, address := startAgent(t)
-	offered := false
+	offerOnce := offerWhenInUse()
 	runSession(t, address, &linkpb.Hello{Entry: "entry", Agent: "agent"}, func(s *link.Session, m *linkpb.FromAgent) bool {
-		if inUse(m) && !offered {
-			offered = true
-			offer(s, 1, m.GetClockMs())
-		}
+		offerOnce(s, m)
 		if len(m.GetResults()) == 0 {
 			return false
 		}
@@ -197,12 +203,9 @@
 // entry had opened another.
 func TestAnAgentIsNotIdleWhileASessionIsOpenedAgain(t *testing.T) {
 	r, address := startAgent(t)
-	offered := false
+	offerOnce := offerWhenInUse()
 	runSession(t, address, &linkpb.Hello{Entry: "entry", Agent: "agent"}, func(s *link.Session, m *linkpb.FromAgent) bool {
-		if inUse(m) && !offered {
-			offered = true
-			offer(s, 1, m.GetClockMs())
-		}
+		offerOnce(s, m)
 		return len(m.GetResults()) > 0
 	})
 	for began := time.Now(); r.Attached() > 0; time.Sleep(time.Millisecond) {
