A reload during the start of a process doesn't end it

Callers saw nothing there.

Cause: the agent ended as planned at 16:14:33.015 and was started up to 0.5 s later; two reloads came at 33.529 and 33.549. Its second life wrote no line at all. The handler of SIGHUP is installed after the listeners are open; until then the signal ends a process.

Change: a role on the users' platform ignores SIGHUP from its first step until it handles it. The settings are read after that. What is left are the first milliseconds of the Go runtime, before any code of ours; and a reload between the reading of the settings and the handler is missed, which concerns the memory limit only.

Failed before: TestAReloadDuringTheStartDoesNotEndTheProcess ("signal: hangup").

--- a/cmd/foxtaildockd/main.go
+++ b/cmd/foxtaildockd/main.go
@@ -89,6 +89,7 @@
 // runOnPlatform runs a role on the users' platform, with the settings file whose path
 // is in the environment variable.
 func runOnPlatform(ctx context.Context, role telemetry.Role, run platformRole) int {
+	signal.Ignore(syscall.SIGHUP) // until the role handles it; it would end the process
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return fail(fmt.Errorf("no settings file: give --settings, or set %s to its path", platform.SettingsVariable), exitSettings)
