--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -299,11 +299,12 @@
 	if s == nil {
 		return // the core ends these runs as not started when the session is opened again
 	}
-	o := &linkpb.Offer{Job: string(a.Job), Spec: a.Spec, Service: string(a.Service), Priority: int32(a.Priority)}
+	o := &linkpb.Offer{Job: string(a.Job), Spec: a.Spec, Service: string(a.Service), Priority: int32(a.Priority), Route: a.Route}
 	for _, t := range a.Tasks {
 		o.Tasks = append(o.Tasks, &linkpb.OfferedTask{
 			Step: uint32(t.Run.Task.Step), Index: uint32(t.Run.Task.Index),
 			Run: uint32(t.Run.ID), Demand: link.DemandMessage(t.Demand), ExpectedMs: t.Expected.Milliseconds(),
+			SlackMs: t.Slack.Milliseconds(), EstimateMs: t.Estimate.Milliseconds(),
 		})
 	}
 	l.dispatcher.cfg.Log.Info("tasks offered", telemetry.JobID(string(a.Job)), telemetry.Peer(a.Agent), telemetry.Count(len(a.Tasks)))
--- a/run/events.go
+++ b/run/events.go
@@ -37,6 +37,12 @@
 	// Expected is the entry's estimate of the run time on a typical backend server,
 	// 0 if unknown.
 	Expected time.Duration
+	Route    string // name of the job's route, "" if an older entry sends the offer
+	// Slack is the time until the latest start with which the job can still end within
+	// its latency objective, negative if that has passed.
+	Slack time.Duration
+	// Estimate is the caller's estimate of the run time, 0 if unknown.
+	Estimate time.Duration
 }
 
 // StopRequested asks the agent to end a run, whether it waits or has started.
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -156,6 +156,7 @@
 	Spec     string
 	Service  ident.Service
 	Priority work.Priority
+	Route    string // name of the job's route
 	Tasks    []OfferedTask
 }
 
@@ -164,6 +165,11 @@
 	Run      work.Run
 	Demand   work.Demand
 	Expected time.Duration // run time on a backend server of normal speed
+	// Slack is the time until the latest start with which the job can still end within
+	// its latency objective, negative if that has passed.
+	Slack time.Duration
+	// Estimate is the caller's estimate of the run time, 0 if unknown.
+	Estimate time.Duration
 }
 
 // SendStops asks an agent to stop runs.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -117,6 +117,7 @@
 	offers[a] = append(offers[a], OfferedTask{
 		Run: work.Run{Task: task, ID: t.run}, Demand: demand,
 		Expected: c.expectedTask(j.Route.Name, &j.Steps[step]),
+		Slack:    j.targetEnd - j.expected - c.now, Estimate: j.Steps[step].Estimate,
 	})
 	if !j.offered {
 		j.offered = true
@@ -135,7 +136,7 @@
 		a.sequence++
 		c.emit(SendOffers{
 			Agent: a.id, Sequence: a.sequence, Job: j.ID, Spec: j.Spec,
-			Service: j.Route.Service, Priority: j.Route.Priority, Tasks: tasks,
+			Service: j.Route.Service, Priority: j.Route.Priority, Route: j.Route.Name, Tasks: tasks,
 		})
 	}
 }
