daemon: the connection of a request stands in its context once

connections kept it under a key of its own beside platform.WithConnection. ConnectionOf returns it; behaviour is the same. go test ./daemon ./platform passes.

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -31,22 +30,17 @@
 // must serve.
 func (cs *connections) track(server *http.Server, l net.Listener) net.Listener {
 	server.ConnState = cs.stateChanged
-	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(platform.WithConnection(ctx, c), trackedKey{}, c)
-	}
+	server.ConnContext = platform.WithConnection
 	server.Handler = cs.trackRequests(server.Handler)
 	return trackedListener{l, cs}
 }
 
-// trackedKey is the key of a request's callerConn in its context.
-type trackedKey struct{}
-
 // trackRequests returns a handler that marks the connection of each request as busy. Reads
 // alone don't show all requests: the server may have read the next one together with the
 // last.
 func (cs *connections) trackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(trackedKey{}).(*callerConn); ok {
+		if c, ok := platform.ConnectionOf(r.Context()).(*callerConn); ok {
 			cs.received(c)
 		}
 		next.ServeHTTP(w, r)
