--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -102,14 +102,12 @@
 // delay it begins to close idle connections. Once none is open it refuses new ones, and a
 // step later it ends the stop, if none was accepted in between. No decision is reversed.
 func (s *Stop) Step(o Observation) Decision {
-	if o.Elapsed >= s.plan.Balancer && o.SinceArrival >= Quiet || o.Elapsed >= s.plan.LastAccept {
-		s.closing = true
-	}
+	quiet := o.Elapsed >= s.plan.Balancer && o.SinceArrival >= Quiet
+	overdue := o.Elapsed >= s.plan.LastAccept
+	s.closing = s.closing || quiet || overdue
 	idle := o.Connections == 0 && !o.Working
 	finished := s.refusing && idle
-	if s.closing && idle || o.Elapsed >= s.plan.LastAccept {
-		s.refusing = true
-	}
+	s.refusing = s.refusing || overdue || (s.closing && idle)
 	return Decision{
 		CloseIdle:     s.closing,
 		StopAccepting: s.refusing,
