--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -304,7 +304,7 @@
 		o.Tasks = append(o.Tasks, &linkpb.OfferedTask{
 			Step: uint32(t.Run.Task.Step), Index: uint32(t.Run.Task.Index),
 			Run: uint32(t.Run.ID), Demand: link.DemandMessage(t.Demand), ExpectedMs: t.Expected.Milliseconds(),
-			SlackMs: t.Slack.Milliseconds(), EstimateMs: t.Estimate.Milliseconds(),
+			SlackMs: t.Slack.Milliseconds(), DeclaredMs: t.Estimate.Milliseconds(),
 		})
 	}
 	l.dispatcher.cfg.Log.Info("tasks offered", telemetry.JobID(string(a.Job)), telemetry.Peer(a.Agent), telemetry.Count(len(a.Tasks)))
--- a/runner/session.go
+++ b/runner/session.go
@@ -204,7 +204,7 @@
 			Spec: o.GetSpec(), Service: ident.Service(o.GetService()),
 			Priority: work.Priority(o.GetPriority()), Demand: link.DemandOf(t.GetDemand()),
 			Expected: link.Millis(t.GetExpectedMs()), Route: o.GetRoute(),
-			Slack: link.Millis(t.GetSlackMs()), Estimate: link.Millis(t.GetEstimateMs()),
+			Slack: link.Millis(t.GetSlackMs()), Estimate: link.Millis(t.GetDeclaredMs()),
 		})
 	}
 }
