--- a/bench/cmd/foxbench/site.go
+++ b/bench/cmd/foxbench/site.go
@@ -15,6 +15,7 @@
 	Scenario string `arg:"--scenario" help:"run only this scenario"`
 	Seeds    int    `arg:"--seeds" default:"6" help:"number of seeds per scenario, from 1"`
 	Kinds    bool   `arg:"--kinds" help:"print a line for each kind of job, of the first seed"`
+	Table    bool   `arg:"--table" help:"print what callers got by kind, size, window and entry, beside the baseline and the bound"`
 }
 
 // scenarios returns the scenarios to run. It returns an error that names the flag with an
@@ -92,6 +93,12 @@
 				k.Name, k.Jobs, k.WithinObjective, k.Late, k.Rejected, k.RejectedAfter, k.Failed, k.TimedOut, k.P50.Round(1e6), k.P99.Round(1e6), k.Worth)
 		}
 	}
+	if c.Table {
+		if err := c.printTable(sc, results); err != nil {
+			violations = append(violations, []string{err.Error()})
+			count++
+		}
+	}
 	for _, list := range violations {
 		for _, line := range list {
 			fmt.Println("    violation:", line)
--- a/bench/sitesim/callers.go
+++ b/bench/sitesim/callers.go
@@ -36,6 +36,11 @@
 	disconnected bool
 	done         map[work.Task]bool
 	started      bool
+	// home is the entry that the job is sent to first, -1 before that if any will do.
+	home int
+	// work is the run time of all tasks without stragglers.
+	work        time.Duration
+	refusedFree bool // rejected although a server was free
 }
 
 // actualTask holds the actual properties of a task, in contrast to its estimate.
@@ -57,24 +62,63 @@
 		kind := &s.cfg.Kinds[k]
 		at := time.Duration(0)
 		for n := 0; ; n++ {
-			rate := kind.PerSecond * s.cfg.Rate(at)
+			rate := kind.PerSecond * s.cfg.Rate(at) * c.locationRate(at)
+			if kind.Rate != nil {
+				rate *= kind.Rate(at)
+			}
 			at += time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
 			if at >= s.cfg.Length {
 				break
 			}
 			j := c.newJob(kind, n)
+			j.home = c.drawLocation(at)
 			s.at(warmUp+at, func() { c.arrive(j) })
 		}
 	}
 }
 
+// locationRate returns the sum of the rates of all locations, 1 if there are none.
+func (c *callers) locationRate(at time.Duration) float64 {
+	if len(c.site.cfg.Locations) == 0 {
+		return 1
+	}
+	sum := 0.0
+	for i := range c.site.cfg.Locations {
+		sum += c.site.cfg.Locations[i].rate(at)
+	}
+	return sum
+}
+
+// drawLocation returns the location of a job, -1 if there are none.
+func (c *callers) drawLocation(at time.Duration) int {
+	list := c.site.cfg.Locations
+	if len(list) == 0 {
+		return -1
+	}
+	left := c.site.random.Float64() * c.locationRate(at)
+	for i := range list {
+		if left -= list[i].rate(at); left < 0 {
+			return i
+		}
+	}
+	return len(list) - 1
+}
+
 func (c *callers) newJob(kind *Kind, number int) *callerJob {
 	r := c.site.random
 	width := max(1, int(math.Round(float64(kind.Width)*math.Exp(0.4*r.NormFloat64()-0.08))))
+	if kind.MaxWidth > 0 {
+		width = min(width, kind.MaxWidth)
+	}
 	mean := float64(kind.Work) * math.Exp(kind.Spread*r.NormFloat64()-kind.Spread*kind.Spread/2)
 	j := &callerJob{kind: kind, done: map[work.Task]bool{}}
 	for range width {
-		j.tasks = append(j.tasks, time.Duration(mean*(1+0.15*(2*r.Float64()-1))))
+		task := mean * (1 + 0.15*(2*r.Float64()-1))
+		j.work += time.Duration(task)
+		if share := c.site.cfg.StragglerShare; share > 0 && r.Float64() < share {
+			task *= c.site.cfg.StragglerFactor
+		}
+		j.tasks = append(j.tasks, time.Duration(task))
 	}
 	estimate := mean * (1 + kind.MaxEstimateError*(2*r.Float64()-1))
 	j.job = schedule.Job{
@@ -95,7 +139,8 @@
 	c.submit(j)
 }
 
-// submit sends the job to a random running entry other than the last one.
+// submit sends the job to the entry of its location, and after that to a random running
+// entry other than the last one.
 func (c *callers) submit(j *callerJob) {
 	if j.verdict != 0 || j.disconnected || c.site.now() >= j.deadline {
 		return
@@ -113,7 +158,15 @@
 		c.resubmitLater(j)
 		return
 	}
-	e := up[c.site.random.IntN(len(up))]
+	var e *entryNode
+	if j.submissions == 1 && j.home >= 0 && c.site.entries[j.home].alive {
+		e = c.site.entries[j.home]
+	} else {
+		e = up[c.site.random.IntN(len(up))]
+	}
+	if j.home < 0 {
+		j.home = e.index
+	}
 	j.entry = e
 	generation := e.generation
 	submission := j.submissions
@@ -164,6 +217,7 @@
 		c.site.checks.completed(j)
 	case schedule.Rejected:
 		j.rejections++
+		j.refusedFree = c.site.checks.hasFree(e)
 		c.site.checks.rejected(j)
 	}
 	j.verdict = a.Verdict
@@ -187,6 +241,8 @@
 	// Unanswered is the number of jobs that got no final answer although their
 	// callers waited.
 	Unanswered int
+	// Outcomes are those of all jobs whose callers waited, by kind and time of arrival.
+	Outcomes []Outcome
 }
 
 // KindResult sums up what the callers of one kind of job saw.
@@ -217,6 +273,7 @@
 	if r.Jobs > 0 {
 		r.Served /= float64(r.Jobs)
 	}
+	r.Outcomes = c.outcomes()
 	return r
 }
 
--- a/bench/sitesim/checks.go
+++ b/bench/sitesim/checks.go
@@ -69,6 +69,30 @@
 	c.startedAt[r] = at
 }
 
+// freeTime is how long a server may be free while a job is refused: about the age of an
+// entry's view of its servers.
+const freeTime = 20 * time.Millisecond
+
+// hasFree reports whether a server that the entry reaches has had room for a task of the
+// first kind for longer than freeTime.
+func (c *checks) hasFree(e *entryNode) bool {
+	for i, l := range e.links {
+		v := c.site.vms[i]
+		if l == nil || !l.open || !v.alive || v.server == nil || v.state.silent || v.state.draining || c.site.operator.IsWithdrawn(c.site.domain(i)) {
+			continue
+		}
+		if !v.full() && c.site.now()-v.busyAt > freeTime {
+			return true
+		}
+	}
+	return false
+}
+
+// full reports whether the server has no room for a task of the first kind.
+func (v *vm) full() bool {
+	return !v.server.Used().Plus(v.site.cfg.Kinds[0].Demand).Fits(v.capacity())
+}
+
 // Ended implements runserver.Watcher.
 func (l *runWatcher) Ended(at time.Duration, r work.Run, how run.End) {
 	c := l.vm.site.checks
@@ -82,6 +106,9 @@
 		left = append(left, v)
 	}
 	c.runs[r.Task] = left
+	if l.vm.server != nil && !l.vm.server.Used().Plus(c.site.callers.task(r.Task).demand).Plus(c.site.cfg.Kinds[0].Demand).Fits(l.vm.capacity()) {
+		l.vm.busyAt = at
+	}
 	took := at - c.startedAt[r]
 	if how == run.EndDone {
 		c.site.callers.jobs[string(r.Task.Job)].done[r.Task] = true
--- a/bench/sitesim/config.go
+++ b/bench/sitesim/config.go
@@ -9,6 +9,7 @@
 package sitesim
 
 import (
+	"math"
 	"time"
 
 	"foxtaildock.example/dock/ident"
@@ -41,6 +42,12 @@
 	// Rate is the factor on the arrival rate at a given time.
 	Rate   func(at time.Duration) float64
 	Faults []Fault
+	// Locations are the places that callers are at, one for each entry. If there are
+	// none, each job goes to a random entry.
+	Locations []Location
+	// StragglerShare is the share of tasks that take StragglerFactor times as long as
+	// the others of their job.
+	StragglerShare, StragglerFactor float64
 	// Subset is the number of agents that each entry wants to use at least; 0 means all.
 	Subset int
 	// Baseline makes entries decide by the simple policy that experiments compare
@@ -48,15 +55,32 @@
 	Baseline bool
 }
 
+// Location is a place that callers are at. They send their jobs to its entry first. The
+// rate of its jobs follows a wave.
+type Location struct {
+	Share  float64 // of all jobs
+	Wave   float64 // amplitude, relative to the mean rate
+	Period time.Duration
+	Phase  time.Duration // by which the wave is ahead
+}
+
+// rate returns the rate of the location's jobs, relative to that of all jobs.
+func (l *Location) rate(at time.Duration) float64 {
+	return l.Share * (1 + l.Wave*math.Sin(2*math.Pi*(at+l.Phase).Seconds()/l.Period.Seconds()))
+}
+
 // Kind is a kind of job.
 type Kind struct {
 	Route operator.Route
 	// PerSecond is the mean arrival rate in jobs per second.
 	PerSecond float64
-	Width     int           // mean number of tasks
-	Work      time.Duration // mean run time of one task
-	Spread    float64       // of the run time, as the sigma of its logarithm
-	Demand    work.Demand
+	// Rate is a further factor on the arrival rate of this kind; nil means 1.
+	Rate     func(at time.Duration) float64
+	Width    int           // mean number of tasks
+	MaxWidth int           // 0 means no limit
+	Work     time.Duration // mean run time of one task
+	Spread   float64       // of the run time, as the sigma of its logarithm
+	Demand   work.Demand
 	// MaxEstimateError is the largest relative error of estimates, in either direction.
 	MaxEstimateError float64
 	FailShare        float64       // share of runs that fail
@@ -106,6 +130,9 @@
 	LostAnswers
 	// DrainServer makes a server report that it drains. It ends after For.
 	DrainServer
+	// LeaveServer makes a server report at once that it drains, with For as the time that
+	// is left. It ends after For; a new incarnation starts Magnitude seconds later.
+	LeaveServer
 	// WithdrawDomain takes a failure domain out of service for For.
 	WithdrawDomain
 	// DisconnectCallers makes the callers of a share Magnitude of the jobs that arrive
--- a/bench/sitesim/faults.go
+++ b/bench/sitesim/faults.go
@@ -62,6 +62,8 @@
 	case DrainServer:
 		v.state.draining = true
 		s.after(f.For, func() { v.crash(time.Second) })
+	case LeaveServer:
+		v.leave(f.For, time.Duration(f.Magnitude*float64(time.Second)))
 	case WithdrawDomain:
 		s.withdraw(s.domain(f.Index), f.For)
 	case DisconnectCallers:
--- a/bench/sitesim/scenario.go
+++ b/bench/sitesim/scenario.go
@@ -63,9 +63,27 @@
 			Fault{Kind: KillAgent, At: 4 * time.Second, For: time.Second, Index: 0},
 			Fault{Kind: KillAgent, At: 6 * time.Second, For: time.Second, Index: 4},
 			Fault{Kind: KillAgent, At: 8 * time.Second, For: time.Second, Index: 8})},
+		{"competition", "long jobs at 2.3 times their rate while a failure domain or an eighth of the servers is away", Competition},
+		{"uneven", "bursts on servers of unequal speed, with stragglers, while servers leave", Uneven},
 	}
 }
 
+// Beside is what callers get from the baseline policy and from the bound.
+type Beside struct{ Baseline, Bound []Outcome }
+
+// RunBeside simulates the scenario with a seed and the baseline policy, and returns its
+// outcomes beside those of the bound. Arrivals are those of Run.
+func (sc *Scenario) RunBeside(seed uint64) (Beside, error) {
+	cfg := sc.Build(seed)
+	cfg.Baseline = true
+	s, err := New(cfg)
+	if err != nil {
+		return Beside{}, err
+	}
+	r := s.Run()
+	return Beside{Baseline: r.Outcomes, Bound: s.Bound()}, nil
+}
+
 // Run simulates the scenario with a seed. It returns what callers saw and the
 // violations of guarantees.
 func (sc *Scenario) Run(seed uint64) (*Result, []string, error) {
--- a/bench/sitesim/vm.go
+++ b/bench/sitesim/vm.go
@@ -23,6 +23,8 @@
 	sequence         int64
 	state            serverState
 	drainReportedAt  time.Duration // when the agent learned that the server drains
+	busyAt           time.Duration // when the server last had no room for a task of the first kind
+	nextEnd          time.Duration // when the server is advanced next, in the past if it is not
 	holds            []waitingHold
 }
 
@@ -66,6 +68,8 @@
 	v.sequence = 0
 	v.state = serverState{slow: 1}
 	v.drainReportedAt = 0
+	v.busyAt = v.site.now()
+	v.nextEnd = 0
 	v.watcher = &runWatcher{vm: v}
 	v.server = runserver.New(v.site.now(), runserver.Config{
 		StartUnixMs: v.serverGeneration,
@@ -275,8 +279,9 @@
 		}
 	}
 	v.holds = left
-	if at, ok := v.server.Next(); ok {
+	if at, ok := v.server.Next(); ok && (v.nextEnd <= now || at < v.nextEnd) {
 		server := v.server
+		v.nextEnd = at
 		v.site.at(at, func() {
 			if v.server == server {
 				v.advance()
@@ -285,6 +290,19 @@
 	}
 }
 
+// leave makes the server report that it drains, and ends it after the notice. A new
+// incarnation starts after the given time without a server.
+func (v *vm) leave(notice, away time.Duration) {
+	v.state.draining = true
+	leaving := v.server
+	v.reportOnce()
+	v.site.after(notice, func() {
+		if v.server == leaving {
+			v.crash(away)
+		}
+	})
+}
+
 // crash ends the server; a new incarnation starts after the given time.
 func (v *vm) crash(after time.Duration) {
 	if v.server == nil {
