sitesim: the bound keeps run times, and the table of the present code

Cause: a bound that spreads each job over all servers lost nothing on either load, so it told nothing.

Change: a job uses at most the rate that its tasks can, and Moore and Hodgson's rule goes by latest starts, as docs/design/scarcity.md plans the queue. The table also names what was refused while a server was free.

--- a/bench/cmd/foxbench/site_table.go
+++ b/bench/cmd/foxbench/site_table.go
@@ -57,7 +57,7 @@
 			columns[2] = append(columns[2], beside[i].Bound...)
 		}
 	}
-	fmt.Printf("    %-28s %6s  %-29s %-29s %-29s\n", "", "jobs", "product", "baseline", "bound")
+	fmt.Printf("    %-28s %6s  %-29s %-29s %s\n", "", "jobs", "product", "baseline", "bound")
 	fmt.Printf("    %-28s %6s ", "", "")
 	for range columns {
 		fmt.Printf(" %5s %5s %5s %5s %5s", "time", "late", "ref", "lost", "worth")
@@ -66,6 +66,7 @@
 	for _, g := range groupings {
 		printGroup(g, columns)
 	}
+	printRefusedFree(columns[0])
 	return nil
 }
 
@@ -85,6 +86,18 @@
 	}
 }
 
+// printRefusedFree prints what the product refused while a server was free.
+func printRefusedFree(list []sitesim.Outcome) {
+	var all, free sitesim.Tally
+	for i := range list {
+		all.Add(&list[i])
+		if list[i].RefusedFree {
+			free.Add(&list[i])
+		}
+	}
+	fmt.Printf("    refused while a server was free: %d jobs, %.4f of the worth\n", free.Jobs, free.Worth/all.Worth)
+}
+
 func tallyText(t *sitesim.Tally) string {
 	if t == nil {
 		return fmt.Sprintf(" %29s", "-")
--- a/bench/sitesim/bound.go
+++ b/bench/sitesim/bound.go
@@ -10,12 +10,15 @@
 )
 
 // bound serves the callers' jobs by an omniscient queue: one server pool without latency,
-// on which a job can be spread without limit, exact run times, strict priorities, and
-// Moore and Hodgson's rule within a priority. It shows what a load leaves to gain.
+// exact run times, strict priorities, and Moore and Hodgson's rule within a priority. Work
+// in service can be interrupted without loss, and tasks run at the speed of the fastest
+// servers as long as the pool's capacity suffices. It shows how many jobs a load lets be in
+// time. It doesn't bound the worth: the rule counts jobs, and puts off the large ones.
 type bound struct {
 	site *Site
 	now  time.Duration
-	// waiting holds the jobs that have arrived and are not answered, by priority.
+	// waiting holds the jobs that have arrived and are not answered, by priority and in the
+	// order in which they are served.
 	waiting map[work.Priority][]*boundJob
 	levels  []work.Priority
 	arrived []*boundJob // all jobs by time of arrival
@@ -26,10 +29,14 @@
 // of speed 1.
 type boundJob struct {
 	*callerJob
-	left, total      float64
-	soonest          time.Duration // when it ends if it has its capacity at once
-	due, usefulUntil time.Duration
-	fate             Fate
+	left    float64 // work
+	total   float64 // work
+	maxRate float64 // that the job can use, so that it takes as long as its longest task
+	begun   bool
+	// inTimeStart and usefulStart are the latest starts with which the job is completed in
+	// time, and late but useful.
+	inTimeStart, usefulStart time.Duration
+	fate                     Fate
 }
 
 // Bound returns the outcomes of the bound for the jobs of the site, which must have run.
@@ -54,35 +61,32 @@
 }
 
 func (b *bound) newJob(j *callerJob) *boundJob {
-	var sum, longest time.Duration
+	var sum time.Duration
 	for _, t := range j.tasks {
 		sum += t
-		longest = max(longest, t)
 	}
 	cpu := float64(j.kind.Demand.CPUMilli) * sum.Seconds()
+	length := time.Duration(float64(slices.Max(j.tasks)) * b.fastest)
 	return &boundJob{
-		callerJob: j, left: cpu, total: cpu,
-		soonest: j.sent + time.Duration(float64(longest)*b.fastest),
-		due:     j.sent + j.objective(), usefulUntil: j.sent + lateLimit*j.objective(),
+		callerJob: j, left: cpu, total: cpu, maxRate: cpu / length.Seconds(),
+		inTimeStart: j.sent + j.objective() - length, usefulStart: j.sent + lateLimit*j.objective() - length,
 	}
 }
 
-// boundStep is the longest time for which the bound's capacity is taken as constant.
-const boundStep = 100 * time.Millisecond
+// boundStep is the time between two plans of the bound.
+const boundStep = 5 * time.Millisecond
 
 // run plays all arrivals, and the time until all jobs are answered.
 func (b *bound) run() {
 	for i := 0; i < len(b.arrived) || b.busy(); {
-		next := b.now + boundStep
-		if i < len(b.arrived) {
-			next = min(next, b.arrived[i].sent)
-		}
-		b.serve(next)
 		for ; i < len(b.arrived) && b.arrived[i].sent <= b.now; i++ {
 			p := b.arrived[i].kind.Route.Priority
 			b.waiting[p] = append(b.waiting[p], b.arrived[i])
 		}
-		b.plan(b.arrived[i:])
+		rate := b.capacity(b.now)
+		b.plan(rate, b.arrived[i:])
+		b.serve(rate)
+		b.now += boundStep
 	}
 }
 
@@ -95,30 +99,31 @@
 	return false
 }
 
-// serve works on the waiting jobs in their order until the given time.
-func (b *bound) serve(until time.Duration) {
-	rate := b.capacity(b.now)
+// serve gives the capacity of one step to the waiting jobs in their order.
+func (b *bound) serve(rate float64) {
 	for _, p := range b.levels {
-		for len(b.waiting[p]) > 0 && b.now < until && rate > 0 {
-			j := b.waiting[p][0]
-			done := min(j.left, rate*(until-b.now).Seconds())
-			j.left -= done
-			b.now += time.Duration(done / rate * float64(time.Second))
-			if j.left > 1e-6*j.total {
-				break
+		for _, j := range b.waiting[p] {
+			got := min(j.maxRate, rate)
+			if !j.begun && got < j.maxRate/float64(len(j.tasks)) {
+				break // no room for one of its tasks
+			}
+			j.begun = true
+			rate -= got
+			j.left -= got * boundStep.Seconds()
+			if j.left <= 0 {
+				j.end(b.now + boundStep + time.Duration(j.left/got*float64(time.Second)))
 			}
-			b.waiting[p] = b.waiting[p][1:]
-			j.end(max(b.now, j.soonest))
 		}
+		b.waiting[p] = slices.DeleteFunc(b.waiting[p], func(j *boundJob) bool { return j.left <= 0 })
 	}
-	b.now = until
 }
 
 func (j *boundJob) end(at time.Duration) {
-	switch {
-	case at <= j.due:
+	// A job arrives up to one step before the bound sees it.
+	switch took := at - boundStep - j.sent; {
+	case took <= j.objective():
 		j.fate = InTime
-	case at <= j.usefulUntil:
+	case took <= lateLimit*j.objective():
 		j.fate = Late
 	default:
 		j.fate = Lost
@@ -126,17 +131,27 @@
 }
 
 // plan orders the jobs of each priority, and refuses those that can't be useful any more.
-func (b *bound) plan(coming []*boundJob) {
-	rate, ahead := b.capacity(b.now), 0.0
+func (b *bound) plan(rate float64, coming []*boundJob) {
+	ahead := 0.0
 	for _, p := range b.levels {
-		own := rate - b.moreUrgentRate(p, coming)
-		inTime, putOff, _ := mooreHodgson(b.waiting[p], b.now, ahead, own, func(j *boundJob) time.Duration { return j.due })
-		useful, hopeless, _ := mooreHodgson(putOff, b.now, ahead+sumLeft(inTime), own, func(j *boundJob) time.Duration { return j.usefulUntil })
-		for _, j := range hopeless {
-			j.fate = Refused
+		var begun, queued []*boundJob
+		for _, j := range b.waiting[p] {
+			switch {
+			case j.begun:
+				begun = append(begun, j)
+			case b.now > j.usefulStart:
+				j.fate = Refused
+			default:
+				queued = append(queued, j)
+			}
 		}
-		b.waiting[p] = append(inTime, useful...)
-		ahead += sumLeft(b.waiting[p])
+		// Less urgent work progresses at a twentieth of the rate even if more urgent work
+		// takes everything for the moment.
+		own := max(rate-b.moreUrgentRate(p, coming), rate/20)
+		inTime, putOff := mooreHodgson(queued, b.now, ahead, own, func(j *boundJob) time.Duration { return j.inTimeStart })
+		useful, hopeless := mooreHodgson(putOff, b.now, ahead+sumLeft(inTime), own, func(j *boundJob) time.Duration { return j.usefulStart })
+		b.waiting[p] = slices.Concat(begun, inTime, useful, hopeless)
+		ahead += sumLeft(queued)
 	}
 }
 
@@ -166,18 +181,18 @@
 	return sum
 }
 
-// mooreHodgson splits the jobs into those that end by their limit and those that are put
-// off, so that few are put off: in the order of limits, whenever a job would end too late,
+// mooreHodgson splits the jobs into those that start by their limit and those that are put
+// off, so that few are put off: in the order of limits, whenever a job would start too late,
 // the one with the most work left so far is put off. The capacity first serves the work
 // ahead.
-func mooreHodgson(jobs []*boundJob, now time.Duration, ahead, rate float64, limit func(*boundJob) time.Duration) (kept, putOff []*boundJob, end float64) {
+func mooreHodgson(jobs []*boundJob, now time.Duration, ahead, rate float64, limit func(*boundJob) time.Duration) (kept, putOff []*boundJob) {
 	sorted := slices.Clone(jobs)
 	slices.SortStableFunc(sorted, func(x, y *boundJob) int { return cmp.Compare(limit(x), limit(y)) })
-	end = ahead
 	for _, j := range sorted {
+		late := ahead > rate*(limit(j)-now).Seconds()
 		kept = append(kept, j)
-		end += j.left
-		if end <= rate*(limit(j)-now).Seconds() {
+		ahead += j.left
+		if !late {
 			continue
 		}
 		largest := 0
@@ -186,11 +201,11 @@
 				largest = i
 			}
 		}
-		end -= kept[largest].left
+		ahead -= kept[largest].left
 		putOff = append(putOff, kept[largest])
 		kept = slices.Delete(kept, largest, largest+1)
 	}
-	return kept, putOff, end
+	return kept, putOff
 }
 
 // capacity returns the rate at which the servers that are there at the given time work, in
