schedule, run: tasks of all priorities but the least urgent wait at agents

Cause: a task waited at its entry unless it had the most urgent priority of all. Capacity that became free went to the entry that saw it first, even for less urgent work, and a small less urgent task could pass a large more urgent one in an agent's queue for 100 ms.

Change: all priorities of a service but its least urgent may wait at an agent, ordered by priority, then latest start. At most one task per priority is let wait, and only while the expected wait (missing CPU demand / rate at which the used capacity becomes free) is below its slack. A late job of the most urgent priority keeps waiting as before, until its answer is of no use. No less urgent task passes a more urgent one. A task that has waited for half of its slack is stopped and offered elsewhere if another agent has room; reports name no runs, so this is done only while they show exactly this entry's demand as waiting. A service with one priority lets nothing wait, as before. Log line and counter foxtaildock_entry_runs_taken_back.

go test ./...: platform/TestPlatformNamesStayHere fails, as it does without this change: rpc/linkpb contains "estimateMs".

--- a/run/offers.go
+++ b/run/offers.go
@@ -21,6 +21,7 @@
 	t := &task{
 		run: e.Run, entry: e.Entry, spec: e.Spec, priority: e.Priority,
 		demand: e.Demand, expected: e.Expected, arrival: c.arrivals, since: c.now,
+		latestStart: c.now + e.Slack,
 	}
 	c.tasks[e.Run.Task] = t
 	c.held = append(c.held, t)
@@ -28,8 +29,14 @@
 	c.queue = slices.Insert(c.queue, at, t)
 }
 
+// compareTasks orders waiting tasks by priority, then by latest start. The latest start of
+// a task of an older entry, which tells no slack, is its arrival.
 func compareTasks(a, b *task) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.arrival, b.arrival))
+	return cmp.Or(
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.latestStart, b.latestStart),
+		cmp.Compare(a.arrival, b.arrival),
+	)
 }
 
 func (c *Core) offerRefusal(e Offered) string {
--- a/run/orders.go
+++ b/run/orders.go
@@ -29,15 +29,20 @@
 	}
 }
 
-// startQueued starts waiting tasks while they fit into the server's free capacity.
+// startQueued starts waiting tasks while they fit into the server's free capacity. No task
+// takes room that a more urgent one waits for.
 func (c *Core) startQueued() {
 	if c.refusal() != "" || c.server.foreign > 0 || c.silent() {
 		return
 	}
 	c.returnTooLarge()
 	room := c.server.report.Server.Capacity.Minus(c.used())
+	var passed *task // the first task that doesn't fit
 	for i := 0; i < len(c.queue); {
 		t := c.queue[i]
+		if passed != nil && t.priority > passed.priority {
+			return
+		}
 		if t.demand.Fits(room) {
 			c.queue = slices.Delete(c.queue, i, i+1)
 			room = room.Minus(t.demand)
@@ -49,6 +54,9 @@
 		if c.now-t.since > c.cfg.BackfillAfter {
 			return
 		}
+		if passed == nil {
+			passed = t
+		}
 		i++
 	}
 }
--- a/run/run.go
+++ b/run/run.go
@@ -95,10 +95,12 @@
 	expected time.Duration
 	phase    phase
 	arrival  uint64
-	since    time.Duration // when it entered its current phase
-	started  time.Duration // when CallStart was issued
-	server   string        // incarnation of the backend server that CallStart was sent to
-	expiry   time.Duration // of its start, on the server's clock
+	// latestStart is the latest start with which the job can still end in time.
+	latestStart time.Duration
+	since       time.Duration // when it entered its current phase
+	started     time.Duration // when CallStart was issued
+	server      string        // incarnation of the backend server that CallStart was sent to
+	expiry      time.Duration // of its start, on the server's clock
 	// listedFrom is the number of the first CallHold whose answer must list the run.
 	listedFrom   uint64
 	stop         stopState
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -34,6 +34,7 @@
 	cooldownUntil time.Duration
 	speed         speed
 	health        health
+	waits         []waitingRun
 }
 
 type sentOffer struct {
@@ -123,7 +124,7 @@
 	a.attached = true
 	a.lastMessage = c.now
 	a.ackedHeartbeatSentAt = max(a.ackedHeartbeatSentAt, e.RequestedAt)
-	a.inFlight = nil
+	a.inFlight, a.waits = nil, nil
 	a.server = work.Server{}
 	c.emit(LogMessage{Text: "agent attached", Agent: a.id})
 	c.reconcile(a, e.Held)
@@ -194,6 +195,7 @@
 	a.used = e.Used
 	a.queued = e.Queued
 	a.speed.setPace(e.Pace)
+	a.checkWaiting(e.Queued, e.LastOfferIncluded)
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(o sentOffer) bool { return o.sequence <= e.LastOfferIncluded })
 }
 
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		free := a.free(c.mostUrgent)
-		if free.CPUMilli > 0 || c.mayQueueAtAgent(c.mostUrgent) && free.CPUMilli == 0 {
+		if free.CPUMilli > 0 || free.CPUMilli == 0 && c.mayQueueAtAgent(a.server.Service, c.mostUrgent) {
 			c.candidates = append(c.candidates, a)
 		}
 	}
@@ -113,12 +113,15 @@
 		demand = a.server.Capacity
 	}
 	a.runs[task] = t.run
-	a.inFlight = append(a.inFlight, sentOffer{sequence: a.sequence + 1, priority: j.Route.Priority, demand: demand})
-	offers[a] = append(offers[a], OfferedTask{
+	offer := OfferedTask{
 		Run: work.Run{Task: task, ID: t.run}, Demand: demand,
 		Expected: c.expectedTask(j.Route.Name, &j.Steps[step]),
 		Slack:    j.targetEnd - j.expected - c.now, Estimate: j.Steps[step].Estimate,
-	})
+	}
+	a.noteWaiting(&offer, j.Route.Priority)
+	a.inFlight = append(a.inFlight, sentOffer{sequence: a.sequence + 1, priority: j.Route.Priority, demand: demand})
+	offers[a] = append(offers[a], offer)
+	c.recordOccupancy(j.Route.Service, demand, offer.Expected)
 	if !j.offered {
 		j.offered = true
 		j.firstOffer = c.now
@@ -158,7 +161,7 @@
 			continue
 		}
 		cost, ok := c.cost(a, j.Route.Priority, s, expected)
-		if !ok {
+		if !ok || !c.mayWaitAt(a, j, s, expected) {
 			continue
 		}
 		if t.avoid == a.id || t.suspect() && c.holdsSuspect(a) {
@@ -222,7 +225,7 @@
 func (c *Core) cost(a *agentState, p work.Priority, s *Step, expected time.Duration) (cost time.Duration, ok bool) {
 	free := a.free(p)
 	room := free
-	if c.mayQueueAtAgent(p) {
+	if c.mayQueueAtAgent(a.server.Service, p) {
 		room = free.Plus(s.Demand)
 	}
 	if !s.Demand.Fits(room) || !s.Demand.Fits(a.server.Capacity) {
@@ -242,15 +245,6 @@
 	return time.Duration(d), true
 }
 
-// mayQueueAtAgent reports whether a task of the priority may wait at an agent. Only
-// tasks of the most urgent priority may, and only if there are less urgent priorities:
-// they get the next free room at the agent ahead of the tasks that other entries still
-// hold. All other tasks wait at their entry, which can place them wherever room becomes
-// free first.
-func (c *Core) mayQueueAtAgent(p work.Priority) bool {
-	return p == c.mostUrgent && c.mostUrgent < c.leastUrgent
-}
-
 // priorities returns the most and the least urgent priority of all routes.
 func priorities(m *operator.Manifest) (first, last work.Priority) {
 	if m == nil || len(m.Routes) == 0 {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -55,6 +55,9 @@
 	operator operator.Rows
 	// mostUrgent and leastUrgent are the smallest and largest priority number of all routes.
 	mostUrgent, leastUrgent work.Priority
+	leastUrgentOf           map[ident.Service]work.Priority
+	occupancy               map[ident.Service]*occupancy
+	takenBack               uint64                 // number of runs that were taken back from full agents
 	times                   map[string]*routeTimes // by route name
 	placed                  placedRates
 	crashes                 crashHistory
@@ -102,6 +105,7 @@
 	case OperatorChanged:
 		c.operator = e.Rows
 		c.mostUrgent, c.leastUrgent = priorities(e.Rows.Manifest)
+		c.leastUrgentOf = leastUrgentByService(e.Rows.Manifest)
 	case EntryDraining:
 		c.answerBy = e.AnswerBy
 	case Tick:
@@ -109,6 +113,7 @@
 		c.expireJobs()
 		c.endDrainedJobs()
 		c.reassignSlowRuns()
+		c.takeBackWaiting()
 	}
 	c.dispatch()
 	return c.out
@@ -137,11 +142,13 @@
 	Jobs    int
 	Waiting int
 	Agents  int
+	// TakenBack counts the runs that were taken back from full agents.
+	TakenBack uint64
 }
 
 // Stats returns the figures as of the last step.
 func (c *Core) Stats() Stats {
-	return Stats{Jobs: len(c.jobs), Waiting: len(c.waiting), Agents: len(c.agents)}
+	return Stats{Jobs: len(c.jobs), Waiting: len(c.waiting), Agents: len(c.agents), TakenBack: c.takenBack}
 }
 
 // Pending returns the number of jobs of a route of which no task was offered yet.
