schedule: less urgent tasks leave room for one large urgent job while capacity is scarce

Change: the new package overload keeps what a large job (ninetieth percentile) of each service and priority needs at once, in a bounded histogram. For one second after more urgent work has found too little free capacity, a task takes capacity only if that need stays free on the agents that the entry sees. Room counts in whole tasks of the urgent job, because what is left over on a server is of no use to it; at most half of the fleet is held back, so that a small one still serves less urgent work. Without a shortage, or with one priority, nothing is held back.

--- /dev/null
+++ b/overload/headroom.go
@@ -0,0 +1,115 @@
+// Package overload decides what to do with the waiting work of one service when capacity
+// is short: how much capacity less urgent work leaves free. It is pure: it has no clock
+// and no I/O, and knows neither jobs nor agents. Package schedule applies the decisions.
+package overload
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// largeQuantile is the percentile of the jobs of a priority that headroom is kept for.
+	largeQuantile = 90
+	// maxNeedMilli bounds the histogram of needs, in thousandths of a core.
+	maxNeedMilli = 1 << 32
+	// needDigits limits the error of a need to 1 % and a histogram to 30 KB.
+	needDigits = 2
+	// halveAt is the number of samples at which a histogram is halved, so that newer jobs
+	// count more.
+	halveAt = 2000
+	// refreshEvery is the number of samples after which the quantile is computed anew.
+	refreshEvery = 16
+)
+
+// quantile is a percentile of a bounded, slowly forgetting histogram. The percentile is
+// kept between samples because finding it walks the whole histogram.
+type quantile struct {
+	histogram *hdrhistogram.Histogram
+	stale     int
+	value     int64
+}
+
+func (q *quantile) record(v int64) {
+	if q.histogram == nil {
+		q.histogram = hdrhistogram.New(1, maxNeedMilli, needDigits)
+	}
+	if q.histogram.RecordValue(min(max(v, 1), maxNeedMilli)) != nil {
+		return
+	}
+	if q.histogram.TotalCount() >= halveAt {
+		s := q.histogram.Export()
+		for i := range s.Counts {
+			s.Counts[i] /= 2
+		}
+		q.histogram = hdrhistogram.Import(s)
+	}
+	if q.stale++; q.value == 0 || q.stale >= refreshEvery {
+		q.stale = 0
+		q.value = q.histogram.ValueAtQuantile(largeQuantile)
+	}
+}
+
+// Need is the capacity that one large job of a priority takes at once, in thousandths of
+// a core.
+type Need struct {
+	// Milli is the demand of all tasks of the job that can start together.
+	Milli int64
+	// TaskMilli is the demand of one task. Room on a server counts in whole tasks.
+	TaskMilli int64
+}
+
+// Usable returns the part of a server's free capacity that the job can use, which is a
+// whole number of its tasks.
+func (n Need) Usable(freeMilli int64) int64 {
+	if n.TaskMilli <= 0 || freeMilli <= 0 {
+		return max(freeMilli, 0)
+	}
+	return freeMilli / n.TaskMilli * n.TaskMilli
+}
+
+// Needs tracks the needs of the jobs of one service and priority, and when work of it last
+// found too little free capacity.
+type Needs struct {
+	job        quantile
+	taskMilli  int64 // of the last job that was at least as large as the quantile
+	shortageAt time.Duration
+	short      bool
+}
+
+// Record counts a job that has arrived.
+func (n *Needs) Record(job Need) {
+	n.job.record(job.Milli)
+	if 100*job.Milli >= 99*n.job.value || n.taskMilli == 0 { // the value has an error of 1 %
+		n.taskMilli = job.TaskMilli
+	}
+}
+
+// Large returns what one large job needs, in whole tasks. It is zero before the first job.
+func (n *Needs) Large() Need {
+	need := Need{TaskMilli: n.taskMilli}
+	need.Milli = need.Usable(n.job.value)
+	return need
+}
+
+// Shortage records that work found too little free capacity.
+func (n *Needs) Shortage(now time.Duration) { n.shortageAt, n.short = now, true }
+
+// shortageMemory is how long headroom is kept after urgent work has found too little.
+const shortageMemory = time.Second
+
+// Short reports whether work found too little free capacity within the last second.
+func (n *Needs) Short(now time.Duration) bool {
+	return n.short && now-n.shortageAt <= shortageMemory
+}
+
+// maxReservedShare bounds the reservation on a small fleet, so that less urgent work isn't
+// locked out where one large urgent job needs the whole of it.
+const maxReservedShare = 0.5
+
+// Reserved returns the part of the need that less urgent work leaves free on servers with
+// the given total capacity.
+func (n Need) Reserved(capacityMilli int64) int64 {
+	return min(n.Milli, int64(maxReservedShare*float64(capacityMilli)))
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -75,7 +75,7 @@
 			t := &st.tasks[st.next]
 			if t.phase == taskWaiting {
 				var a *agentState
-				if a, result = c.choose(j, s, t); result != agentFound {
+				if a, result = c.chooseWithReserve(j, s, t); result != agentFound {
 					break
 				}
 				c.place(j, s, st.next, a, offers)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -58,6 +58,7 @@
 	times                   map[string]*routeTimes // by route name
 	placed                  placedRates
 	crashes                 crashHistory
+	reserve                 reservations
 	// candidates are the agents with room; valid only during dispatch.
 	candidates []*agentState
 	arrivals   uint64
@@ -72,6 +73,7 @@
 		agents:  map[ident.Incarnation]*agentState{},
 		times:   map[string]*routeTimes{},
 		crashes: crashHistory{counts: map[work.Task]int{}},
+		reserve: reservations{services: map[ident.Service]*serviceNeeds{}},
 	}
 }
 
@@ -163,6 +165,7 @@
 		return // repeated submission: the callers share the answer
 	}
 	j := c.newJob(job)
+	c.recordNeed(j)
 	if !c.recallCrashes(j) {
 		c.finish(j, FailedJob, reasonCrashes)
 		return
