--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -102,9 +102,13 @@
 }
 
 // leavesRoom reports whether enough stays free for more urgent work once a task of the job
-// has taken its demand. The room of the agents that the entry sees counts in whole tasks of
+// has taken its demand. Only work that can't wait at agents leaves room: the order of the
+// agents' queues decides between the priorities that can. The room of the agents that the entry sees counts in whole tasks of
 // the more urgent job, since what is left over on each server is of no use to it.
 func (c *Core) leavesRoom(j *jobState, demand work.Demand) bool {
+	if c.mayQueueAtAgent(j.Route.Service, j.Route.Priority) {
+		return true
+	}
 	need := c.reservedFor(j.Route.Service, j.Route.Priority)
 	if need.Milli == 0 {
 		return true
