soak: servers of two speeds, stragglers, three priorities, and capacity that shrinks and grows

Cause: the soak played equal servers of constant capacity and one priority, so nothing on real processes showed what happens when capacity is short (docs/design/scarcity.md, part 5).

The stand-in checks in all soaks and site tests that no task starts beyond the larger of its capacity and the one that the agent knows.

--- a/bench/cmd/foxbench/soak.go
+++ b/bench/cmd/foxbench/soak.go
@@ -24,6 +24,7 @@
 	Parallel int           `arg:"--parallel" default:"1" help:"number of seeds that run at the same time, up to 3"`
 	Pause    time.Duration `arg:"--pause" default:"700ms" help:"mean time between faults"`
 	Planned  bool          `arg:"--planned" help:"only planned stops and reloads; every request that an entry read must be answered"`
+	Scarce   bool          `arg:"--scarce" help:"servers of two speeds, stragglers, three priorities, and capacity that shrinks and grows"`
 	Dir      string        `arg:"--dir" help:"directory for settings and logs [default: a new one, kept and printed if a seed fails]"`
 }
 
@@ -65,7 +66,7 @@
 	}
 	r, err := soak.Run(ctx, soak.Config{
 		Daemon: daemon, Dir: dir, Seed: seed, Length: c.Length, Entries: c.Entries, Agents: c.Agents,
-		Callers: c.Callers, Pause: c.Pause, Planned: c.Planned,
+		Callers: c.Callers, Pause: c.Pause, Planned: c.Planned, Scarce: c.Scarce,
 	})
 	if err != nil {
 		return false, err
--- a/bench/sitesim/config.go
+++ b/bench/sitesim/config.go
@@ -130,8 +130,8 @@
 	LostAnswers
 	// DrainServer makes a server report that it drains. It ends after For.
 	DrainServer
-	// LeaveServer makes a server report at once that it drains, with For as the time that
-	// is left. It ends after For; a new incarnation starts Magnitude seconds later.
+	// LeaveServer makes a server report at once that it drains. For is the time that is left;
+	// it ends then, and a new incarnation starts Magnitude seconds later.
 	LeaveServer
 	// WithdrawDomain takes a failure domain out of service for For.
 	WithdrawDomain
--- a/bench/sitesim/vm.go
+++ b/bench/sitesim/vm.go
@@ -32,6 +32,9 @@
 type serverState struct {
 	silent, stuck, failing, draining bool
 	slow                             float64
+	// leavesAt is when a server that leaves ends. work.Server has no field for the time that
+	// is left, so the reports don't carry it.
+	leavesAt time.Duration
 }
 
 // waitingHold is a hold call that waits for the end of a run.
@@ -293,10 +296,10 @@
 // leave makes the server report that it drains, and ends it after the notice. A new
 // incarnation starts after the given time without a server.
 func (v *vm) leave(notice, away time.Duration) {
-	v.state.draining = true
+	v.state.draining, v.state.leavesAt = true, v.site.now()+notice
 	leaving := v.server
 	v.reportOnce()
-	v.site.after(notice, func() {
+	v.site.at(v.state.leavesAt, func() {
 		if v.server == leaving {
 			v.crash(away)
 		}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,9 @@
 	// Planned restricts the faults to planned stops and reloads. Each request that an
 	// entry has read must then be answered.
 	Planned bool
+	// Scarce adds servers of two speeds, stragglers, callers of three priorities, and
+	// faults that take capacity away for a time.
+	Scarce bool
 }
 
 // Result sums up a run: counts of jobs by outcome, the number of runs that started, the
@@ -67,10 +71,14 @@
 // Run runs the soak with one seed. It returns an error if the site can't be started.
 func Run(ctx context.Context, cfg Config) (*Result, error) {
 	random := rand.New(rand.NewPCG(cfg.Seed, 3))
-	taskPlanner := &planner{random: rand.New(rand.NewPCG(cfg.Seed, 5)), planned: cfg.Planned}
-	site, err := usersite.Start(usersite.Config{
-		Daemon: cfg.Daemon, Dir: cfg.Dir, Entries: cfg.Entries, Agents: cfg.Agents, Plan: taskPlanner.plan,
-	})
+	taskPlanner := &planner{random: rand.New(rand.NewPCG(cfg.Seed, 5)), planned: cfg.Planned, stragglers: cfg.Scarce}
+	siteConfig := usersite.Config{
+		Daemon: cfg.Daemon, Dir: cfg.Dir, Entries: cfg.Entries, Agents: cfg.Agents, Plan: taskPlanner.plan, Priorities: cfg.Scarce,
+	}
+	if cfg.Scarce {
+		siteConfig.Speed = scarceSpeeds
+	}
+	site, err := usersite.Start(siteConfig)
 	if err != nil {
 		return nil, err
 	}
@@ -109,6 +117,8 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	planned bool // whether some runs outlast the grace period of a planned stop
+	// stragglers says whether one of stragglerEvery runs takes stragglerFactor times as long.
+	stragglers bool
 }
 
 func (p *planner) plan(work.Run, string) runserver.Plan {
@@ -122,6 +132,9 @@
 	if p.planned && p.random.IntN(longRunEvery) == 0 {
 		plan.Length = usersite.GracePeriod + time.Second
 	}
+	if p.stragglers && p.random.IntN(stragglerEvery) == 0 {
+		plan.Length *= stragglerFactor
+	}
 	return plan
 }
 
@@ -136,7 +149,11 @@
 func (r *run) runCaller(ctx context.Context, number int) {
 	c := &caller{random: rand.New(rand.NewPCG(r.cfg.Seed, uint64(100+number)))}
 	for entry := range r.cfg.Entries {
-		c.conns = append(c.conns, usersite.NewConnection(r.site.CallerAddress(entry)))
+		conn := usersite.NewConnection(r.site.CallerAddress(entry))
+		if r.cfg.Scarce {
+			conn.Priority = number % 3
+		}
+		c.conns = append(c.conns, conn)
 	}
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%04x%04x%08x", r.cfg.Seed&0xffff, number, n)
@@ -295,6 +312,9 @@
 	if r.cfg.Planned {
 		return plannedWork
 	}
+	if r.cfg.Scarce {
+		return append(slices.Clone(scarceFaults), faults...)
+	}
 	return faults
 }
 
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// A short soak with scarce capacity: servers of two speeds, stragglers, three priorities,
+// and capacity that shrinks and grows while runs go on. It guards against starts beyond a
+// capacity that has shrunk, and against runs that are lost or doubled when servers leave.
+func TestShortSoakOfScarceCapacity(t *testing.T) {
+	t.Parallel()
+	soakSeed(t, Config{
+		Daemon: buildDaemon(t), Dir: t.TempDir(), Seed: 1, Length: 8 * time.Second, Scarce: true,
+		Entries: 2, Agents: 4, Callers: 9, Pause: 400 * time.Millisecond,
+	})
+}
+
 // A short soak of planned stops and reloads alone, with two seeds. Issue 26: requests that
 // had been read were cut.
 func TestShortSoakOfPlannedStops(t *testing.T) {
--- a/bench/usersite/backend.go
+++ b/bench/usersite/backend.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,12 @@
 	started      time.Time
 	silent       bool
 	draining     bool
+	leavesAt     time.Time // when a server that leaves ends
+	capacity     work.Demand
+	accepted     work.Demand // capacity of the newest report that the agent has accepted
+	former       work.Demand // accepted before that, if it was larger
+	acceptedAt   time.Time   // when accepted became smaller
+	reportNow    chan struct{}
 }
 
 // BackendConfig describes a backend server.
@@ -54,7 +61,7 @@
 
 // NewBackend returns a backend server in its first incarnation.
 func NewBackend(cfg BackendConfig, w runserver.Watcher) *Backend {
-	b := &Backend{cfg: cfg, watcher: w, changed: make(chan struct{}), started: time.Now()}
+	b := &Backend{cfg: cfg, watcher: w, changed: make(chan struct{}), started: time.Now(), capacity: cfg.Capacity, accepted: cfg.Capacity, reportNow: make(chan struct{}, 1)}
 	b.restart()
 	return b
 }
@@ -68,6 +75,7 @@
 	b.startUnixMs = time.Now().UnixMilli() + int64(b.incarnations)
 	b.sequence = 0
 	b.draining = false
+	b.leavesAt = time.Time{}
 	b.server = runserver.New(b.now(), runserver.Config{
 		StartUnixMs: b.startUnixMs, Capacity: b.cfg.Capacity, LeaseMax: leaseMax, StopTime: stopTime,
 		Plan: b.cfg.Plan,
@@ -102,6 +110,69 @@
 	b.draining = draining
 }
 
+// Leave makes the server report at once that it drains, with the time that is left. It ends
+// after the notice, and a new incarnation starts immediately.
+func (b *Backend) Leave(notice time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	leaving := b.server
+	b.draining, b.leavesAt = true, time.Now().Add(notice)
+	b.requestReport()
+	time.AfterFunc(notice, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.server == leaving {
+			b.server.Crash(b.now())
+			b.restart()
+		}
+	})
+}
+
+// SetCapacity changes the capacity, also to less than the active runs use. The server
+// reports it at once.
+func (b *Backend) SetCapacity(d work.Demand) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.capacity = d
+	b.requestReport()
+}
+
+func (b *Backend) requestReport() {
+	select {
+	case b.reportNow <- struct{}{}:
+	default: // one is requested already
+	}
+}
+
+// orderTime is the longest time between an order and its execution. Orders that an agent
+// sent before it accepted a smaller capacity may exceed that one.
+const orderTime = 100 * time.Millisecond
+
+// checkCapacity returns an error if the runs need more than the capacity that the agent
+// knows. The caller holds the lock.
+func (b *Backend) checkCapacity() error {
+	limits := []work.Demand{b.capacity, b.accepted}
+	if time.Since(b.acceptedAt) < orderTime {
+		limits = append(limits, b.former)
+	}
+	used := b.server.Used()
+	if slices.ContainsFunc(limits, used.Fits) {
+		return nil
+	}
+	return fmt.Errorf("its runs need %d thousandths of a core and %d MB, the agent knows a capacity of %d and %d",
+		used.CPUMilli, used.MemoryMB, b.accepted.CPUMilli, b.accepted.MemoryMB)
+}
+
+// reportAccepted records the capacity of a report that the agent has accepted.
+func (b *Backend) reportAccepted(d work.Demand) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.accepted.Fits(d) {
+		b.former, b.acceptedAt = b.accepted, time.Now()
+	}
+	b.accepted = d
+}
+
 // Run advances the server's runs and sends its reports until the context ends.
 func (b *Backend) Run(ctx context.Context) {
 	go b.report(ctx)
@@ -131,13 +202,14 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-b.reportNow:
 		case <-time.After(wait):
 		}
 	}
 }
 
 func (b *Backend) reportOnce(ctx context.Context) bool {
-	text, silent, err := b.reportBody()
+	text, capacity, silent, err := b.reportBody()
 	if err != nil || silent {
 		return false
 	}
@@ -152,10 +224,14 @@
 		return false // the agent may be down
 	}
 	defer func() { _ = res.Body.Close() }()
-	return res.StatusCode == http.StatusOK
+	if res.StatusCode != http.StatusOK {
+		return false
+	}
+	b.reportAccepted(capacity)
+	return true
 }
 
-func (b *Backend) reportBody() (text []byte, silent bool, err error) {
+func (b *Backend) reportBody() (text []byte, capacity work.Demand, silent bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sequence++
@@ -164,13 +240,17 @@
 		state = "draining"
 	}
 	stamp := b.server.Stamp(b.now())
-	text, err = json.Marshal(map[string]any{
+	report := map[string]any{
 		"service": b.cfg.Service, "address": b.cfg.Address, "zone": b.cfg.Zone, "version": "v1", "slots": 8,
 		"state": state, "coldLeftMs": 0, "labels": []string{"a"}, "sequence": b.sequence,
-		"capacity": map[string]int64{"cpu": b.cfg.Capacity.CPUMilli, "memMb": b.cfg.Capacity.MemoryMB},
+		"capacity": map[string]int64{"cpu": b.capacity.CPUMilli, "memMb": b.capacity.MemoryMB},
 		"clockMs":  stamp.Clock.Milliseconds(), "born": stamp.StartUnixMs,
-	})
-	return text, b.silent, err
+	}
+	if !b.leavesAt.IsZero() {
+		report["remainingMs"] = max(0, time.Until(b.leavesAt)).Milliseconds()
+	}
+	text, err = json.Marshal(report)
+	return text, b.capacity, b.silent, err
 }
 
 // order is the body of an order, which is an agent's call to start, stop or hold runs.
--- a/bench/usersite/caller.go
+++ b/bench/usersite/caller.go
@@ -28,14 +28,15 @@
 func (c *Caller) Submit(ctx context.Context, entry, id string, tasks int, estimate time.Duration, timeout time.Duration) Reply {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.do(jobRequest(entry, id, tasks, estimate, timeout).WithContext(ctx))
+	return c.do(jobRequest(entry, Prefix, id, tasks, estimate, timeout).WithContext(ctx))
 }
 
 // Demand is the demand of each task of a caller's job.
 var Demand = work.Demand{CPUMilli: 1000, MemoryMB: 64}
 
-// jobRequest returns the request that submits a job of equal tasks to an entry.
-func jobRequest(entry, id string, tasks int, estimate, timeout time.Duration) *http.Request {
+// jobRequest returns the request that submits a job of equal tasks to an entry, on the
+// route with the given path prefix.
+func jobRequest(entry, prefix, id string, tasks int, estimate, timeout time.Duration) *http.Request {
 	body, err := json.Marshal(map[string]any{
 		"spec": "work", "bestEffort": true,
 		"steps": []map[string]any{{
@@ -45,7 +46,7 @@
 	if err != nil {
 		panic(err) // numbers and strings can always be encoded
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+entry+Prefix+id, bytes.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry+prefix+id, bytes.NewReader(body))
 	if err != nil {
 		panic(err) // the address and the id are the bench's own
 	}
--- a/bench/usersite/connection.go
+++ b/bench/usersite/connection.go
@@ -45,6 +45,9 @@
 // sends a request again, and it keeps its connection open until the entry ends it. Its
 // methods must not be called concurrently.
 type Connection struct {
+	// Priority selects the route. A site without Config.Priorities has only that of 0.
+	Priority int
+
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
@@ -58,7 +61,7 @@
 // has no entry number yet.
 func (c *Connection) Submit(id string, tasks int, estimate, timeout time.Duration) Exchange {
 	x := Exchange{Job: id, Sent: time.Now()}
-	x.Outcome, x.Reply = c.exchange(jobRequest(c.address, id, tasks, estimate, timeout), timeout)
+	x.Outcome, x.Reply = c.exchange(jobRequest(c.address, prefixes[c.Priority], id, tasks, estimate, timeout), timeout)
 	x.Ended = time.Now()
 	if x.Outcome != Answered {
 		c.Close()
--- a/bench/usersite/site.go
+++ b/bench/usersite/site.go
@@ -23,6 +23,11 @@
 	Entries int
 	Agents  int
 	Plan    func(work.Run, string) runserver.Plan // what each run does
+	// Speed is the factor by which runs take longer, by index of the backend server. The
+	// list is repeated as needed; if it is empty, all are equal.
+	Speed []float64
+	// Priorities adds routes of priority 1 and 2.
+	Priorities bool
 }
 
 // Site is a site whose entries and agents are real processes, and whose store and
@@ -50,13 +55,16 @@
 	portStore     = 21169
 )
 
-// Service, Host and Prefix describe the only route of a site.
+// Service, Host and Prefix describe the route of a site with priority 0.
 const (
 	Service = "service"
 	Host    = "site.example"
 	Prefix  = "/jobs/"
 )
 
+// prefixes are the path prefixes of the routes, by priority.
+var prefixes = [3]string{Prefix, "/middle/", "/least/"}
+
 // Domains lists the failure domains of a site.
 var Domains = []string{"north", "middle", "south"}
 
@@ -100,7 +108,7 @@
 }
 
 func (s *Site) start(ctx context.Context) error {
-	if err := s.Store.Put("op", "config", manifest()); err != nil {
+	if err := s.Store.Put("op", "config", manifest(s.cfg.Priorities)); err != nil {
 		return err
 	}
 	if err := s.serve(fmt.Sprintf("%s:%d", s.address(kindStore, 0), portStore), s.Store); err != nil {
@@ -128,14 +136,22 @@
 	return nil
 }
 
-// manifest returns the operators' document of the site in the users' format.
-func manifest() any {
+// manifest returns the operators' document of the site in the users' format, with the route
+// of priority 0 alone or with all.
+func manifest(priorities bool) any {
+	var routes []map[string]any
+	for priority, name := range []string{"jobs", "middle", "least"} {
+		if priority > 0 && !priorities {
+			break
+		}
+		routes = append(routes, map[string]any{
+			"name": name, "host": Host, "pathPrefix": prefixes[priority], "kind": "unsafe", "timeoutMs": 1500,
+			"targetLatencyMs": 60, "priority": priority, "service": Service, "attempts": 3, "stretch": 1.6,
+		})
+	}
 	return map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "jobs", "host": Host, "pathPrefix": Prefix, "kind": "unsafe", "timeoutMs": 1500,
-			"targetLatencyMs": 60, "priority": 0, "service": Service, "attempts": 3, "stretch": 1.6,
-		}},
+		"version":  1,
+		"routes":   routes,
 		"services": []map[string]any{{"name": Service}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
@@ -152,8 +168,8 @@
 	return nil
 }
 
-// capacity is the capacity of every backend server.
-var capacity = work.Demand{CPUMilli: 8000, MemoryMB: 4096}
+// Capacity is the capacity of every backend server, unless SetCapacity changes it.
+var Capacity = work.Demand{CPUMilli: 8000, MemoryMB: 4096}
 
 func (s *Site) startBackend(ctx context.Context, i int) error {
 	vm := s.address(kindAgent, i)
@@ -161,14 +177,27 @@
 	b := NewBackend(BackendConfig{
 		ID: fmt.Sprintf("server-%d", i), Service: Service, Zone: Domains[i%len(Domains)],
 		Address: fmt.Sprintf("%s:%d", vm, portApp), Reports: fmt.Sprintf("%s:%d", vm, portControl),
-		Capacity: capacity, Every: 500 * time.Millisecond, Plan: s.cfg.Plan,
+		Capacity: Capacity, Every: 500 * time.Millisecond, Plan: s.plan(i),
 	}, watcher)
-	watcher.used = b.server.Used
+	watcher.capacityCheck = b.checkCapacity
 	s.Backends = append(s.Backends, b)
 	go b.Run(ctx)
 	return s.serve(fmt.Sprintf("%s:%d", vm, portApp), b)
 }
 
+// plan returns what runs do on a backend server of its speed.
+func (s *Site) plan(i int) func(work.Run, string) runserver.Plan {
+	if len(s.cfg.Speed) == 0 {
+		return s.cfg.Plan
+	}
+	factor := s.cfg.Speed[i%len(s.cfg.Speed)]
+	return func(r work.Run, spec string) runserver.Plan {
+		p := s.cfg.Plan(r, spec)
+		p.Length = time.Duration(factor * float64(p.Length))
+		return p
+	}
+}
+
 // process writes the settings file of a process and starts it.
 func (s *Site) process(role string, i, kind int) (*cluster.Process, error) {
 	name := fmt.Sprintf("%s-%d", role, i)
@@ -292,7 +321,8 @@
 type watcher struct {
 	checks  *Checks
 	backend int
-	used    func() work.Demand
+	// capacityCheck returns an error if the runs on the backend server exceed its capacity.
+	capacityCheck func() error
 }
 
 // Began implements runserver.Watcher.
@@ -307,6 +337,9 @@
 	if twice {
 		c.Fail("task %v runs twice at once; the newest run is on backend server %d", r, w.backend)
 	}
+	if err := w.capacityCheck(); err != nil {
+		c.Fail("%v starts on backend server %d: %v", r, w.backend, err)
+	}
 }
 
 // Ended implements runserver.Watcher.
