schedule: plan the waiting jobs by Moore and Hodgson's rule; jobs put off leave room

Cause: within a priority, jobs were served in order of arrival. Late jobs took room at one entry that jobs in time waited for at another.

Change: for routes with a latency objective, started jobs go first, then jobs by latest start. While work waits, each queue of a service and priority is planned at most once per 10 ms: the job with the most work is put off while one would start too late; a job that can't start before it is of no use is refused. The largest tenth, the next fifth and the rest of each route keep a decaying share in time, and a class 0.10 below its route is spared while another job can be put off. The rate is the entry's own, behind priorityRate, averaged over 1 s. The reservation is now the sum of the needs of the more urgent priorities: with the largest one, priorities 1 and 2 had the same threshold and priority 2 took the room that priority 1 left at another entry. A job that was put off also leaves the room of one large job of its own priority while jobs in time find none. headWait is the longest wait, since the first job is no longer the oldest.

--- a/overload/headroom.go
+++ b/overload/headroom.go
@@ -1,9 +1,11 @@
 // Package overload decides what to do with the waiting work of one service when capacity
-// is short: how much capacity less urgent work leaves free. It is pure: it has no clock
-// and no I/O, and knows neither jobs nor agents. Package schedule applies the decisions.
+// is short: how much capacity less urgent work leaves free, which jobs of a priority are
+// put off, and which are refused. It is pure: it has no clock and no I/O, and knows neither
+// callers nor agents. Package schedule applies the decisions.
 package overload
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -26,9 +28,10 @@
 // quantile is a percentile of a bounded, slowly forgetting histogram. The percentile is
 // kept between samples because finding it walks the whole histogram.
 type quantile struct {
-	histogram *hdrhistogram.Histogram
-	stale     int
-	value     int64
+	percentile float64 // 0 stands for largeQuantile
+	histogram  *hdrhistogram.Histogram
+	stale      int
+	value      int64
 }
 
 func (q *quantile) record(v int64) {
@@ -47,7 +50,7 @@
 	}
 	if q.stale++; q.value == 0 || q.stale >= refreshEvery {
 		q.stale = 0
-		q.value = q.histogram.ValueAtQuantile(largeQuantile)
+		q.value = q.histogram.ValueAtQuantile(cmp.Or(q.percentile, largeQuantile))
 	}
 }
 
@@ -72,10 +75,9 @@
 // Needs tracks the needs of the jobs of one service and priority, and when work of it last
 // found too little free capacity.
 type Needs struct {
-	job        quantile
-	taskMilli  int64 // of the last job that was at least as large as the quantile
-	shortageAt time.Duration
-	short      bool
+	job                      quantile
+	taskMilli                int64 // of the last job that was at least as large as the quantile
+	shortage, shortageInTime event
 }
 
 // Record counts a job that has arrived.
@@ -93,17 +95,34 @@
 	return need
 }
 
-// Shortage records that work found too little free capacity.
-func (n *Needs) Shortage(now time.Duration) { n.shortageAt, n.short = now, true }
+// Shortage records that work found too little free capacity: work that can still end in
+// time, or work that was put off.
+func (n *Needs) Shortage(now time.Duration, inTime bool) {
+	n.shortage.set(now)
+	if inTime {
+		n.shortageInTime.set(now)
+	}
+}
 
 // shortageMemory is how long headroom is kept after urgent work has found too little.
 const shortageMemory = time.Second
 
 // Short reports whether work found too little free capacity within the last second.
-func (n *Needs) Short(now time.Duration) bool {
-	return n.short && now-n.shortageAt <= shortageMemory
+func (n *Needs) Short(now time.Duration) bool { return n.shortage.recent(now) }
+
+// ShortInTime is Short for work that can still end in time.
+func (n *Needs) ShortInTime(now time.Duration) bool { return n.shortageInTime.recent(now) }
+
+// event is the time of the last event of a kind.
+type event struct {
+	at   time.Duration
+	seen bool
 }
 
+func (e *event) set(now time.Duration) { e.at, e.seen = now, true }
+
+func (e *event) recent(now time.Duration) bool { return e.seen && now-e.at <= shortageMemory }
+
 // maxReservedShare bounds the reservation on a small fleet, so that less urgent work isn't
 // locked out where one large urgent job needs the whole of it.
 const maxReservedShare = 0.5
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -99,15 +99,16 @@
 // has only just formed comes from a few close arrivals and drains soon.
 const headWaitShare = 0.25
 
-// headWait returns how long the first waiting job of the same service and priority
-// that can still end in time has waited.
+// headWait returns the longest wait of the jobs of the same service and priority that can
+// still end in time.
 func (c *Core) headWait(j *jobState) time.Duration {
+	var longest time.Duration
 	for _, w := range c.waiting {
 		if w.Route.Service == j.Route.Service && w.Route.Priority == j.Route.Priority && !w.late {
-			return c.now - w.arrived
+			longest = max(longest, c.now-w.arrived)
 		}
 	}
-	return 0
+	return longest
 }
 
 const (
@@ -156,17 +157,12 @@
 		if w.Route.Service != j.Route.Service || w.Route.Priority != j.Route.Priority || compareJobs(w, j) > 0 {
 			continue
 		}
-		for s := range w.steps {
-			left := w.Steps[s].Count - w.steps[s].next
-			ahead += float64(left) * c.cpuWork(w, s)
-		}
+		ahead += c.waitingWork(w)
 	}
 	if ahead == 0 {
 		return 0
 	}
-	rate := c.placed.rate(j.Route.Priority, c.now)
-	fairShare := float64(capacity.CPUMilli)*c.share(j) - c.placed.moreUrgent(j.Route.Priority, c.now)
-	return time.Duration(ahead / max(rate, fairShare, 1))
+	return time.Duration(ahead / c.priorityRate(j, capacity))
 }
 
 // cpuWork returns the expected CPU work of one task, in millicore-nanoseconds.
@@ -229,7 +225,7 @@
 			c.finish(j, Rejected, "waited in vain")
 			continue
 		}
-		if !j.late && waited > c.allowedWait(j) {
+		if !j.late && !j.hasObjective() && waited > c.allowedWait(j) {
 			c.dequeue(j)
 			j.late = true
 			c.enqueue(j)
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/overload"
 	"foxtaildock.example/dock/work"
 )
 
@@ -28,6 +29,7 @@
 	// underReview is true for a job admitted as late whose prospect is to be considered
 	// once more.
 	underReview bool
+	class       overload.Class // size within the route
 }
 
 type stepState struct {
@@ -78,26 +80,36 @@
 	c.waiting = slices.Insert(c.waiting, at, j)
 }
 
-// compareJobs orders jobs by priority. Within one priority, jobs that can still end in
-// time go first, so that a late job does not make others late; then the order is that
-// of arrival. A job of which a task was offered keeps its place, so that started jobs
-// get completed rather than many jobs being left half done.
+// compareJobs orders jobs by priority. Within one priority, jobs with a latency objective of
+// which a task was offered go first, so that started jobs get completed rather than many
+// jobs being left half done. Then come jobs that can still end in time, so that a late job
+// does not make others late; then the order is that of the latest start in time, or of
+// arrival for jobs without an objective.
 func compareJobs(a, b *jobState) int {
 	return cmp.Or(
 		cmp.Compare(a.Route.Priority, b.Route.Priority),
-		compareLate(a.late, b.late),
+		cmp.Compare(a.rank(), b.rank()),
+		cmp.Compare(a.orderTime(), b.orderTime()),
 		cmp.Compare(a.arrivalOrder, b.arrivalOrder),
 	)
 }
 
-func compareLate(a, b bool) int {
+// rank orders the jobs of a priority: started, in time, late.
+func (j *jobState) rank() int {
 	switch {
-	case a == b:
+	case j.offered && j.hasObjective():
 		return 0
-	case b:
-		return -1
+	case !j.late:
+		return 1
 	}
-	return 1
+	return 2
+}
+
+func (j *jobState) orderTime() time.Duration {
+	if j.hasObjective() {
+		return j.latestStart()
+	}
+	return j.arrived
 }
 
 func (c *Core) dequeue(j *jobState) {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -122,6 +122,7 @@
 	if !j.offered {
 		j.offered = true
 		j.firstOffer = c.now
+		c.plans.unsorted = true
 	}
 	j.runs++
 	c.placed.add(j.Route.Priority, c.now, c.cpuWork(j, step))
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -28,12 +28,11 @@
 	return nil
 }
 
-// recordNeed counts what an arriving job needs at once. Nothing is kept for the least
-// urgent priority, for which no work leaves room.
+// recordNeed counts what an arriving job needs at once.
 func (c *Core) recordNeed(j *jobState) {
 	p := j.Route.Priority
-	if p >= c.leastUrgent {
-		return
+	if c.mostUrgent >= c.leastUrgent {
+		return // no work leaves room for other work
 	}
 	s := c.reserve.services[j.Route.Service]
 	if s == nil {
@@ -72,40 +71,55 @@
 func (c *Core) shortage(j *jobState) {
 	if s := c.reserve.services[j.Route.Service]; s != nil {
 		if n := s.of(j.Route.Priority); n != nil {
-			n.Shortage(c.now)
+			n.Shortage(c.now, !j.putOff())
 		}
 	}
 }
 
-// reservedFor returns the largest need of the more urgent priorities of a service. It is
-// zero unless one of them found too little free capacity within the last second.
-func (c *Core) reservedFor(service ident.Service, p work.Priority) overload.Need {
-	s := c.reserve.services[service]
+// putOff reports whether the job goes behind the jobs of its priority that can still end in
+// time.
+func (j *jobState) putOff() bool { return j.late && !j.offered }
+
+// reservedFor returns what the job leaves free: the sum of what one large job of each more
+// urgent priority of the service needs. A job that was put off leaves room for one that can
+// end in time as well. The need is zero unless such work found too little free capacity
+// within the last second.
+//
+// It is the sum rather than the largest need because with the same threshold for all, work
+// of priority 2 took the room that priority 1 left for priority 0, and priority 1 waited
+// for it at another entry.
+func (c *Core) reservedFor(j *jobState) overload.Need {
+	s := c.reserve.services[j.Route.Service]
 	if s == nil {
 		return overload.Need{}
 	}
-	var largest overload.Need
+	var sum overload.Need
 	short := false
 	for i, other := range s.priorities {
-		if other >= p {
-			break
-		}
-		short = short || s.needs[i].Short(c.now)
-		if need := s.needs[i].Large(); need.Milli > largest.Milli {
-			largest = need
+		n := s.needs[i]
+		switch {
+		case other < j.Route.Priority:
+			short = short || n.Short(c.now)
+		case other == j.Route.Priority && j.putOff():
+			short = short || n.ShortInTime(c.now)
+		default:
+			continue
 		}
+		large := n.Large()
+		sum.Milli += large.Milli
+		sum.TaskMilli = max(sum.TaskMilli, large.TaskMilli)
 	}
 	if !short {
 		return overload.Need{}
 	}
-	return largest
+	return sum
 }
 
 // leavesRoom reports whether enough stays free for more urgent work once a task of the job
 // has taken its demand. The room of the agents that the entry sees counts in whole tasks of
 // the more urgent job, since what is left over on each server is of no use to it.
 func (c *Core) leavesRoom(j *jobState, demand work.Demand) bool {
-	need := c.reservedFor(j.Route.Service, j.Route.Priority)
+	need := c.reservedFor(j)
 	if need.Milli == 0 {
 		return true
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -27,6 +27,7 @@
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/lease"
 	"foxtaildock.example/dock/operator"
+	"foxtaildock.example/dock/overload"
 	"foxtaildock.example/dock/work"
 )
 
@@ -59,6 +60,7 @@
 	placed                  placedRates
 	crashes                 crashHistory
 	reserve                 reservations
+	plans                   queuePlans
 	// candidates are the agents with room; valid only during dispatch.
 	candidates []*agentState
 	arrivals   uint64
@@ -73,6 +75,7 @@
 		agents:  map[ident.Incarnation]*agentState{},
 		times:   map[string]*routeTimes{},
 		crashes: crashHistory{counts: map[work.Task]int{}},
+		plans:   queuePlans{sizes: map[string]*overload.Sizes{}, rates: map[queueKey]*plannedRate{}},
 		reserve: reservations{services: map[ident.Service]*serviceNeeds{}},
 	}
 }
@@ -109,10 +112,12 @@
 	case Tick:
 		c.expireAgents()
 		c.expireJobs()
+		c.planQueues()
 		c.endDrainedJobs()
 		c.reassignSlowRuns()
 	}
 	c.dispatch()
+	c.restoreOrder()
 	return c.out
 }
 
@@ -166,11 +171,13 @@
 	}
 	j := c.newJob(job)
 	c.recordNeed(j)
+	c.recordSize(j)
 	if !c.recallCrashes(j) {
 		c.finish(j, FailedJob, reasonCrashes)
 		return
 	}
 	if rejection := c.admit(j); rejection != nil {
+		c.recordService(j, rejection.Verdict, rejection.Reason)
 		c.emit(*rejection)
 		return
 	}
@@ -186,6 +193,7 @@
 
 // finish answers a job and stops its remaining runs.
 func (c *Core) finish(j *jobState, v Verdict, reason string) {
+	c.recordService(j, v, reason)
 	c.stopRuns(j)
 	c.dequeue(j)
 	delete(c.jobs, j.ID)
