--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -27,6 +27,7 @@
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/lease"
 	"foxtaildock.example/dock/operator"
+	"foxtaildock.example/dock/overload"
 	"foxtaildock.example/dock/work"
 )
 
@@ -62,6 +63,7 @@
 	placed                  placedRates
 	crashes                 crashHistory
 	reserve                 reservations
+	plans                   queuePlans
 	// candidates are the agents with room; valid only during dispatch.
 	candidates []*agentState
 	arrivals   uint64
@@ -76,6 +78,7 @@
 		agents:  map[ident.Incarnation]*agentState{},
 		times:   map[string]*routeTimes{},
 		crashes: crashHistory{counts: map[work.Task]int{}},
+		plans:   queuePlans{sizes: map[string]*overload.Sizes{}, rates: map[queueKey]*plannedRate{}},
 		reserve: reservations{services: map[ident.Service]*serviceNeeds{}},
 	}
 }
@@ -113,11 +116,13 @@
 	case Tick:
 		c.expireAgents()
 		c.expireJobs()
+		c.planQueues()
 		c.endDrainedJobs()
 		c.reassignSlowRuns()
 		c.takeBackWaiting()
 	}
 	c.dispatch()
+	c.restoreOrder()
 	return c.out
 }
 
@@ -173,11 +178,13 @@
 	}
 	j := c.newJob(job)
 	c.recordNeed(j)
+	c.recordSize(j)
 	if !c.recallCrashes(j) {
 		c.finish(j, FailedJob, reasonCrashes)
 		return
 	}
 	if rejection := c.admit(j); rejection != nil {
+		c.recordService(j, rejection.Verdict, rejection.Reason)
 		c.emit(*rejection)
 		return
 	}
@@ -193,6 +200,7 @@
 
 // finish answers a job and stops its remaining runs.
 func (c *Core) finish(j *jobState, v Verdict, reason string) {
+	c.recordService(j, v, reason)
 	c.stopRuns(j)
 	c.dequeue(j)
 	delete(c.jobs, j.ID)
