schedule, run, platform: move runs off servers that end before them

Cause: the end of a draining server was unknown. Runs that it cut off lost their progress, and their tasks started elsewhere only after the end was found.

Change: a draining server's report may have remainingMs, the least time until it ends. The agent keeps the end that follows from the newest report and sends remaining_ms in Room. A server that is gone before the end that it reported has crashed. Times that can't be right are ignored with a log line, the rest of the report is used. Log lines and the counter foxtaildock_entry_runs_moved.

The site model's DrainServer reports its end if Magnitude is above 0.

--- a/bench/sitesim/config.go
+++ b/bench/sitesim/config.go
@@ -104,7 +104,8 @@
 	LateOrders
 	// LostAnswers executes orders, but loses a share Magnitude of the answers for For.
 	LostAnswers
-	// DrainServer makes a server report that it drains. It ends after For.
+	// DrainServer makes a server report that it drains. It ends after For, which it reports
+	// as well if Magnitude is above 0.
 	DrainServer
 	// WithdrawDomain takes a failure domain out of service for For.
 	WithdrawDomain
--- a/bench/sitesim/faults.go
+++ b/bench/sitesim/faults.go
@@ -61,6 +61,9 @@
 		s.after(f.For, func() { s.orders.lost = 0 })
 	case DrainServer:
 		v.state.draining = true
+		if f.Magnitude > 0 {
+			v.state.endsAt = s.now() + f.For
+		}
 		s.after(f.For, func() { v.crash(time.Second) })
 	case WithdrawDomain:
 		s.withdraw(s.domain(f.Index), f.For)
--- a/bench/sitesim/vm.go
+++ b/bench/sitesim/vm.go
@@ -30,6 +30,7 @@
 type serverState struct {
 	silent, stuck, failing, draining bool
 	slow                             float64
+	endsAt                           time.Duration // when a draining server ends, 0 if it doesn't tell
 }
 
 // waitingHold is a hold call that waits for the end of a run.
@@ -116,7 +117,7 @@
 		e := run.ServerReported{
 			Server: work.Server{
 				Incarnation: fmt.Sprintf("server-%d-%d", v.index, v.serverGeneration), Service: Service,
-				Domain: v.site.domain(v.index), Capacity: v.capacity(), Draining: v.state.draining,
+				Domain: v.site.domain(v.index), Capacity: v.capacity(), Draining: v.state.draining, Remaining: max(v.state.endsAt-v.site.now(), 0),
 			},
 			StartUnixMs: v.serverGeneration, Clock: v.server.Clock(v.site.now()), Sequence: v.sequence,
 		}
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -233,6 +233,9 @@
 	}
 	d.step(schedule.AgentMessageReceived{Agent: agent, AckedHeartbeatSentAt: a.sentAt(m.GetHeartbeat())})
 	if r := m.GetRoom(); r != nil {
+		if !link.ValidRemaining(r) {
+			d.cfg.Log.Warn("invalid remaining time of a backend server", telemetry.Peer(agent), telemetry.Backend(r.GetIncarnation()))
+		}
 		d.step(schedule.AgentRoomReported{
 			Agent: agent, Server: link.ServerOf(r), Used: link.DemandOf(r.GetUsed()),
 			Queued: link.QueuedOf(r), LastOfferIncluded: m.GetTaken(), Pace: r.GetPace(),
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -51,6 +51,7 @@
 		{Name: "foxtaildock.entry.subset.usable", Help: "Agents that the entry can use.", Read: func() int64 { return d.subsetUsable.Load() }},
 		{Name: "foxtaildock.entry.agents", Help: "Agents that are known.", Read: func() int64 { return int64(d.stats.Load().Agents) }},
 		{Name: "foxtaildock.entry.runs.taken_back", Help: "Waiting runs taken back from full agents.", Counter: true, Read: func() int64 { return int64(d.stats.Load().TakenBack) }},
+		{Name: "foxtaildock.entry.runs.moved", Help: "Runs stopped since they could not end before their backend servers.", Counter: true, Read: func() int64 { return int64(d.stats.Load().Moved) }},
 		{Name: "foxtaildock.operator.age", Help: "Milliseconds since the store confirmed the operators' rows.", Read: func() int64 {
 			_, age, _ := d.view.current()
 			return age.Milliseconds()
--- a/link/convert.go
+++ b/link/convert.go
@@ -69,6 +69,7 @@
 		Domain: string(r.Server.Domain), Labels: r.Server.Labels,
 		Capacity: DemandMessage(r.Server.Capacity), Used: DemandMessage(r.Used),
 		Queued: queuedMessages(r.Queued), Draining: r.Server.Draining || r.Closed, Pace: r.Pace,
+		RemainingMs: r.Server.Remaining.Milliseconds(),
 	}
 }
 
@@ -96,9 +97,24 @@
 		Incarnation: r.GetIncarnation(), Service: ident.Service(r.GetService()),
 		Domain: ident.FailureDomain(r.GetDomain()), Labels: r.GetLabels(),
 		Capacity: DemandOf(r.GetCapacity()), Draining: r.GetDraining(),
+		Remaining: remainingOf(r),
 	}
 }
 
+// remainingOf returns the least time until the server ends, 0 if it is unknown or can't be
+// right.
+func remainingOf(r *linkpb.Room) time.Duration {
+	if !r.GetDraining() || !ValidRemaining(r) {
+		return 0
+	}
+	return Millis(r.GetRemainingMs())
+}
+
+// ValidRemaining reports whether the remaining time of a message Room can be right.
+func ValidRemaining(r *linkpb.Room) bool {
+	return r.GetRemainingMs() >= 0 && r.GetRemainingMs() <= work.MaxRemaining.Milliseconds()
+}
+
 var outcomes = map[work.Outcome]linkpb.Outcome{
 	work.Done:       linkpb.Outcome_OUTCOME_DONE,
 	work.Failed:     linkpb.Outcome_OUTCOME_FAILED,
--- a/run/events.go
+++ b/run/events.go
@@ -242,6 +242,7 @@
 	Text        string        // the log message
 	Incarnation string        // of the backend server, empty if unknown
 	Age         time.Duration // how long the server has been silent, if that is the cause
+	Remaining   time.Duration // least time until the server ends, 0 if unknown
 	Reason      string
 }
 
--- a/run/run.go
+++ b/run/run.go
@@ -175,6 +175,8 @@
 	// Pace is the ratio of actual to expected run time of the running tasks, 0 if
 	// unknown.
 	Pace float64
+	// endsAt is the end of the server that Server.Remaining follows from.
+	endsAt time.Duration
 }
 
 // QueuedDemand is the total demand of the waiting tasks of one priority.
@@ -187,14 +189,16 @@
 // no update then.
 func (r *Room) Equal(o *Room) bool {
 	return r.Server.Incarnation == o.Server.Incarnation && r.Server.Draining == o.Server.Draining &&
-		r.Server.Capacity == o.Server.Capacity && r.Used == o.Used && r.Closed == o.Closed && r.Pace == o.Pace && slices.Equal(r.Queued, o.Queued)
+		r.Server.Capacity == o.Server.Capacity && r.Used == o.Used && r.Closed == o.Closed && r.Pace == o.Pace && r.endsAt == o.endsAt &&
+		slices.Equal(r.Queued, o.Queued)
 }
 
 // Room returns the state of the backend server as of the last step.
 func (c *Core) Room() Room {
 	r := Room{Used: c.used(), Closed: c.refusal() != "", Pace: c.pace.quantized(c.now)}
 	if c.server.phase == serverInUse {
-		r.Server = c.server.report.Server
+		r.Server, r.endsAt = c.server.report.Server, c.server.endsAt
+		r.Server.Remaining = c.server.remaining(c.now)
 	}
 	for _, t := range c.queue {
 		if n := len(r.Queued); n == 0 || r.Queued[n-1].Priority != t.priority {
--- a/run/server.go
+++ b/run/server.go
@@ -37,6 +37,9 @@
 	lastSeen int64
 	// foreign is the number of runs on the server that the agent doesn't hold.
 	foreign int
+	// endsAt is when the draining server ends at the earliest, 0 if its newest report
+	// doesn't tell.
+	endsAt time.Duration
 	// refuses is true while no process listens at the server's address.
 	refuses bool
 }
@@ -57,6 +60,7 @@
 		draining := s.report.Server.Draining || e.Server.Draining
 		s.report = e
 		s.report.Server.Draining = draining
+		c.noteServerEnd()
 		return
 	case s.phase != serverNone && e.StartUnixMs < s.report.StartUnixMs:
 		return // of an earlier incarnation
@@ -82,6 +86,38 @@
 	}
 	c.holds.shortPollWanted = true
 	c.emit(LogMessage{Text: "backend server reported", Incarnation: e.Server.Incarnation})
+	c.noteServerEnd()
+}
+
+// noteServerEnd keeps the end that follows from the newest report. A time that can't be right
+// counts as unknown.
+func (c *Core) noteServerEnd() {
+	s := &c.server
+	known := s.endsAt > 0
+	s.endsAt = 0
+	left := s.report.Server.Remaining
+	if !s.report.Server.Draining || left <= 0 || left > work.MaxRemaining {
+		return
+	}
+	s.endsAt = c.now + left
+	if !known {
+		c.emit(LogMessage{Text: "backend server drains and reports its end", Incarnation: s.report.Server.Incarnation, Remaining: left})
+	}
+}
+
+// remaining returns the least time until the draining server ends, 0 if unknown. It is never
+// below a millisecond, the unit of messages, once the end is known.
+func (s *serverState) remaining(now time.Duration) time.Duration {
+	if s.endsAt == 0 {
+		return 0
+	}
+	return max(s.endsAt-now, time.Millisecond)
+}
+
+// endedAsPlanned reports whether a server that is gone now had drained before, at least for
+// as long as it reported.
+func (c *Core) endedAsPlanned() bool {
+	return c.server.report.Server.Draining && c.now >= c.server.endsAt
 }
 
 // raiseFence raises the fencing token after the server has refused it, since another
@@ -102,9 +138,9 @@
 }
 
 // goneReason returns why the runs of an incarnation that has a successor are lost. One
-// that drained before has ended as planned.
+// that drained before has ended as planned, unless it reported a later end.
 func (c *Core) goneReason() string {
-	if c.server.report.Server.Draining {
+	if c.endedAsPlanned() {
 		return reasonServerLeft
 	}
 	return reasonServerRestarted
@@ -115,7 +151,7 @@
 	switch {
 	case !c.server.refuses:
 		return reasonLeaseLapsed
-	case c.server.report.Server.Draining:
+	case c.endedAsPlanned():
 		return reasonServerLeft
 	}
 	return reasonServerRefuses
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -228,7 +228,7 @@
 	if a.Incarnation != "" {
 		r.server = a.Incarnation
 	}
-	r.cfg.Log.Info(a.Text, telemetry.Backend(a.Incarnation), telemetry.Age(a.Age), telemetry.ReasonText(a.Reason))
+	r.cfg.Log.Info(a.Text, telemetry.Backend(a.Incarnation), telemetry.Age(a.Age), telemetry.Remaining(a.Remaining), telemetry.ReasonText(a.Reason))
 }
 
 func (r *Runner) callStart(a run.CallStart, server string) {
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -35,6 +35,7 @@
 	speed         speed
 	health        health
 	waits         []waitingRun
+	endsAt        time.Duration // when the draining server ends at the earliest, 0 if unknown
 }
 
 type sentOffer struct {
@@ -191,7 +192,7 @@
 		a.speed, a.health = speed{}, health{}
 		c.loseReplacedAgents(a)
 	}
-	a.server = e.Server
+	a.server, a.endsAt = e.Server, c.serverEnd(&e.Server)
 	a.used = e.Used
 	a.queued = e.Queued
 	a.speed.setPace(e.Pace)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -58,6 +58,7 @@
 	leastUrgentOf           map[ident.Service]work.Priority
 	occupancy               map[ident.Service]*occupancy
 	takenBack               uint64                 // number of runs that were taken back from full agents
+	moved                   uint64                 // number of runs that were moved off leaving servers
 	times                   map[string]*routeTimes // by route name
 	placed                  placedRates
 	crashes                 crashHistory
@@ -114,6 +115,7 @@
 		c.endDrainedJobs()
 		c.reassignSlowRuns()
 		c.takeBackWaiting()
+		c.moveLeavingRuns()
 	}
 	c.dispatch()
 	return c.out
@@ -144,11 +146,14 @@
 	Agents  int
 	// TakenBack counts the runs that were taken back from full agents.
 	TakenBack uint64
+	// Moved counts the runs that were stopped since they couldn't end before their backend
+	// servers.
+	Moved uint64
 }
 
 // Stats returns the figures as of the last step.
 func (c *Core) Stats() Stats {
-	return Stats{Jobs: len(c.jobs), Waiting: len(c.waiting), Agents: len(c.agents), TakenBack: c.takenBack}
+	return Stats{Jobs: len(c.jobs), Waiting: len(c.waiting), Agents: len(c.agents), TakenBack: c.takenBack, Moved: c.moved}
 }
 
 // Pending returns the number of jobs of a route of which no task was offered yet.
--- a/telemetry/field_runs.go
+++ b/telemetry/field_runs.go
@@ -13,6 +13,7 @@
 	fieldBackend      = "backend_server"
 	fieldAge          = "age_ms"
 	fieldExpiry       = "expiry_ms"
+	fieldRemaining    = "remaining_ms"
 	fieldFencingToken = "fencing_token"
 	fieldCall         = "call"
 	fieldRowsVersion  = "rows_version"
@@ -55,6 +56,9 @@
 // Age is the age of the information that a decision is based on.
 func Age(d time.Duration) Field { return Field{fieldAge, d} }
 
+// Remaining is the least time until a backend server ends.
+func Remaining(d time.Duration) Field { return Field{fieldRemaining, d} }
+
 // Expiry is the end of a lease on the backend server's clock.
 func Expiry(d time.Duration) Field { return Field{fieldExpiry, d} }
 
--- a/work/work.go
+++ b/work/work.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"time"
 
 	"foxtaildock.example/dock/ident"
 )
@@ -114,4 +115,9 @@
 	// Draining is true once the backend server has announced that it will stop. It
 	// then gets no new work.
 	Draining bool
+	// Remaining is the least time until a draining backend server ends, 0 if unknown.
+	Remaining time.Duration
 }
+
+// MaxRemaining bounds Server.Remaining: a server that stays for longer is not about to end.
+const MaxRemaining = 24 * time.Hour
