--- a/bench/sitesim/config.go
+++ b/bench/sitesim/config.go
@@ -128,7 +128,8 @@
 	LateOrders
 	// LostAnswers executes orders, but loses a share Magnitude of the answers for For.
 	LostAnswers
-	// DrainServer makes a server report that it drains. It ends after For.
+	// DrainServer makes a server report that it drains. It ends after For, which it reports
+	// as well if Magnitude is above 0.
 	DrainServer
 	// LeaveServer makes a server report at once that it drains. For is the time that is left;
 	// it ends then, and a new incarnation starts Magnitude seconds later.
--- a/bench/sitesim/vm.go
+++ b/bench/sitesim/vm.go
@@ -32,9 +32,7 @@
 type serverState struct {
 	silent, stuck, failing, draining bool
 	slow                             float64
-	// leavesAt is when a server that leaves ends. work.Server has no field for the time that
-	// is left, so the reports don't carry it.
-	leavesAt time.Duration
+	endsAt                           time.Duration // when a draining server ends, 0 if it doesn't tell
 }
 
 // waitingHold is a hold call that waits for the end of a run.
@@ -123,7 +121,7 @@
 		e := run.ServerReported{
 			Server: work.Server{
 				Incarnation: fmt.Sprintf("server-%d-%d", v.index, v.serverGeneration), Service: Service,
-				Domain: v.site.domain(v.index), Capacity: v.capacity(), Draining: v.state.draining,
+				Domain: v.site.domain(v.index), Capacity: v.capacity(), Draining: v.state.draining, Remaining: max(v.state.endsAt-v.site.now(), 0),
 			},
 			StartUnixMs: v.serverGeneration, Clock: v.server.Clock(v.site.now()), Sequence: v.sequence,
 		}
@@ -296,10 +294,10 @@
 // leave makes the server report that it drains, and ends it after the notice. A new
 // incarnation starts after the given time without a server.
 func (v *vm) leave(notice, away time.Duration) {
-	v.state.draining, v.state.leavesAt = true, v.site.now()+notice
+	v.state.draining, v.state.endsAt = true, v.site.now()+notice
 	leaving := v.server
 	v.reportOnce()
-	v.site.at(v.state.leavesAt, func() {
+	v.site.at(v.state.endsAt, func() {
 		if v.server == leaving {
 			v.crash(away)
 		}
