Entries and agents exchange what waits and runs, by priority

Cause: each entry guesses its share of the agents' capacity from its own runs, and refuses jobs while servers have free capacity (docs/design/scarcity.md, cause 4).

Change: heartbeats carry the entry's backlog divided by the number of its usable agents. Agents keep the newest figure of each entry for three heartbeat intervals and answer heartbeats with what runs and waits by priority. The entry adds up the answers; FleetLoad and fleetLoad(service, priority) give the sums at and above a priority. Both sums are updated with each event. No message is added. Figures that can't be right are dropped with a log line; the rest of the message is used. The site simulation's sessions carry the same figures. Admission does not use them yet.

--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -43,13 +43,14 @@
 // agentSession is the agent's side of a session, as in package runner. lastOffer is
 // the sequence of the last offer that the agent has processed.
 type agentSession struct {
-	entry         *entryNode
-	name          ident.Incarnation
-	conn          *connection
-	ended         bool
-	results       session.Outbox[run.Report]
-	lastOffer     uint64
-	heartbeat     uint64
+	entry     *entryNode
+	name      ident.Incarnation
+	conn      *connection
+	ended     bool
+	results   session.Outbox[run.Report]
+	lastOffer uint64
+	heartbeat uint64
+	// dirty is true until the last heartbeat is answered.
 	dirty         bool
 	room          run.Room
 	unsentResults []numbered
@@ -68,6 +69,8 @@
 	heartbeat uint64
 	room      run.Room
 	stalled   []work.Run
+	// load is sent with the answer to a heartbeat, nil otherwise.
+	load *run.Load
 	// clock is the agent's clock when it sent the message.
 	clock time.Duration
 }
@@ -120,6 +123,10 @@
 			continue
 		}
 		m := toEntry{agent: v.self, results: s.unsentResults, lastOffer: s.lastOffer, heartbeat: s.heartbeat, room: room, stalled: s.unsentStalled}
+		if s.dirty {
+			load := v.core.Load(v.site.now())
+			m.load = &load
+		}
 		s.unsentResults, s.unsentStalled, s.dirty, s.room = nil, nil, false, room
 		v.send(s, m)
 	}
@@ -289,12 +296,17 @@
 func (e *entryNode) sendHeartbeat(i int) {
 	beat := e.links[i].end.NextHeartbeat(e.site.now())
 	withdrawn := e.site.operator.IsWithdrawn(e.site.domain(i))
+	var waiting []run.WaitingWork
+	if core, ok := e.core.(*schedule.Core); ok {
+		waiting = core.Waiting()
+	}
 	e.toAgent(i, func(v *vm, s *agentSession) {
 		s.results.Acknowledge(beat.ResultsSeen)
 		s.heartbeat, s.dirty = beat.Number, true
 		if beat.AgentClock > 0 {
 			v.step(run.EntryHeartbeat{Entry: s.name, AsOf: beat.AgentClock})
 		}
+		v.step(run.WaitingReported{Entry: s.name, Waiting: waiting})
 		v.step(run.DomainWithdrawn{Withdrawn: withdrawn})
 	})
 }
@@ -355,6 +367,9 @@
 	room := m.room
 	room.Server.Draining = room.Server.Draining || room.Closed
 	e.step(schedule.AgentRoomReported{Agent: m.agent, Server: room.Server, Used: room.Used, Queued: room.Queued, LastOfferIncluded: m.lastOffer, Pace: room.Pace})
+	if m.load != nil {
+		e.step(schedule.AgentLoadReported{Agent: m.agent, Load: *m.load})
+	}
 	for _, r := range m.stalled {
 		e.step(schedule.RunStalled{Agent: m.agent, Run: r})
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -124,6 +124,7 @@
 			d.step(schedule.Tick{})
 			timer.Reset(d.tickInterval())
 		}
+		d.links.updateWaiting(clock.Now())
 		stats := d.core.Stats()
 		d.stats.Store(&stats)
 	}
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -13,6 +13,7 @@
 	"foxtaildock.example/dock/link"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/linkpb"
+	"foxtaildock.example/dock/run"
 	"foxtaildock.example/dock/schedule"
 	"foxtaildock.example/dock/session"
 	"foxtaildock.example/dock/subset"
@@ -36,6 +37,20 @@
 	// sessions are the open sessions by the agent's incarnation, owned by the core
 	// goroutine.
 	sessions map[ident.Incarnation]*link.Session
+	// waiting is the work that waits at the entry, for the next heartbeats.
+	waiting atomic.Pointer[[]run.WaitingWork]
+	// waitingAt is when waiting was updated last. The core goroutine owns it.
+	waitingAt time.Duration
+}
+
+// updateWaiting updates the work that heartbeats name, at most once per tick.
+func (l *links) updateWaiting(now time.Duration) {
+	if now-l.waitingAt < tick {
+		return
+	}
+	l.waitingAt = now
+	waiting := l.dispatcher.core.Waiting()
+	l.waiting.Store(&waiting)
 }
 
 func newLinks(d *Dispatcher) *links {
@@ -184,6 +199,9 @@
 		WantsOperator: a.wantsRows,
 	}
 	a.wantsRows = false
+	if waiting := a.links.waiting.Load(); waiting != nil {
+		b.Waiting = link.WaitingMessages(*waiting)
+	}
 	if known {
 		b.OperatorAgeMs = age.Milliseconds()
 		b.Operator = link.WithdrawnMessage(&rows)
@@ -238,6 +256,9 @@
 			Queued: link.QueuedOf(r), LastOfferIncluded: m.GetTaken(), Pace: r.GetPace(),
 		})
 	}
+	if m.GetLoad() != nil {
+		d.handleLoad(agent, m.GetLoad())
+	}
 	for _, k := range m.GetStalled() {
 		d.step(schedule.RunStalled{Agent: agent, Run: link.RunOf(k)})
 	}
@@ -247,6 +268,16 @@
 	d.requestNewerRows(a, m.GetOperatorVersion())
 }
 
+// handleLoad passes the load of an agent to the core, unless a figure can't be right.
+func (d *Dispatcher) handleLoad(agent ident.Incarnation, m *linkpb.Load) {
+	load, err := link.LoadOf(m)
+	if err != nil {
+		d.cfg.Log.Warn("invalid load from an agent", telemetry.Peer(agent), telemetry.Err(err))
+		return
+	}
+	d.step(schedule.AgentLoadReported{Agent: agent, Load: load})
+}
+
 // welcome records which incarnation of the agent answered.
 func (a *agentLink) welcome(agent ident.Incarnation) {
 	a.mu.Lock()
--- a/run/run.go
+++ b/run/run.go
@@ -54,6 +54,7 @@
 	queue []*task
 	// entries holds the start of each entry's lease.
 	entries   map[ident.Incarnation]time.Duration
+	waiting   []entryWaiting // by entry
 	pace      pace
 	withdrawn bool
 	closing   bool
@@ -133,6 +134,8 @@
 		c.stopRequested(e)
 	case EntryHeartbeat:
 		c.entryHeartbeat(e)
+	case WaitingReported:
+		c.waitingReported(e)
 	case DomainWithdrawn:
 		c.withdrawn = e.Withdrawn
 	case Closing:
--- a/runner/session.go
+++ b/runner/session.go
@@ -34,6 +34,10 @@
 	processed uint64
 	// lastHeartbeat is the number of the entry's last heartbeat.
 	lastHeartbeat uint64
+	// heartbeatReceived is true until the heartbeat is answered.
+	heartbeatReceived bool
+	// waitingKnown is true if the entry's last heartbeat named waiting work.
+	waitingKnown bool
 	// pending is the next message to the entry, nil if there is nothing to send.
 	pending *linkpb.FromAgent
 	// lastRoom is the room that was sent last, if roomSent is true.
@@ -177,6 +181,8 @@
 	if b.GetAgentClockMs() > 0 {
 		r.step(run.EntryHeartbeat{Entry: s.entry, AsOf: link.Millis(b.GetAgentClockMs())})
 	}
+	s.heartbeatReceived = true
+	r.handleWaiting(s, b.GetWaiting())
 	s.pendingMessage() // so that the heartbeat is answered
 	if b.GetWantsOperator() {
 		s.wantsRows = true
@@ -193,6 +199,19 @@
 	r.setOperatorRows(rows, clock.Now()-link.Millis(b.GetOperatorAgeMs()))
 }
 
+// handleWaiting passes the work that waits at an entry to the core. Figures that can't be right
+// count as none.
+func (r *Runner) handleWaiting(s *entrySession, list []*linkpb.WaitingWork) {
+	waiting, err := link.WaitingOf(list)
+	if err != nil {
+		r.cfg.Log.Warn("invalid waiting work from an entry", telemetry.Peer(s.entry), telemetry.Err(err))
+	}
+	if len(waiting) > 0 || s.waitingKnown {
+		r.step(run.WaitingReported{Entry: s.entry, Waiting: waiting})
+	}
+	s.waitingKnown = len(waiting) > 0
+}
+
 func (r *Runner) handleOffer(s *entrySession, o *linkpb.Offer) {
 	for _, t := range o.GetTasks() {
 		r.step(run.Offered{
@@ -288,6 +307,10 @@
 	m.Heartbeat = s.lastHeartbeat
 	m.ClockMs = now.Milliseconds()
 	m.OperatorVersion = r.view.Rows().Version
+	if s.heartbeatReceived {
+		s.heartbeatReceived = false
+		m.Load = link.LoadMessage(r.core.Load(now))
+	}
 	if !s.roomSent || !s.lastRoom.Equal(&room) {
 		m.Room = link.RoomMessage(room)
 	}
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -32,6 +32,8 @@
 	runs map[work.Task]work.RunID
 	// cooldownUntil is the earliest time of the next offer after the agent returned a task.
 	cooldownUntil time.Duration
+	load          agentLoad
+	counted       countedLoad
 	speed         speed
 	health        health
 }
@@ -94,8 +96,7 @@
 	if a == nil {
 		return AgentStatus{}
 	}
-	inService := a.server.Incarnation != "" && !a.server.Draining && !c.operator.IsWithdrawn(a.server.Domain)
-	return AgentStatus{Usable: a.attached && inService, Runs: len(a.runs)}
+	return AgentStatus{Usable: c.inService(a), Runs: len(a.runs)}
 }
 
 // noRoomAfter is how long a job must have waited before the entry counts as having no
@@ -125,6 +126,8 @@
 	a.ackedHeartbeatSentAt = max(a.ackedHeartbeatSentAt, e.RequestedAt)
 	a.inFlight = nil
 	a.server = work.Server{}
+	a.load = agentLoad{}
+	c.countAgent(a)
 	c.emit(LogMessage{Text: "agent attached", Agent: a.id})
 	c.reconcile(a, e.Held)
 }
@@ -170,6 +173,7 @@
 	}
 	a.attached = false
 	a.server = work.Server{}
+	c.countAgent(a)
 	c.emit(LogMessage{Text: "agent detached", Agent: a.id, Reason: e.Reason, Age: c.now - a.lastMessage})
 	if len(a.runs) == 0 {
 		c.removeAgent(a)
@@ -190,7 +194,11 @@
 		a.speed, a.health = speed{}, health{}
 		c.loseReplacedAgents(a)
 	}
+	before := a.server
 	a.server = e.Server
+	if !a.counted.usable || before.Service != e.Server.Service || before.Capacity != e.Server.Capacity || !c.inService(a) {
+		c.countAgent(a)
+	}
 	a.used = e.Used
 	a.queued = e.Queued
 	a.speed.setPace(e.Pace)
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -21,6 +21,7 @@
 	expected     time.Duration // run time of the longest chain of dependent steps
 	targetEnd    time.Duration // when the job has to end to meet its latency objective
 	queued       bool
+	backlog      jobBacklog
 	basis        Basis // figures of its admission
 	// late is true if nothing of the job was offered while it could still end in time,
 	// or if it was expected to be late when it arrived.
@@ -70,6 +71,7 @@
 }
 
 func (c *Core) enqueue(j *jobState) {
+	defer c.countBacklog(j)
 	if j.queued {
 		return
 	}
@@ -101,6 +103,7 @@
 }
 
 func (c *Core) dequeue(j *jobState) {
+	defer c.countBacklog(j)
 	if !j.queued {
 		return
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -85,6 +85,7 @@
 		remaining = remaining || st.next < len(st.tasks)
 	}
 	c.send(j, offers)
+	c.countBacklog(j)
 	if !remaining || !c.anyReady(j) {
 		c.dequeue(j)
 	}
--- a/schedule/rate.go
+++ b/schedule/rate.go
@@ -59,3 +59,26 @@
 	}
 	return sum
 }
+
+// averagedShare is the share of the capacity that runs of one priority use, averaged over
+// rateWindow. Short tasks that start together would otherwise seem to leave no capacity to less
+// urgent work.
+type averagedShare struct {
+	known   bool
+	average float64
+	at      time.Duration
+}
+
+// value returns the average if the share was current since the last change.
+func (s *averagedShare) value(now time.Duration, current float64) float64 {
+	if !s.known {
+		return current
+	}
+	return current + (s.average-current)*math.Exp(-float64(now-s.at)/float64(rateWindow))
+}
+
+// add takes into account that the share was current since the last change.
+func (s *averagedShare) add(now time.Duration, current float64) {
+	s.average = s.value(now, current)
+	s.at, s.known = now, true
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -57,6 +57,8 @@
 	mostUrgent, leastUrgent work.Priority
 	times                   map[string]*routeTimes // by route name
 	placed                  placedRates
+	fleet                   fleet
+	backlog                 backlog
 	crashes                 crashHistory
 	// candidates are the agents with room; valid only during dispatch.
 	candidates []*agentState
@@ -93,6 +95,8 @@
 		c.agentRoomReported(e)
 	case AgentMessageReceived:
 		c.agentMessageReceived(e)
+	case AgentLoadReported:
+		c.agentLoadReported(e)
 	case RunEnded:
 		c.runEnded(e)
 	case RunCrashedElsewhere:
@@ -102,10 +106,12 @@
 	case OperatorChanged:
 		c.operator = e.Rows
 		c.mostUrgent, c.leastUrgent = priorities(e.Rows.Manifest)
+		c.countAgents()
 	case EntryDraining:
 		c.answerBy = e.AnswerBy
 	case Tick:
 		c.expireAgents()
+		c.refreshLoads()
 		c.expireJobs()
 		c.endDrainedJobs()
 		c.reassignSlowRuns()
