--- a/schedule/job.go
+++ b/schedule/job.go
@@ -22,6 +22,7 @@
 	expected     time.Duration // run time of the longest chain of dependent steps
 	targetEnd    time.Duration // when the job has to end to meet its latency objective
 	queued       bool
+	backlog      jobBacklog
 	basis        Basis // figures of its admission
 	// late is true if nothing of the job was offered while it could still end in time,
 	// or if it was expected to be late when it arrived.
@@ -72,6 +73,7 @@
 }
 
 func (c *Core) enqueue(j *jobState) {
+	defer c.countBacklog(j)
 	if j.queued {
 		return
 	}
@@ -113,6 +115,7 @@
 }
 
 func (c *Core) dequeue(j *jobState) {
+	defer c.countBacklog(j)
 	if !j.queued {
 		return
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -62,6 +62,8 @@
 	moved                   uint64                 // number of runs that were moved off leaving servers
 	times                   map[string]*routeTimes // by route name
 	placed                  placedRates
+	fleet                   fleet
+	backlog                 backlog
 	crashes                 crashHistory
 	reserve                 reservations
 	plans                   queuePlans
@@ -102,6 +104,8 @@
 		c.agentRoomReported(e)
 	case AgentMessageReceived:
 		c.agentMessageReceived(e)
+	case AgentLoadReported:
+		c.agentLoadReported(e)
 	case RunEnded:
 		c.runEnded(e)
 	case RunCrashedElsewhere:
@@ -112,10 +116,12 @@
 		c.operator = e.Rows
 		c.mostUrgent, c.leastUrgent = priorities(e.Rows.Manifest)
 		c.leastUrgentOf = leastUrgentByService(e.Rows.Manifest)
+		c.countAgents()
 	case EntryDraining:
 		c.answerBy = e.AnswerBy
 	case Tick:
 		c.expireAgents()
+		c.refreshLoads()
 		c.expireJobs()
 		c.planQueues()
 		c.endDrainedJobs()
