--- a/overload/headroom.go
+++ b/overload/headroom.go
@@ -123,9 +123,10 @@
 
 func (e *event) recent(now time.Duration) bool { return e.seen && now-e.at <= shortageMemory }
 
-// maxReservedShare bounds the reservation on a small fleet, so that less urgent work isn't
-// locked out where one large urgent job needs the whole of it.
-const maxReservedShare = 0.5
+// maxReservedShare bounds the reservation on a small fleet. Reserved capacity is idle between
+// urgent jobs, and on 11 servers one large urgent job is an eighth of the fleet: the least
+// urgent jobs lost more than the urgent ones gained.
+const maxReservedShare = 0.05
 
 // Reserved returns the part of the need that less urgent work leaves free on servers with
 // the given total capacity.
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -89,6 +89,7 @@
 	for i, j := range p.states {
 		if late := prospects[i] != overload.InTime; late != j.late && !j.offered {
 			j.late = late
+			c.countBacklog(j)
 			p.unsorted = true
 		}
 		if prospects[i] == overload.Hopeless && c.now-c.startedAt >= settlePeriod {
