schedule, run: speeds of servers from the runs of all entries, and placement by slack

Cause: each entry learnt the speeds of servers by itself, starting from 1, and forgot them when it restarted. A task on a server that takes 2.2 times as long was late from the start, and one straggler moved an average from 1 to 1.7.

Change: the agent keeps its server's speed over the runs of all entries and sends it in Room, without messages for changes below 5 %. Entries use it relative to the median of the fleet. While the slowest and the fastest tenth are further apart than the smallest Stretch, tasks are placed by slack. One sample counts at most as twice the average.

--- a/bench/sitesim/config.go
+++ b/bench/sitesim/config.go
@@ -43,6 +43,8 @@
 	Faults []Fault
 	// Subset is the number of agents that each entry wants to use at least; 0 means all.
 	Subset int
+	// NoSpeeds makes agents report no speed of their servers, as older versions do.
+	NoSpeeds bool
 	// Baseline makes entries decide by the simple policy that experiments compare
 	// the product with.
 	Baseline bool
--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -354,7 +354,10 @@
 	e.step(schedule.AgentMessageReceived{Agent: m.agent, AckedHeartbeatSentAt: l.end.SentAt(m.heartbeat)})
 	room := m.room
 	room.Server.Draining = room.Server.Draining || room.Closed
-	e.step(schedule.AgentRoomReported{Agent: m.agent, Server: room.Server, Used: room.Used, Queued: room.Queued, LastOfferIncluded: m.lastOffer, Pace: room.Pace})
+	if e.site.cfg.NoSpeeds {
+		room.Speed = run.SpeedFigure{}
+	}
+	e.step(schedule.AgentRoomReported{Agent: m.agent, Server: room.Server, Used: room.Used, Queued: room.Queued, LastOfferIncluded: m.lastOffer, Pace: room.Pace, Speed: room.Speed})
 	for _, r := range m.stalled {
 		e.step(schedule.RunStalled{Agent: m.agent, Run: r})
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -187,7 +187,7 @@
 	case schedule.AdmittedLate:
 		d.cfg.Log.Info("job admitted as late", append(basisFields(&a.Basis), telemetry.JobID(string(a.ID)))...)
 	case schedule.LogMessage:
-		d.cfg.Log.Info(a.Text, telemetry.Peer(a.Agent), telemetry.Run(a.Run.String()), telemetry.ReasonText(a.Reason), telemetry.Age(a.Age), telemetry.Crashes(a.Crashes))
+		d.cfg.Log.Info(a.Text, telemetry.Peer(a.Agent), telemetry.Run(a.Run.String()), telemetry.ReasonText(a.Reason), telemetry.Age(a.Age), telemetry.Crashes(a.Crashes), telemetry.Speed(a.Speed))
 	}
 }
 
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -233,9 +233,13 @@
 	}
 	d.step(schedule.AgentMessageReceived{Agent: agent, AckedHeartbeatSentAt: a.sentAt(m.GetHeartbeat())})
 	if r := m.GetRoom(); r != nil {
+		speed, err := link.SpeedOf(r)
+		if err != nil {
+			d.cfg.Log.Warn("speed in an agent's message ignored", telemetry.Peer(agent), telemetry.Err(err))
+		}
 		d.step(schedule.AgentRoomReported{
 			Agent: agent, Server: link.ServerOf(r), Used: link.DemandOf(r.GetUsed()),
-			Queued: link.QueuedOf(r), LastOfferIncluded: m.GetTaken(), Pace: r.GetPace(),
+			Queued: link.QueuedOf(r), LastOfferIncluded: m.GetTaken(), Pace: r.GetPace(), Speed: speed,
 		})
 	}
 	for _, k := range m.GetStalled() {
--- a/link/convert.go
+++ b/link/convert.go
@@ -64,12 +64,14 @@
 
 // RoomMessage converts the state of an agent's backend server to its message.
 func RoomMessage(r run.Room) *linkpb.Room {
-	return &linkpb.Room{
+	m := &linkpb.Room{
 		Incarnation: r.Server.Incarnation, Service: string(r.Server.Service),
 		Domain: string(r.Server.Domain), Labels: r.Server.Labels,
 		Capacity: DemandMessage(r.Server.Capacity), Used: DemandMessage(r.Used),
 		Queued: queuedMessages(r.Queued), Draining: r.Server.Draining || r.Closed, Pace: r.Pace,
 	}
+	setSpeed(m, r.Speed)
+	return m
 }
 
 func queuedMessages(queued []run.QueuedDemand) []*linkpb.Queued {
--- a/run/offers.go
+++ b/run/offers.go
@@ -89,5 +89,6 @@
 	if t.phase != phaseQueued {
 		ran = c.now - t.started
 	}
+	c.recordRunTime(t, outcome, ran)
 	c.emit(Report{Entry: t.entry, Run: t.run, Outcome: outcome, Ran: ran, Reason: reason, Server: t.server})
 }
--- a/run/pace.go
+++ b/run/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -51,15 +52,38 @@
 	return math.Pow(1+paceStep, steps)
 }
 
+// paceLimit is the multiple of the median of the running tasks' ratios to which each of
+// them is limited, so that one straggler doesn't make a server with other tasks look slow.
+const paceLimit = 2
+
 // samplePace updates the pace from the progress of the running tasks.
 func (c *Core) samplePace() {
-	var took, expected time.Duration
-	for _, t := range c.tasks {
-		if t.phase != phaseRunning || t.expected <= 0 || t.percent < minPercent {
-			continue
+	ratios := make([]float64, 0, len(c.held))
+	for _, t := range c.held {
+		if took, expected := t.progress(); expected > 0 {
+			ratios = append(ratios, float64(took)/float64(expected))
+		}
+	}
+	if len(ratios) == 0 {
+		return
+	}
+	slices.Sort(ratios)
+	limit := paceLimit * ratios[(len(ratios)-1)/2]
+	var sum, expectedSum float64
+	for _, t := range c.held {
+		if took, expected := t.progress(); expected > 0 {
+			sum += min(float64(took), limit*float64(expected))
+			expectedSum += float64(expected)
 		}
-		took += t.progressedAt - t.started
-		expected += t.expected * time.Duration(t.percent) / 100
 	}
-	c.pace.sample(c.now, took, expected)
+	c.pace.sample(c.now, time.Duration(sum), time.Duration(expectedSum))
+}
+
+// progress returns how long the task has run until its last progress, and how long that
+// progress was expected to take, 0 if it has made too little.
+func (t *task) progress() (took, expected time.Duration) {
+	if t.phase != phaseRunning || t.expected <= 0 || t.percent < minPercent {
+		return 0, 0
+	}
+	return t.progressedAt - t.started, t.expected * time.Duration(t.percent) / 100
 }
--- a/run/run.go
+++ b/run/run.go
@@ -55,6 +55,7 @@
 	// entries holds the start of each entry's lease.
 	entries   map[ident.Incarnation]time.Duration
 	pace      pace
+	speed     serverSpeed
 	withdrawn bool
 	closing   bool
 	arrivals  uint64
@@ -173,6 +174,9 @@
 	// Pace is the ratio of actual to expected run time of the running tasks, 0 if
 	// unknown.
 	Pace float64
+	// Speed is that of the runs that have ended. Only its value counts for Equal, since a
+	// change of the others is no reason for a message.
+	Speed SpeedFigure
 }
 
 // QueuedDemand is the total demand of the waiting tasks of one priority.
@@ -185,12 +189,12 @@
 // no update then.
 func (r *Room) Equal(o *Room) bool {
 	return r.Server.Incarnation == o.Server.Incarnation && r.Server.Draining == o.Server.Draining &&
-		r.Server.Capacity == o.Server.Capacity && r.Used == o.Used && r.Closed == o.Closed && r.Pace == o.Pace && slices.Equal(r.Queued, o.Queued)
+		r.Server.Capacity == o.Server.Capacity && r.Used == o.Used && r.Closed == o.Closed && r.Pace == o.Pace && r.Speed.Value == o.Speed.Value && slices.Equal(r.Queued, o.Queued)
 }
 
 // Room returns the state of the backend server as of the last step.
 func (c *Core) Room() Room {
-	r := Room{Used: c.used(), Closed: c.refusal() != "", Pace: c.pace.quantized(c.now)}
+	r := Room{Used: c.used(), Closed: c.refusal() != "", Pace: c.pace.quantized(c.now), Speed: c.speed.figure(c.now)}
 	if c.server.phase == serverInUse {
 		r.Server = c.server.report.Server
 	}
--- a/run/server.go
+++ b/run/server.go
@@ -71,7 +71,7 @@
 // has to be stored.
 func (c *Core) adopt(e ServerReported) {
 	before := max(c.server.fence, c.holds.fence)
-	c.pace = pace{}
+	c.pace, c.speed = pace{}, serverSpeed{}
 	c.orphanRuns(c.goneReason())
 	c.holds.failing = false
 	c.holds.listedAt = 0
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -60,6 +60,7 @@
 	return []telemetry.Observed{
 		{Name: "foxtaildock.agent.entries", Help: "Entries with a session.", Read: func() int64 { return r.attached.Load() }},
 		{Name: "foxtaildock.agent.events.rejected", Help: "Reports turned away by a busy agent.", Counter: true, Read: func() int64 { return int64(r.rejected.Load()) }},
+		{Name: "foxtaildock.agent.server.speed", Help: "Run time on the backend server in thousandths of the expected time, 0 if unknown.", Read: func() int64 { return r.speedMilli.Load() }},
 		{Name: "foxtaildock.operator.version", Help: "Store's version of the operators' rows.", Read: func() int64 { return int64(r.operatorVersion.Load()) }},
 		{Name: "foxtaildock.operator.age", Help: "Milliseconds since the store confirmed the operators' rows.", Read: func() int64 { return r.OperatorAge().Milliseconds() }},
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -84,6 +84,8 @@
 	// rejected counts the calls of Report and Deregistered that found the event queue
 	// full.
 	rejected atomic.Uint64
+	// speedMilli is the reported speed of the backend server, in thousandths.
+	speedMilli atomic.Int64
 }
 
 // New returns an agent that isn't running yet.
--- a/runner/session.go
+++ b/runner/session.go
@@ -265,6 +265,7 @@
 func (r *Runner) flush() (roomPending bool) {
 	now := clock.Now()
 	room := r.core.Room()
+	r.speedMilli.Store(int64(1000 * room.Speed.Value))
 	for _, s := range r.sessions {
 		if s.ended {
 			continue
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -193,7 +193,7 @@
 	a.server = e.Server
 	a.used = e.Used
 	a.queued = e.Queued
-	a.speed.setPace(e.Pace)
+	c.speedReported(a, e)
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(o sentOffer) bool { return o.sequence <= e.LastOfferIncluded })
 }
 
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -86,6 +86,8 @@
 	// Pace is the ratio of the time that running tasks take to the expected time, 0
 	// if unknown.
 	Pace float64
+	// Speed is that of the runs of all entries that have ended there.
+	Speed run.SpeedFigure
 	// LastOfferIncluded is the sequence of the last offer that Used and Queued include.
 	LastOfferIncluded uint64
 }
@@ -253,6 +255,8 @@
 	Age time.Duration
 	// Crashes is the number of backend servers that went down under the task.
 	Crashes int
+	// Speed is that of the backend server by which was decided, 0 if none was.
+	Speed float64
 }
 
 func (SendOffers) action()   {}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,7 @@
 	if len(c.waiting) == 0 {
 		return
 	}
+	c.refreshSpeeds()
 	c.findCandidates()
 	full := map[ident.Service]bool{}
 	for _, j := range slices.Clone(c.waiting) {
@@ -34,11 +36,15 @@
 // findCandidates collects the agents that have room for at least some task.
 func (c *Core) findCandidates() {
 	c.candidates = c.candidates[:0]
+	for _, f := range c.fleets {
+		f.fastCapacity, f.fastFree = 0, 0
+	}
 	for _, a := range c.order {
 		if !c.acceptsOffers(a) {
 			continue
 		}
 		free := a.free(c.mostUrgent)
+		a.speed.countFast(a.server.Capacity.CPUMilli, max(0, free.CPUMilli))
 		if free.CPUMilli > 0 || c.mayQueueAtAgent(c.mostUrgent) && free.CPUMilli == 0 {
 			c.candidates = append(c.candidates, a)
 		}
@@ -113,6 +119,8 @@
 		demand = a.server.Capacity
 	}
 	a.runs[task] = t.run
+	a.speed.countFast(0, -demand.CPUMilli)
+	c.noteRack(j.Steps[step].Near)
 	a.inFlight = append(a.inFlight, sentOffer{sequence: a.sequence + 1, priority: j.Route.Priority, demand: demand})
 	offers[a] = append(offers[a], OfferedTask{
 		Run: work.Run{Task: task, ID: t.run}, Demand: demand,
@@ -141,7 +149,8 @@
 	}
 }
 
-// choose returns the agent at which the task is expected to end first.
+// choose returns the agent at which the task is expected to end first or, while the
+// speeds of the backend servers are apart, the one that chooseBySlack finds.
 //
 // A slow backend server on which the task would be late is not used while the task
 // can still end in time on another one that has no room yet.
@@ -151,6 +160,9 @@
 		return c.chooseAlone(j, s)
 	}
 	expected := c.expectedTask(j.Route.Name, s)
+	if f := c.fleet(j.Route.Service); f.apart && j.hasObjective() {
+		return c.chooseBySlack(f, j, s, t, expected)
+	}
 	var best *agentState
 	var bestCost time.Duration
 	for _, a := range c.candidates {
@@ -161,9 +173,7 @@
 		if !ok {
 			continue
 		}
-		if t.avoid == a.id || t.suspect() && c.holdsSuspect(a) {
-			cost += avoidPenalty
-		}
+		cost += c.penalty(a, t)
 		if best == nil || cost < bestCost {
 			best, bestCost = a, cost
 		}
@@ -179,6 +189,103 @@
 	return best, agentFound
 }
 
+// penalty returns what is added to the cost of an agent for the task.
+func (c *Core) penalty(a *agentState, t *taskState) time.Duration {
+	if t.avoid == a.id || t.suspect() && c.holdsSuspect(a) {
+		return avoidPenalty
+	}
+	return 0
+}
+
+// scarceFast is the free share of the capacity of the fast servers below which that
+// capacity is kept for tasks that need it.
+const scarceFast = 0.1
+
+// speedClass is the ratio of speeds within which servers count as equally fast. The
+// errors of their figures are of this size.
+const speedClass = 1.15
+
+// slowShare is the part of the time left within which a task must be expected to end for
+// it to be placed on a slow server by choice. Estimates are off by up to 40 %, so with a
+// smaller margin many of these tasks would be late.
+const slowShare = 0.55
+
+// option is a way to place a task: an agent with room, and what speaks for it.
+type option struct {
+	agent *agentState
+	cost  time.Duration
+	// class is the server's speed as a power of speedClass.
+	class int
+}
+
+// faster reports whether the option is better because its task ends first.
+func (o option) faster(than option) bool { return than.agent == nil || o.cost < than.cost }
+
+// slower reports whether the option is better because it uses the slowest server, or
+// among equally slow ones that on which the task ends first.
+func (o option) slower(than option) bool {
+	if than.agent == nil || o.class != than.class {
+		return than.agent == nil || o.class > than.class
+	}
+	return o.cost < than.cost
+}
+
+// chooseBySlack chooses the agent for a task while the speeds of the servers are apart.
+//
+// A task that can end in time on some server with room takes the one where it ends first.
+// While fast capacity is scarce, it takes the slowest one, and leaves the fast ones to the
+// tasks that need them. A task that only slow servers have room for and that is late there,
+// yet in time on a server without room, waits. A task of a job that is already late takes
+// the slowest server on which it is still of use, so that no other job becomes late
+// because of it. A task that is expected to be a little late everywhere takes the server
+// where it ends first, since it may still end in time.
+func (c *Core) chooseBySlack(f *fleetSpeeds, j *jobState, s *Step, t *taskState, expected time.Duration) (*agentState, searchResult) {
+	timeLeft := j.targetEnd - c.now
+	usefulLeft := lateFactor*(j.targetEnd-j.arrived) - (c.now - j.arrived)
+	late := j.late || timeLeft <= 0
+	var first, inTime, slowest, useful option
+	for _, a := range c.candidates {
+		if !c.usable(a, j, s) {
+			continue
+		}
+		cost, ok := c.cost(a, j.Route.Priority, s, expected)
+		if !ok {
+			continue
+		}
+		o := option{agent: a, cost: cost, class: a.speed.class()}
+		if p := c.penalty(a, t); p > 0 {
+			o.cost, o.class = cost+p, math.MinInt
+		}
+		if o.faster(first) {
+			first = o
+		}
+		end := c.runTime(a, s, expected)
+		if end <= timeLeft && o.faster(inTime) {
+			inTime = o
+		}
+		if float64(end) <= slowShare*float64(timeLeft) && o.slower(slowest) {
+			slowest = o
+		}
+		if float64(end) <= slowShare*float64(usefulLeft) && o.slower(useful) {
+			useful = o
+		}
+	}
+	switch {
+	case first.agent == nil:
+		return nil, noRoom
+	case inTime.agent != nil && !late:
+		if slowest.agent != nil && f.fastScarce() {
+			return slowest.agent, agentFound
+		}
+		return inTime.agent, agentFound
+	case !late && first.agent.speed.factor() > f.fastLimit && !first.agent.speed.trialDue(c.now, len(first.agent.runs)) && c.inTimeElsewhere(j, s, expected, timeLeft):
+		return nil, tooSlow
+	case late && useful.agent != nil:
+		return useful.agent, agentFound
+	}
+	return first.agent, agentFound
+}
+
 // inTimeElsewhere reports whether some agent, with room or without, would end the
 // task in time if it started it now.
 func (c *Core) inTimeElsewhere(j *jobState, s *Step, expected, timeLeft time.Duration) bool {
@@ -228,10 +335,7 @@
 	if !s.Demand.Fits(room) || !s.Demand.Fits(a.server.Capacity) {
 		return 0, false
 	}
-	d := float64(expected) * a.speed.factor()
-	if s.Near != "" && !slices.Contains(a.server.Labels, s.Near) {
-		d *= c.cfg.RemoteFactor
-	}
+	d := float64(c.runTime(a, s, expected))
 	if capacity := a.server.Capacity.CPUMilli; capacity > 0 {
 		used := float64(capacity-free.CPUMilli) / float64(capacity)
 		d *= 1 + loadWeight*used
@@ -242,6 +346,15 @@
 	return time.Duration(d), true
 }
 
+// runTime returns how long the task is expected to run at the agent.
+func (c *Core) runTime(a *agentState, s *Step, expected time.Duration) time.Duration {
+	d := float64(expected) * a.speed.factor()
+	if s.Near != "" && !slices.Contains(a.server.Labels, s.Near) {
+		d *= c.cfg.RemoteFactor
+	}
+	return time.Duration(d)
+}
+
 // mayQueueAtAgent reports whether a task of the priority may wait at an agent. Only
 // tasks of the most urgent priority may, and only if there are less urgent priorities:
 // they get the next free room at the agent ahead of the tasks that other entries still
--- a/schedule/rescue.go
+++ b/schedule/rescue.go
@@ -13,6 +13,7 @@
 // and can still end in time elsewhere. The progress of such a run is lost, so this is
 // done only where it keeps a whole job from being late.
 func (c *Core) reassignSlowRuns() {
+	c.refreshSpeeds()
 	for _, a := range c.order {
 		if !a.attached || len(a.runs) == 0 || a.speed.pace < slowPace {
 			continue
@@ -46,7 +47,8 @@
 func (c *Core) reassign(t *taskState, run work.Run, text string) {
 	t.stopping = true
 	t.avoid = t.agent.id
-	c.emit(LogMessage{Text: text, Agent: t.agent.id, Run: run})
+	s := &t.agent.speed
+	c.emit(LogMessage{Text: text, Agent: t.agent.id, Run: run, Speed: s.factor(), Age: c.now - max(s.own.At(), s.reportedAt)})
 	c.emit(SendStops{Agent: t.agent.id, Runs: []work.Run{run}})
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -57,6 +57,9 @@
 	mostUrgent, leastUrgent work.Priority
 	times                   map[string]*routeTimes // by route name
 	placed                  placedRates
+	fleets                  []*fleetSpeeds  // in order of appearance
+	speedsDue               time.Duration   // when the fleets' speeds are summarized again
+	racks                   map[string]bool // labels that jobs have named as racks
 	crashes                 crashHistory
 	// candidates are the agents with room; valid only during dispatch.
 	candidates []*agentState
@@ -71,6 +74,7 @@
 		jobs:    map[work.JobID]*jobState{},
 		agents:  map[ident.Incarnation]*agentState{},
 		times:   map[string]*routeTimes{},
+		racks:   map[string]bool{},
 		crashes: crashHistory{counts: map[work.Task]int{}},
 	}
 }
--- a/telemetry/field_runs.go
+++ b/telemetry/field_runs.go
@@ -34,6 +34,7 @@
 	fieldReleased     = "released"
 	fieldOpenConns    = "open_connections"
 	fieldBusyConns    = "busy_connections"
+	fieldSpeed        = "speed"
 )
 
 // Run is the run that the line is about: job, step, index and number.
@@ -52,6 +53,9 @@
 // Backend is the incarnation of a backend server.
 func Backend(incarnation string) Field { return Field{fieldBackend, incarnation} }
 
+// Speed is how much longer tasks take on a backend server than expected, 0 if unknown.
+func Speed(factor float64) Field { return Field{fieldSpeed, factor} }
+
 // Age is the age of the information that a decision is based on.
 func Age(d time.Duration) Field { return Field{fieldAge, d} }
 
