--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -254,9 +254,13 @@
 		if !link.ValidRemaining(r) {
 			d.cfg.Log.Warn("invalid remaining time of a backend server", telemetry.Peer(agent), telemetry.Backend(r.GetIncarnation()))
 		}
+		speed, err := link.SpeedOf(r)
+		if err != nil {
+			d.cfg.Log.Warn("speed in an agent's message ignored", telemetry.Peer(agent), telemetry.Err(err))
+		}
 		d.step(schedule.AgentRoomReported{
 			Agent: agent, Server: link.ServerOf(r), Used: link.DemandOf(r.GetUsed()),
-			Queued: link.QueuedOf(r), LastOfferIncluded: m.GetTaken(), Pace: r.GetPace(),
+			Queued: link.QueuedOf(r), LastOfferIncluded: m.GetTaken(), Pace: r.GetPace(), Speed: speed,
 		})
 	}
 	if m.GetLoad() != nil {
--- a/run/run.go
+++ b/run/run.go
@@ -56,6 +56,7 @@
 	entries   map[ident.Incarnation]time.Duration
 	waiting   []entryWaiting // by entry
 	pace      pace
+	speed     serverSpeed
 	withdrawn bool
 	closing   bool
 	arrivals  uint64
@@ -180,6 +181,9 @@
 	Pace float64
 	// endsAt is the end of the server that Server.Remaining follows from.
 	endsAt time.Duration
+	// Speed is that of the runs that have ended. Only its value counts for Equal, since a
+	// change of the others is no reason for a message.
+	Speed SpeedFigure
 }
 
 // QueuedDemand is the total demand of the waiting tasks of one priority.
@@ -193,12 +197,12 @@
 func (r *Room) Equal(o *Room) bool {
 	return r.Server.Incarnation == o.Server.Incarnation && r.Server.Draining == o.Server.Draining &&
 		r.Server.Capacity == o.Server.Capacity && r.Used == o.Used && r.Closed == o.Closed && r.Pace == o.Pace && r.endsAt == o.endsAt &&
-		slices.Equal(r.Queued, o.Queued)
+		r.Speed.Value == o.Speed.Value && slices.Equal(r.Queued, o.Queued)
 }
 
 // Room returns the state of the backend server as of the last step.
 func (c *Core) Room() Room {
-	r := Room{Used: c.used(), Closed: c.refusal() != "", Pace: c.pace.quantized(c.now)}
+	r := Room{Used: c.used(), Closed: c.refusal() != "", Pace: c.pace.quantized(c.now), Speed: c.speed.figure(c.now)}
 	if c.server.phase == serverInUse {
 		r.Server, r.endsAt = c.server.report.Server, c.server.endsAt
 		r.Server.Remaining = c.server.remaining(c.now)
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -203,8 +203,8 @@
 	}
 	a.used = e.Used
 	a.queued = e.Queued
-	a.speed.setPace(e.Pace)
 	a.checkWaiting(e.Queued, e.LastOfferIncluded)
+	c.speedReported(a, e)
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(o sentOffer) bool { return o.sequence <= e.LastOfferIncluded })
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -64,6 +64,9 @@
 	placed                  placedRates
 	fleet                   fleet
 	backlog                 backlog
+	fleets                  []*fleetSpeeds  // in order of appearance
+	speedsDue               time.Duration   // when the fleets' speeds are summarized again
+	racks                   map[string]bool // labels that jobs have named as racks
 	crashes                 crashHistory
 	reserve                 reservations
 	plans                   queuePlans
@@ -80,6 +83,7 @@
 		jobs:    map[work.JobID]*jobState{},
 		agents:  map[ident.Incarnation]*agentState{},
 		times:   map[string]*routeTimes{},
+		racks:   map[string]bool{},
 		crashes: crashHistory{counts: map[work.Task]int{}},
 		plans:   queuePlans{sizes: map[string]*overload.Sizes{}, rates: map[queueKey]*plannedRate{}},
 		reserve: reservations{services: map[ident.Service]*serviceNeeds{}},
