--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -125,7 +125,7 @@
 	a.attached = true
 	a.lastMessage = c.now
 	a.ackedHeartbeatSentAt = max(a.ackedHeartbeatSentAt, e.RequestedAt)
-	a.inFlight, a.waits = nil, nil
+	a.inFlight, a.waits, a.endsAt = nil, nil, 0
 	a.server = work.Server{}
 	c.emit(LogMessage{Text: "agent attached", Agent: a.id})
 	c.reconcile(a, e.Held)
