sitesim: the target of the worst window holds for each seed

Cause: the test added up four seeds before it looked for the worst window of 2 s. The target of docs/design/scarcity.md speaks of the worst windows, so an average over runs was less strict than it.

The example of Moore and Hodgson's rule in the bound's test now also fails for a rule that puts off each job that would start too late.

--- a/bench/sitesim/bound_test.go
+++ b/bench/sitesim/bound_test.go
@@ -7,21 +7,21 @@
 	"foxtaildock.example/dock/work"
 )
 
-// Of three jobs that can't all start in time, the one with the most work must be put off;
-// that of the last one alone would put off two.
+// Of three jobs that can't all start in time, the one with the most work must be put off.
+// Putting off each job that would start too late would put off the two others.
 func TestBoundPutsOffTheLargestJob(t *testing.T) {
 	job := func(left float64, latest time.Duration) *boundJob {
 		return &boundJob{left: left, inTimeStart: latest}
 	}
-	a, b, c := job(5, time.Second), job(1, 4*time.Second), job(1, 5*time.Second)
+	a, b, c := job(5, time.Second), job(1, 4*time.Second), job(1, 4500*time.Millisecond)
 	kept, putOff := mooreHodgson([]*boundJob{c, b, a}, 0, 0, 1, func(j *boundJob) time.Duration { return j.inTimeStart })
 	if len(kept) != 2 || kept[0] != b || kept[1] != c || len(putOff) != 1 || putOff[0] != a {
 		t.Errorf("kept %v and put off %v, want only the largest job put off", kept, putOff)
 	}
 }
 
-// The bound must lose nothing when capacity is ample, and the least urgent jobs first when
-// there is too little: with no servers left for most of the load it can't serve it.
+// The bound must lose nothing when capacity is ample, and only less urgent jobs when there
+// is too little. Otherwise it says nothing about what a load leaves to gain.
 func TestBoundServesWhatFits(t *testing.T) {
 	t.Parallel()
 	for name, tc := range map[string]struct {
--- a/bench/sitesim/scarcity_test.go
+++ b/bench/sitesim/scarcity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,13 +16,13 @@
 	refusedFreeWorth = 0.002 // share of the worth that is refused while a reachable server is free
 )
 
-// scarcitySeeds is the number of seeds whose outcomes are added up. With fewer, chance
-// alone puts the shares of two entries 0.02 apart.
+// scarcitySeeds is the number of seeds. The shares of entries and sizes are those of all
+// seeds together; with fewer, chance alone puts the shares of two entries 0.02 apart.
 const scarcitySeeds = 4
 
-// scarcityRuns are the outcomes of all seeds of a scenario.
+// scarcityRuns are the outcomes of a scenario, by seed.
 type scarcityRuns struct {
-	product, baseline []Outcome
+	product, baseline [][]Outcome
 	violations        []string
 	unanswered        int
 }
@@ -43,10 +44,10 @@
 			}
 			result := s.Run()
 			if simple {
-				r.baseline = append(r.baseline, result.Outcomes...)
+				r.baseline = append(r.baseline, result.Outcomes)
 				continue
 			}
-			r.product = append(r.product, result.Outcomes...)
+			r.product = append(r.product, result.Outcomes)
 			r.violations = append(r.violations, s.Violations()...)
 			r.unanswered += result.Unanswered
 		}
@@ -64,9 +65,19 @@
 	return r
 }
 
-// worstWindow returns the lowest benefit of a window of 2 s, and its begin. Windows begin
-// every half second, and add up all seeds.
-func worstWindow(list []Outcome) (benefit float64, from time.Duration) {
+// worstWindow returns the lowest benefit of a window of 2 s of any seed, its seed and its
+// begin. Windows begin every half second.
+func worstWindow(bySeed [][]Outcome) (benefit float64, seed int, from time.Duration) {
+	benefit = math.Inf(1)
+	for i, list := range bySeed {
+		if b, at := worstWindowOf(list); b < benefit {
+			benefit, seed, from = b, i+1, at
+		}
+	}
+	return benefit, seed, from
+}
+
+func worstWindowOf(list []Outcome) (benefit float64, from time.Duration) {
 	const step = 500 * time.Millisecond
 	benefit = math.Inf(1)
 	for at := time.Duration(0); at <= scarcityLength-4*step; at += step {
@@ -87,10 +98,10 @@
 // capacity is short. The baseline policy does that, so it must miss the target.
 func keepsWorth(t *testing.T, get func() (*scarcityRuns, error)) {
 	r := runsOf(t, get)
-	if got, from := worstWindow(r.product); got < worstWindowWorth {
-		t.Errorf("benefit %.3f in the 2 s from %v, want %.2f", got, from, worstWindowWorth)
+	if got, seed, from := worstWindow(r.product); got < worstWindowWorth {
+		t.Errorf("seed %d: benefit %.3f in the 2 s from %v, want %.2f", seed, got, from, worstWindowWorth)
 	}
-	if got, _ := worstWindow(r.baseline); got >= worstWindowWorth {
+	if got, _, _ := worstWindow(r.baseline); got >= worstWindowWorth {
 		t.Errorf("the baseline policy reaches benefit %.3f in its worst window, want it below the target; this load does not distinguish the two policies", got)
 	}
 }
@@ -104,7 +115,7 @@
 func servesEntriesAlike(t *testing.T, get func() (*scarcityRuns, error)) {
 	r := runsOf(t, get)
 	least, best := 1.0, 0.0
-	for _, tally := range TallyBy(r.product, func(o *Outcome) int { return o.Entry }) {
+	for _, tally := range TallyBy(slices.Concat(r.product...), func(o *Outcome) int { return o.Entry }) {
 		least, best = min(least, tally.Share(InTime)), max(best, tally.Share(InTime))
 	}
 	if best-least > entrySpread {
@@ -120,12 +131,12 @@
 // again, since that makes room for most others.
 func servesLargeJobs(t *testing.T, get func() (*scarcityRuns, error)) {
 	r := runsOf(t, get)
-	kinds := TallyBy(r.product, func(o *Outcome) string { return o.Kind })
+	kinds := TallyBy(slices.Concat(r.product...), func(o *Outcome) string { return o.Kind })
 	type class struct {
 		kind string
 		size int
 	}
-	classes := TallyBy(r.product, func(o *Outcome) class { return class{o.Kind, o.Class} })
+	classes := TallyBy(slices.Concat(r.product...), func(o *Outcome) class { return class{o.Kind, o.Class} })
 	for _, name := range sortedKeys(kinds) {
 		all, largest := kinds[name].Share(InTime), classes[class{name, 0}].Share(InTime)
 		if all-largest > sizeSpread {
@@ -143,7 +154,7 @@
 func refusesNoneWhileFree(t *testing.T, get func() (*scarcityRuns, error)) {
 	r := runsOf(t, get)
 	refused, all, count := 0.0, 0.0, 0
-	for _, o := range r.product {
+	for _, o := range slices.Concat(r.product...) {
 		all += o.Worth
 		if o.RefusedFree {
 			refused += o.Worth
