--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -59,8 +59,8 @@
 // A short soak with scarce capacity: servers of two speeds, stragglers, three priorities,
 // and capacity that shrinks and grows while runs go on. It guards against starts beyond a
 // capacity that has shrunk, and against runs that are lost or doubled when servers leave.
+// It doesn't run beside the other soaks, so that their processes start as fast as without it.
 func TestShortSoakOfScarceCapacity(t *testing.T) {
-	t.Parallel()
 	soakSeed(t, Config{
 		Daemon: buildDaemon(t), Dir: t.TempDir(), Seed: 1, Length: 8 * time.Second, Scarce: true,
 		Entries: 2, Agents: 4, Callers: 9, Pause: 400 * time.Millisecond,
