Metrics of the fleet's load, and refusals by reason and priority

Cause: operators can't see what waits and runs over all entries, and refusals are counted without their priority.

Change: gauges of the waiting work, the running share and the age of the oldest figure, read from the sums of the agents' loads. They have no value while too few agents report. A counter of rejected jobs by reason and priority; answers name the priority of their job.

--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -51,6 +51,7 @@
 	l.waitingAt = now
 	waiting := l.dispatcher.core.Waiting()
 	l.waiting.Store(&waiting)
+	l.dispatcher.cfg.Metrics.setFleet(l.dispatcher.core.FleetFigures())
 }
 
 func newLinks(d *Dispatcher) *links {
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -16,6 +18,9 @@
 	jobs       metric.Int64Counter
 	latency    metric.Float64Histogram
 	firstStart metric.Float64Histogram
+	refused    metric.Int64Counter
+	// fleet holds the figures of the fleet's load that the gauges read at each scrape.
+	fleet atomic.Pointer[[]schedule.FleetFigure]
 }
 
 // NewMetrics creates the instruments. It returns an error if one can't be created.
@@ -27,7 +32,46 @@
 	firstStart, errFirst := m.Float64Histogram("foxtaildock.job.first_start",
 		metric.WithUnit("s"), metric.WithDescription("Time from the arrival of a job to its first offer."),
 		metric.WithExplicitBucketBoundaries(telemetry.DurationBounds()...))
-	return &Metrics{jobs: jobs, latency: latency, firstStart: firstStart}, errors.Join(errJobs, errLatency, errFirst)
+	refused, errRefused := m.Int64Counter("foxtaildock.jobs.refused", metric.WithDescription("Jobs rejected, by reason and priority."))
+	metrics := &Metrics{jobs: jobs, latency: latency, firstStart: firstStart, refused: refused}
+	return metrics, errors.Join(errJobs, errLatency, errFirst, errRefused, metrics.observeFleet(m))
+}
+
+// observeFleet creates the gauges of the fleet's load. They have no value while too few agents
+// report.
+func (m *Metrics) observeFleet(meter metric.Meter) error {
+	waiting, errWaiting := meter.Float64ObservableGauge("foxtaildock.fleet.waiting_work", metric.WithDescription("Work that waits for the entry's agents, in core-seconds, by service and priority."))
+	running, errRunning := meter.Float64ObservableGauge("foxtaildock.fleet.running_share", metric.WithDescription("Share of the capacity of the entry's agents that runs use, by service and priority."))
+	age, errAge := meter.Float64ObservableGauge("foxtaildock.fleet.load_age", metric.WithUnit("s"), metric.WithDescription("Age of the oldest figure of the agents' loads."))
+	if err := errors.Join(errWaiting, errRunning, errAge); err != nil {
+		return err
+	}
+	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		figures := m.fleet.Load()
+		if figures == nil || len(*figures) == 0 {
+			return nil
+		}
+		var oldest time.Duration
+		for _, f := range *figures {
+			labels := metric.WithAttributes(attribute.String("service", string(f.Service)), attribute.Int("priority", int(f.Priority)))
+			o.ObserveFloat64(waiting, float64(f.WaitingCPUMs)/cpuMsPerCoreSecond, labels)
+			o.ObserveFloat64(running, f.RunningShare, labels)
+			oldest = max(oldest, f.Age)
+		}
+		o.ObserveFloat64(age, oldest.Seconds())
+		return nil
+	}, waiting, running, age)
+	return err
+}
+
+// cpuMsPerCoreSecond is one core for a second, in thousandths of a core times milliseconds.
+const cpuMsPerCoreSecond = 1e6
+
+// setFleet sets the figures of the fleet's load.
+func (m *Metrics) setFleet(figures []schedule.FleetFigure) {
+	if m != nil {
+		m.fleet.Store(&figures)
+	}
 }
 
 func (m *Metrics) recordAnswer(a schedule.Answer) {
@@ -37,6 +81,9 @@
 	verdict := attribute.String("verdict", a.Verdict.String())
 	m.jobs.Add(context.Background(), 1, metric.WithAttributes(verdict, attribute.String("reason", a.Reason)))
 	m.latency.Record(context.Background(), a.Waited.Seconds(), metric.WithAttributes(verdict))
+	if a.Verdict == schedule.Rejected {
+		m.refused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", a.Reason), attribute.Int("priority", int(a.Priority))))
+	}
 	if a.FirstStart >= 0 {
 		m.firstStart.Record(context.Background(), a.FirstStart.Seconds())
 	}
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -81,7 +81,7 @@
 	select {
 	case d.events <- submission{job: job, timeout: timeout, answer: answer}:
 	default:
-		return d.turnAway(job.ID, "entry busy")
+		return d.turnAway(job.ID, job.Route.Priority, "entry busy")
 	}
 	select {
 	case a := <-answer:
@@ -108,8 +108,8 @@
 const retryElsewhereAfter = time.Second
 
 // turnAway returns the rejection of a job that the core doesn't see.
-func (d *Dispatcher) turnAway(id work.JobID, reason string) schedule.Answer {
-	a := schedule.Answer{ID: id, Verdict: schedule.Rejected, Reason: reason, RetryAfter: retryElsewhereAfter, FirstStart: -1}
+func (d *Dispatcher) turnAway(id work.JobID, priority work.Priority, reason string) schedule.Answer {
+	a := schedule.Answer{ID: id, Verdict: schedule.Rejected, Priority: priority, Reason: reason, RetryAfter: retryElsewhereAfter, FirstStart: -1}
 	d.cfg.Log.Info("job answered", telemetry.JobID(string(id)), telemetry.OutcomeText(a.Verdict.String()), telemetry.ReasonText(reason))
 	d.cfg.Metrics.recordAnswer(a)
 	return a
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -30,7 +30,7 @@
 	if reason == "" {
 		return nil
 	}
-	return &Answer{ID: j.ID, Verdict: Rejected, Reason: reason, RetryAfter: c.retryAfter(j, reason), FirstStart: -1, Basis: j.basis}
+	return &Answer{ID: j.ID, Verdict: Rejected, Reason: reason, RetryAfter: c.retryAfter(j, reason), FirstStart: -1, Basis: j.basis, Priority: j.Route.Priority}
 }
 
 func (c *Core) basis(j *jobState, capacity work.Demand) Basis {
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -191,6 +191,7 @@
 	FirstStart time.Duration
 	Runs       int
 	Basis      Basis
+	Priority   work.Priority
 }
 
 // AdmittedLate says that a job was admitted although it is expected to be late, to be
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -250,3 +250,37 @@
 	l.RateMilli = float64(s.capacityMilli) * max(left, own)
 	return l, true
 }
+
+// FleetFigure is the load of one service and priority, for the metrics.
+type FleetFigure struct {
+	Service  ident.Service
+	Priority work.Priority
+	// WaitingCPUMs is the work that waits, in thousandths of a core times milliseconds.
+	WaitingCPUMs int64
+	// RunningShare is the demand of the runs as a share of the capacity.
+	RunningShare float64
+	// Age is the age of the oldest figure of the service.
+	Age time.Duration
+}
+
+// FleetFigures returns the load of each service whose agents report enough for decisions, by
+// service and priority.
+func (c *Core) FleetFigures() []FleetFigure {
+	var list []FleetFigure
+	for service, s := range c.fleet.services {
+		l, known := c.fleetLoad(service, math.MaxInt)
+		if !known {
+			continue
+		}
+		for _, p := range s.priorities {
+			list = append(list, FleetFigure{
+				Service: service, Priority: p.priority, WaitingCPUMs: p.waitingCPUMs,
+				RunningShare: float64(p.runningMilli) / float64(l.CapacityMilli), Age: l.Age,
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b FleetFigure) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority))
+	})
+	return list
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -192,7 +192,7 @@
 	c.stopRuns(j)
 	c.dequeue(j)
 	delete(c.jobs, j.ID)
-	a := Answer{ID: j.ID, Verdict: v, Reason: reason, Waited: c.now - j.arrived, FirstStart: -1, Runs: j.runs, Basis: j.basis}
+	a := Answer{ID: j.ID, Verdict: v, Reason: reason, Waited: c.now - j.arrived, FirstStart: -1, Runs: j.runs, Basis: j.basis, Priority: j.Route.Priority}
 	if j.offered {
 		a.FirstStart = j.firstOffer - j.arrived
 	}
