--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -34,10 +34,12 @@
 	cooldownUntil time.Duration
 	load          agentLoad
 	counted       countedLoad
-	speed         speed
-	health        health
-	waits         []waitingRun
-	endsAt        time.Duration // when the draining server ends at the earliest, 0 if unknown
+	// freeSince is the free capacity within the last freeWithoutWait, by rising time.
+	freeSince []freeRecord
+	speed     speed
+	health    health
+	waits     []waitingRun
+	endsAt    time.Duration // when the draining server ends at the earliest, 0 if unknown
 }
 
 type sentOffer struct {
@@ -128,7 +130,7 @@
 	a.ackedHeartbeatSentAt = max(a.ackedHeartbeatSentAt, e.RequestedAt)
 	a.inFlight, a.waits, a.endsAt = nil, nil, 0
 	a.server = work.Server{}
-	a.load = agentLoad{}
+	a.load, a.freeSince = agentLoad{}, nil
 	c.countAgent(a)
 	c.emit(LogMessage{Text: "agent attached", Agent: a.id})
 	c.reconcile(a, e.Held)
@@ -206,6 +208,7 @@
 	a.checkWaiting(e.Queued, e.LastOfferIncluded)
 	c.speedReported(a, e)
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(o sentOffer) bool { return o.sequence <= e.LastOfferIncluded })
+	c.recordFree(a)
 }
 
 // loseReplacedAgents ends, as lost, the runs of detached agents at the same address. An
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -129,6 +129,7 @@
 	}
 	a.noteWaiting(&offer, j.Route.Priority)
 	a.inFlight = append(a.inFlight, sentOffer{sequence: a.sequence + 1, priority: j.Route.Priority, demand: demand})
+	c.recordFree(a)
 	offers[a] = append(offers[a], offer)
 	c.recordOccupancy(j.Route.Service, demand, offer.Expected)
 	if !j.offered {
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -92,7 +92,7 @@
 			c.countBacklog(j)
 			p.unsorted = true
 		}
-		if prospects[i] == overload.Hopeless && c.now-c.startedAt >= settlePeriod {
+		if prospects[i] == overload.Hopeless && c.now-c.startedAt >= settlePeriod && !c.hasRoomFor(j) {
 			j.basis = c.basis(j, capacity)
 			c.finish(j, Rejected, reasonHopeless)
 		}
@@ -119,7 +119,9 @@
 
 // priorityRate returns the CPU rate that the work of the job's service and priority may
 // expect at this entry, in thousandths of a core: what the entry has lately placed of it,
-// or its share of the capacity less more urgent work.
+// or its share of the capacity less more urgent work. Plans use it also where the fleet's
+// load is known: the rate of the fleet, divided by the waiting work, says little about the
+// few jobs of one entry (docs/design/fleet-load.md).
 func (c *Core) priorityRate(j *jobState, capacity work.Demand) float64 {
 	rate := c.placed.rate(j.Route.Priority, c.now)
 	fairShare := float64(capacity.CPUMilli)*c.share(j) - c.placed.moreUrgent(j.Route.Priority, c.now)
