durations, schedule: figures of equal servers no longer look apart

Own figures, whose scale is another, were compared with agents' ones.

Change: a sample's weight is 0.025 instead of 0.06, and 0.25 from the third outlier in a row on. Own figures are compared only with each other, and only if no agent reports one.

--- a/durations/speed.go
+++ b/durations/speed.go
@@ -14,11 +14,16 @@
 
 const (
 	// speedWeight is the weight of one sample once there are enough of them. Estimates are
-	// off by up to 40 %, so the average has to cover some 30 tasks to be exact to 5 %.
-	speedWeight = 0.06
+	// off by up to 40 %. With 0.06, the figures of equal servers differed by up to 1.7 times.
+	speedWeight = 0.025
+	// slowWeight is the weight from the slowStreak-th outlier in a row on. So many in a row
+	// are no stragglers, so the server has become slow.
+	slowWeight = 0.25
+	slowStreak = 3
 	// outlierLimit is the multiple of the average to which one sample is limited. It doubles
-	// with each further sample in a row that exceeds it: one straggler moves the average by
-	// a few percent, while a server that has become slow is detected within six tasks.
+	// once for a second sample in a row that exceeds it: one straggler moves the average by
+	// a few percent, while a server that has become four times as slow is detected within six
+	// tasks.
 	outlierLimit = 2
 	// recoveryWeight is the weight of a sample below recoveryShare of the average. Errors of
 	// the estimates don't reach this far, so the server has become faster.
@@ -49,6 +54,20 @@
 // At returns the time of the last sample.
 func (s *Speed) At() time.Duration { return s.at }
 
+// limit counts the outliers in a row, and returns the ratio limited accordingly.
+func (s *Speed) limit(value, ratio float64) float64 {
+	limit := outlierLimit * value
+	if ratio <= limit {
+		s.outliers = 0
+		return ratio
+	}
+	s.outliers++
+	if s.outliers > 1 {
+		limit *= 2
+	}
+	return min(ratio, limit)
+}
+
 // Add adds the ratio of one task that has ended. A ratio that is not a positive finite
 // number is ignored.
 func (s *Speed) Add(now time.Duration, ratio float64) {
@@ -57,14 +76,12 @@
 	}
 	value := s.Value()
 	ratio = min(max(ratio, MinSpeed), MaxSpeed)
-	if limit := value * math.Ldexp(outlierLimit, s.outliers); ratio > limit {
-		ratio = limit
-		s.outliers++
-	} else if ratio <= value*outlierLimit {
-		s.outliers = 0
-	}
+	ratio = s.limit(value, ratio)
 	// The first samples are averaged with one assumed sample of normal speed.
 	weight := max(speedWeight, 1/float64(s.samples+2))
+	if s.outliers >= slowStreak {
+		weight = max(weight, slowWeight)
+	}
 	if ratio < recoveryShare*value {
 		weight = max(weight, recoveryWeight)
 	}
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -135,9 +135,9 @@
 	// stretch is the smallest Stretch of the service's routes, 0 if none has one.
 	stretch float64
 	// known, certain and kinds are buffers of the summary.
-	known, certain []float64
-	servers        int
-	kinds          map[string][]float64
+	known, certain, own []float64
+	servers             int
+	kinds               map[string][]float64
 }
 
 const (
@@ -204,7 +204,7 @@
 }
 
 func (f *fleetSpeeds) reset() {
-	f.known, f.certain, f.servers, f.stretch = f.known[:0], f.certain[:0], 0, 0
+	f.known, f.certain, f.own, f.servers, f.stretch = f.known[:0], f.certain[:0], f.own[:0], 0, 0
 	clear(f.kinds)
 }
 
@@ -229,8 +229,12 @@
 		return true
 	}
 	f.known = append(f.known, value)
-	if s.certain(source) {
+	switch {
+	case !s.certain(source):
+	case source == speedReported:
 		f.certain = append(f.certain, value)
+	default:
+		f.own = append(f.own, value)
 	}
 	return false
 }
@@ -238,6 +242,10 @@
 // summarize computes the fleet's figures. It reports whether apart has changed.
 func (f *fleetSpeeds) summarize() (changed bool) {
 	slices.Sort(f.known)
+	if len(f.certain) == 0 {
+		// Own figures are compared only with each other, since their scale may differ.
+		f.certain, f.own = f.own, f.certain
+	}
 	slices.Sort(f.certain)
 	if n := len(f.known); n >= 2 && 2*n > f.servers {
 		// Of an even number the faster one is taken, so that one slow server of two
