--- a/schedule/leaving_test.go
+++ b/schedule/leaving_test.go
@@ -42,15 +42,17 @@
 		submit work.Priority
 		mean   time.Duration // of the tasks that hold the capacity
 		want   int
+		plain  bool // no latency objective
 	}{
-		{"most urgent", nil, 0, 400 * ms, 1},
-		{"middle", nil, 1, 400 * ms, 1},
-		{"least urgent", nil, 2, 400 * ms, 0},
-		{"only priority", nil, 3, 400 * ms, 0},
-		{"no slack", nil, 1, 600 * ms, 0},
-		{"one as urgent waits", waitingTasks(1, 1), 1, 400 * ms, 0},
-		{"a more urgent one waits", waitingTasks(0, 1), 1, 400 * ms, 0},
-		{"a less urgent one waits", waitingTasks(1, 1), 0, 400 * ms, 1},
+		{"most urgent", nil, 0, 400 * ms, 1, false},
+		{"middle", nil, 1, 400 * ms, 1, false},
+		{"least urgent", nil, 2, 400 * ms, 0, false},
+		{"only priority", nil, 3, 400 * ms, 0, false},
+		{"no slack", nil, 1, 600 * ms, 0, false},
+		{"no objective", nil, 0, 600 * ms, 1, true},
+		{"one as urgent waits", waitingTasks(1, 1), 1, 400 * ms, 0, false},
+		{"a more urgent one waits", waitingTasks(0, 1), 1, 400 * ms, 0, false},
+		{"a less urgent one waits", waitingTasks(1, 1), 0, 400 * ms, 1, false},
 	} {
 		b := newTestBench(t)
 		if b.usePriorities(0, 1, 2); c.submit == 3 {
@@ -59,7 +61,11 @@
 		b.attachAgent("a", "1")
 		b.reportA(0, c.queued...)
 		b.core.recordOccupancy("s", work.Demand{CPUMilli: 4000}, c.mean)
-		b.submit("job", c.submit, 4)
+		j := Job{ID: "job", Route: route(c.submit), Deadline: time.Minute, Steps: []Step{{Count: 4, Demand: work.Demand{CPUMilli: 1000}, Estimate: 100 * ms}}}
+		if c.plain {
+			j.Route.Stretch, j.Route.TargetLatency = 0, 0
+		}
+		b.step(JobArrived{Job: j})
 		if n := len(offered(b.takeActions())); n != c.want {
 			t.Errorf("%s: %d tasks wait at the full agent, want %d", c.name, n, c.want)
 		}
--- a/schedule/waiting.go
+++ b/schedule/waiting.go
@@ -91,13 +91,14 @@
 }
 
 // mayWaitAt reports whether a task fits into the free room of the agent or is expected to
-// wait there for less than its slack. A late job has none, so its tasks wait at their entry.
-// For the most urgent priority the slack of a late job reaches to the latest start with which
-// the answer is still of use, since at the entry its tasks would lose the room that becomes
-// free at the agents to less urgent tasks of other entries.
+// wait there for less than its slack. A job without a latency objective has no such bound. A
+// late job has no slack, so its tasks wait at their entry. For the most urgent priority the
+// slack of a late job reaches to the latest start with which the answer is still of use,
+// since at the entry its tasks would lose the room that becomes free at the agents to less
+// urgent tasks of other entries.
 func (c *Core) mayWaitAt(a *agentState, j *jobState, s *Step, expected time.Duration) bool {
 	free := a.free(j.Route.Priority)
-	if s.Demand.Fits(free) {
+	if s.Demand.Fits(free) || !j.hasObjective() {
 		return true
 	}
 	slack := j.targetEnd - j.expected - c.now
