--- a/schedule/leaving.go
+++ b/schedule/leaving.go
@@ -109,9 +109,6 @@
 	return runs
 }
 
-// hasObjective reports whether the job's route has a latency objective.
-func (j *jobState) hasObjective() bool { return j.targetEnd > j.arrived }
-
 // usefulEnd returns the latest end with which the job's answer is still of use.
 func (j *jobState) usefulEnd() time.Duration {
 	if !j.hasObjective() {
