schedule: refuse early what is put off, answer jobs that fit no server, log what decided

Change: - Only the least urgent priority of a service leaves room, and a job started in an earlier step goes on. - A job put off is refused once it is expected to wait for more than a fifth of the time in which it is useful. The rate of a plan is what was placed while a queue stands, and else less the reservation. Nothing is refused by a plan just after a pause. - A waiting job with a task that fits no server in service is answered: rejected if nothing was offered, else failed.

--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -47,6 +47,8 @@
 	return []telemetry.Observed{
 		{Name: "foxtaildock.entry.jobs", Help: "Jobs under way.", Read: func() int64 { return int64(d.stats.Load().Jobs) }},
 		{Name: "foxtaildock.entry.waiting", Help: "Jobs with tasks that wait.", Read: func() int64 { return int64(d.stats.Load().Waiting) }},
+		{Name: "foxtaildock.entry.put_off", Help: "Waiting jobs that are put off.", Read: func() int64 { return int64(d.stats.Load().PutOff) }},
+		{Name: "foxtaildock.entry.held_back", Help: "Searches for room that ended because the free room is reserved for more urgent work.", Counter: true, Read: func() int64 { return int64(d.stats.Load().HeldBack) }},
 		{Name: "foxtaildock.entry.subset.wanted", Help: "Agents that the entry wants to use.", Read: func() int64 { return d.subsetWanted.Load() }},
 		{Name: "foxtaildock.entry.subset.usable", Help: "Agents that the entry can use.", Read: func() int64 { return d.subsetUsable.Load() }},
 		{Name: "foxtaildock.entry.agents", Help: "Agents that are known.", Read: func() int64 { return int64(d.stats.Load().Agents) }},
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtaildock.example/dock/clock"
+	"foxtaildock.example/dock/overload"
 	"foxtaildock.example/dock/schedule"
 	"foxtaildock.example/dock/telemetry"
 	"foxtaildock.example/dock/work"
@@ -66,12 +67,17 @@
 	delete(d.waiters, a.ID)
 }
 
-// basisFields returns the figures on which the admission of a job was decided.
+// basisFields returns the figures on which the admission or the refusal of a job was decided.
 func basisFields(b *schedule.Basis) []telemetry.Field {
-	return []telemetry.Field{
+	fields := []telemetry.Field{
 		telemetry.ExpectedWait(b.ExpectedWait), telemetry.AllowedWait(b.AllowedWait), telemetry.HeadWait(b.HeadWait),
-		telemetry.Capacity(b.CapacityMilli), telemetry.Agents(b.Agents),
+		telemetry.Capacity(b.CapacityMilli), telemetry.Agents(b.Agents), telemetry.Rate(b.RateMilli),
+		telemetry.RateAge(b.RateAge), telemetry.Reserved(b.ReservedMilli),
+	}
+	if b.Prospect != overload.InTime { // otherwise something else than the wait decided
+		fields = append(fields, telemetry.Prospect(b.Prospect.String()))
 	}
+	return fields
 }
 
 // Submit submits the job and waits for its answer. The job times out after the given
--- a/overload/plan.go
+++ b/overload/plan.go
@@ -35,6 +35,9 @@
 	Hopeless
 )
 
+// String names the prospect for logs.
+func (p Prospect) String() string { return [...]string{"in time", "late but useful", "hopeless"}[p] }
+
 // Planner plans queues. It keeps its buffers between calls.
 type Planner struct {
 	order     []int
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"foxtaildock.example/dock/overload"
 	"foxtaildock.example/dock/work"
 )
 
@@ -37,6 +38,8 @@
 	return Basis{
 		ExpectedWait: c.expectedWait(j, capacity), AllowedWait: c.allowedWait(j), HeadWait: c.headWait(j),
 		CapacityMilli: capacity.CPUMilli, Agents: len(c.order), RowsVersion: c.operator.Version,
+		RateMilli: int64(c.priorityRate(j, capacity)), RateAge: c.placed.age(j.Route.Priority, c.now),
+		ReservedMilli: c.reservedFor(j, false).Reserved(capacity.CPUMilli),
 	}
 }
 
@@ -55,14 +58,16 @@
 	}
 	for i := range j.Steps {
 		if !j.Steps[i].Demand.Fits(largest) {
-			return "larger than every backend server"
+			return reasonTooLarge
 		}
 	}
 	if !c.expectedLate(j) {
 		return ""
 	}
 	j.late, j.underReview = true, true
+	j.basis.Prospect = overload.Late
 	if c.expectedUseless(j, capacity) {
+		j.basis.Prospect = overload.Hopeless
 		return "too much work waits"
 	}
 	c.emit(AdmittedLate{ID: j.ID, Basis: j.basis})
@@ -218,10 +223,12 @@
 		}
 		waited := c.now - j.arrived
 		if c.reviewedUseless(j, waited) {
+			j.basis.Prospect = overload.Hopeless
 			c.finish(j, Rejected, "too much work waits")
 			continue
 		}
 		if waited > j.usefulWait() {
+			j.basis.Prospect = overload.Hopeless
 			c.finish(j, Rejected, "waited in vain")
 			continue
 		}
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -5,6 +5,7 @@
 
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/operator"
+	"foxtaildock.example/dock/overload"
 	"foxtaildock.example/dock/run"
 	"foxtaildock.example/dock/work"
 )
@@ -200,7 +201,7 @@
 	Basis Basis
 }
 
-// Basis holds the figures on which the admission of a job was decided.
+// Basis holds the figures on which the admission or the refusal of a job was decided.
 type Basis struct {
 	// ExpectedWait is how long the job was expected to wait, and AllowedWait how long
 	// it could have waited and still have ended in time.
@@ -213,6 +214,13 @@
 	// thousandths of a core. Agents is the number of agents that the entry knows.
 	CapacityMilli int64
 	Agents        int
+	// RateMilli is the CPU rate that work of the job's priority was expected to get, and
+	// RateAge the time since the entry last placed such work, on which the rate is based.
+	RateMilli int64
+	RateAge   time.Duration
+	// ReservedMilli is the CPU capacity that the job had to leave to more urgent work.
+	ReservedMilli int64
+	Prospect      overload.Prospect
 	// RowsVersion is the version of the operators' rows.
 	RowsVersion uint64
 }
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -30,6 +30,8 @@
 	// once more.
 	underReview bool
 	class       overload.Class // size within the route
+	// deadlineIndex is the index in Core.deadlines.
+	deadlineIndex int
 }
 
 type stepState struct {
@@ -154,3 +156,34 @@
 	}
 	return &j.steps[t.Step].tasks[t.Index]
 }
+
+// deadlineHeap has the job with the earliest deadline first.
+type deadlineHeap []*jobState
+
+// Len implements heap.Interface.
+func (h deadlineHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h deadlineHeap) Less(a, b int) bool {
+	return cmp.Or(cmp.Compare(h[a].Deadline, h[b].Deadline), cmp.Compare(h[a].arrivalOrder, h[b].arrivalOrder)) < 0
+}
+
+// Swap implements heap.Interface.
+func (h deadlineHeap) Swap(a, b int) {
+	h[a], h[b] = h[b], h[a]
+	h[a].deadlineIndex, h[b].deadlineIndex = a, b
+}
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) {
+	j := x.(*jobState)
+	j.deadlineIndex = len(*h)
+	*h = append(*h, j)
+}
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -29,6 +29,8 @@
 	jobs      []overload.Job
 	sizes     map[string]*overload.Sizes // by route name
 	rates     map[queueKey]*plannedRate
+	// putOff is the number of jobs put off in the last plans.
+	putOff int
 	// unsorted is true if the rank of a waiting job has changed.
 	unsorted bool
 }
@@ -49,9 +51,10 @@
 
 // planQueues plans the queue of each service and priority in which work waits.
 func (c *Core) planQueues() {
-	if len(c.waiting) == 0 || c.now-c.plans.plannedAt < planInterval {
+	if c.now-c.plans.plannedAt < planInterval {
 		return
 	}
+	c.plans.putOff = 0
 	c.plans.plannedAt = c.now
 	var done []queueKey
 	for _, j := range slices.Clone(c.waiting) {
@@ -64,7 +67,9 @@
 	c.restoreOrder()
 }
 
-// planQueue marks the jobs of a queue that are put off, and refuses the hopeless ones.
+// planQueue marks the jobs of a queue that are put off, and refuses the hopeless ones. A job
+// counts as in time while it is expected to wait for no more than waitShare of its allowed
+// wait, as on admission.
 func (c *Core) planQueue(key queueKey, first *jobState) {
 	p := &c.plans
 	p.states, p.jobs = p.states[:0], p.jobs[:0]
@@ -77,7 +82,8 @@
 		}
 		p.states = append(p.states, j)
 		p.jobs = append(p.jobs, overload.Job{
-			LatestStart: j.arrived + time.Duration(waitShare*float64(c.allowedWait(j))), LatestUseful: j.arrived + j.usefulWait(), Work: c.waitingWork(j),
+			LatestStart:  j.arrived + time.Duration(waitShare*float64(c.allowedWait(j))),
+			LatestUseful: c.latestUseful(j), Work: c.waitingWork(j),
 			Started: j.offered, Protected: c.sizes(j).Protected(c.now, j.class), Order: j.arrivalOrder,
 		})
 	}
@@ -85,19 +91,35 @@
 	if capacity.CPUMilli <= 0 {
 		return // agents are attaching or unreachable for a moment; nothing is known of the rate
 	}
-	prospects := p.planner.Plan(c.now, c.plannedRate(key, c.priorityRate(first, capacity)), p.jobs)
+	rate := c.priorityRate(first, capacity)
+	if c.headWait(first) > rateWindow {
+		rate = c.placed.rate(key.priority, c.now) // a queue stands, so this is all that it gets
+	}
+	prospects := p.planner.Plan(c.now, c.plannedRate(key, rate), p.jobs)
 	for i, j := range p.states {
 		if late := prospects[i] != overload.InTime; late != j.late && !j.offered {
 			j.late = late
 			p.unsorted = true
 		}
-		if prospects[i] == overload.Hopeless && c.now-c.startedAt >= settlePeriod {
+		if prospects[i] == overload.Late {
+			p.putOff++
+		}
+		if prospects[i] == overload.Hopeless && c.now-max(c.startedAt, c.resumedAt) >= settlePeriod {
 			j.basis = c.basis(j, capacity)
+			j.basis.Prospect = overload.Hopeless
 			c.finish(j, Rejected, reasonHopeless)
 		}
 	}
 }
 
+// latestUseful returns the latest start up to which a job that is put off is kept. It has to
+// be expected to start well before it is of no use, since jobs that arrive later go before
+// it. Kept up to the last moment, such jobs held slots late that others needed in time.
+func (c *Core) latestUseful(j *jobState) time.Duration {
+	left := j.usefulWait() - (c.now - j.arrived)
+	return c.now + time.Duration(usefulWaitShare*float64(left))
+}
+
 // restoreOrder sorts the waiting jobs again after the rank of some has changed.
 func (c *Core) restoreOrder() {
 	if c.plans.unsorted {
@@ -118,10 +140,11 @@
 
 // priorityRate returns the CPU rate that the work of the job's service and priority may
 // expect at this entry, in thousandths of a core: what the entry has lately placed of it,
-// or its share of the capacity less more urgent work.
+// or its share of the capacity less more urgent work and the room left to such work.
 func (c *Core) priorityRate(j *jobState, capacity work.Demand) float64 {
 	rate := c.placed.rate(j.Route.Priority, c.now)
 	fairShare := float64(capacity.CPUMilli)*c.share(j) - c.placed.moreUrgent(j.Route.Priority, c.now)
+	fairShare -= c.share(j) * float64(c.reservedFor(j, false).Reserved(capacity.CPUMilli))
 	return max(rate, fairShare, 1)
 }
 
@@ -148,6 +171,7 @@
 	return r.value
 }
 
+// sizes returns how the jobs of the job's route have fared by size.
 func (c *Core) sizes(j *jobState) *overload.Sizes {
 	s := c.plans.sizes[j.Route.Name]
 	if s == nil {
--- a/schedule/rate.go
+++ b/schedule/rate.go
@@ -59,3 +59,11 @@
 	}
 	return sum
 }
+
+// age returns the time since work of the priority was last placed, 0 if none was.
+func (p *placedRates) age(priority work.Priority, now time.Duration) time.Duration {
+	if r := p.byPriority[priority]; r != nil {
+		return now - r.at
+	}
+	return 0
+}
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -80,17 +80,17 @@
 // time.
 func (j *jobState) putOff() bool { return j.late && !j.offered }
 
-// reservedFor returns what the job leaves free: the sum of what one large job of each more
-// urgent priority of the service needs. A job that was put off leaves room for one that can
-// end in time as well. The need is zero unless such work found too little free capacity
-// within the last second.
+// reservedFor returns what the job leaves free if its priority is the least urgent one of
+// the service: the sum of what one large job of each more urgent priority needs. A job that
+// is put off leaves room for one that can end in time as well. The need is zero unless
+// such work found too little free capacity within the last second.
 //
-// It is the sum rather than the largest need because with the same threshold for all, work
-// of priority 2 took the room that priority 1 left for priority 0, and priority 1 waited
-// for it at another entry.
-func (c *Core) reservedFor(j *jobState) overload.Need {
+// Priorities between the first and the last leave no room. They free their slots soon, and
+// are refused where they do: with priority 1 leaving room for priority 0, 77 instead of 28
+// jobs of it were refused at a site close to its capacity.
+func (c *Core) reservedFor(j *jobState, putOff bool) overload.Need {
 	s := c.reserve.services[j.Route.Service]
-	if s == nil {
+	if s == nil || len(s.priorities) < 2 || j.Route.Priority < s.priorities[len(s.priorities)-1] {
 		return overload.Need{}
 	}
 	var sum overload.Need
@@ -100,7 +100,7 @@
 		switch {
 		case other < j.Route.Priority:
 			short = short || n.Short(c.now)
-		case other == j.Route.Priority && j.putOff():
+		case other == j.Route.Priority && putOff:
 			short = short || n.ShortInTime(c.now)
 		default:
 			continue
@@ -116,11 +116,13 @@
 }
 
 // leavesRoom reports whether enough stays free for more urgent work once a task of the job
-// has taken its demand. The room of the agents that the entry sees counts in whole tasks of
-// the more urgent job, since what is left over on each server is of no use to it.
+// has taken its demand. A job that was started in an earlier step goes on, since the work of
+// its other tasks would be wasted if the last ones waited until it is late. The room of the
+// agents that the entry sees counts in whole tasks of the more urgent job, since what is left
+// over on each server is of no use to it.
 func (c *Core) leavesRoom(j *jobState, demand work.Demand) bool {
-	need := c.reservedFor(j)
-	if need.Milli == 0 {
+	need := c.reservedFor(j, j.putOff())
+	if need.Milli == 0 || j.offered && j.firstOffer < c.now {
 		return true
 	}
 	var capacity, free int64
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -22,6 +22,8 @@
 package schedule
 
 import (
+	"container/heap"
+	"slices"
 	"time"
 
 	"foxtaildock.example/dock/ident"
@@ -61,6 +63,8 @@
 	crashes                 crashHistory
 	reserve                 reservations
 	plans                   queuePlans
+	fit                     fitCheck
+	deadlines               deadlineHeap
 	// candidates are the agents with room; valid only during dispatch.
 	candidates []*agentState
 	arrivals   uint64
@@ -85,6 +89,7 @@
 func (c *Core) Step(now time.Duration, e Event) []Action {
 	c.out = nil
 	c.advance(now)
+	c.noteFitChange(e)
 	switch e := e.(type) {
 	case JobArrived:
 		c.jobArrived(e.Job)
@@ -112,6 +117,7 @@
 	case Tick:
 		c.expireAgents()
 		c.expireJobs()
+		c.answerMisfits()
 		c.planQueues()
 		c.endDrainedJobs()
 		c.reassignSlowRuns()
@@ -144,11 +150,16 @@
 	Jobs    int
 	Waiting int
 	Agents  int
+	// PutOff is the number of waiting jobs that are put off.
+	PutOff int
+	// HeldBack counts the searches for room that ended because the free room is reserved
+	// for more urgent work.
+	HeldBack uint64
 }
 
 // Stats returns the figures as of the last step.
 func (c *Core) Stats() Stats {
-	return Stats{Jobs: len(c.jobs), Waiting: len(c.waiting), Agents: len(c.agents)}
+	return Stats{Jobs: len(c.jobs), Waiting: len(c.waiting), Agents: len(c.agents), PutOff: c.plans.putOff, HeldBack: c.reserve.held}
 }
 
 // Pending returns the number of jobs of a route of which no task was offered yet.
@@ -182,6 +193,7 @@
 		return
 	}
 	c.jobs[job.ID] = j
+	heap.Push(&c.deadlines, j)
 	c.enqueue(j)
 }
 
@@ -196,7 +208,10 @@
 	c.recordService(j, v, reason)
 	c.stopRuns(j)
 	c.dequeue(j)
-	delete(c.jobs, j.ID)
+	if c.jobs[j.ID] == j {
+		heap.Remove(&c.deadlines, j.deadlineIndex)
+		delete(c.jobs, j.ID)
+	}
 	a := Answer{ID: j.ID, Verdict: v, Reason: reason, Waited: c.now - j.arrived, FirstStart: -1, Runs: j.runs, Basis: j.basis}
 	if j.offered {
 		a.FirstStart = j.firstOffer - j.arrived
@@ -229,10 +244,8 @@
 
 // expireJobs ends jobs whose deadline has passed and sheds late jobs.
 func (c *Core) expireJobs() {
-	for _, j := range c.sortedJobs() {
-		if c.now >= j.Deadline {
-			c.finish(j, TimedOut, "deadline")
-		}
+	for len(c.deadlines) > 0 && c.now >= c.deadlines[0].Deadline {
+		c.finish(c.deadlines[0], TimedOut, "deadline")
 	}
 	c.shed()
 }
@@ -244,14 +257,17 @@
 	if c.answerBy == 0 {
 		return
 	}
-	for _, j := range c.sortedJobs() {
-		switch {
-		case !j.offered && c.now+j.expected >= c.answerBy:
+	for _, j := range slices.Clone(c.waiting) { // has all jobs of which no task was offered
+		if !j.offered && c.now+j.expected >= c.answerBy {
 			c.finish(j, Rejected, reasonStopping)
-		case c.now >= c.answerBy:
-			c.finish(j, Interrupted, reasonStopping)
 		}
 	}
+	if c.now < c.answerBy {
+		return
+	}
+	for _, j := range c.sortedJobs() {
+		c.finish(j, Interrupted, reasonStopping)
+	}
 }
 
 // reasonStopping is why a stopping entry refuses or interrupts a job.
@@ -333,6 +349,7 @@
 	t.stopping = false
 	s := &j.steps[id.Step]
 	s.next = min(s.next, id.Index)
+	c.fit.due = true // its server may have been the last one that it fits
 	c.enqueue(j)
 }
 
--- a/telemetry/field_runs.go
+++ b/telemetry/field_runs.go
@@ -28,6 +28,10 @@
 	fieldHeadWait     = "head_wait_ms"
 	fieldCapacity     = "capacity_millicores"
 	fieldAgents       = "agents"
+	fieldRate         = "rate_millicores"
+	fieldRateAge      = "rate_age_ms"
+	fieldReserved     = "reserved_millicores"
+	fieldProspect     = "prospect"
 	fieldWanted       = "wanted"
 	fieldUsable       = "usable"
 	fieldOpened       = "opened"
@@ -106,6 +110,18 @@
 // Agents is the number of agents that an entry knows.
 func Agents(n int) Field { return Field{fieldAgents, n} }
 
+// Rate is the CPU rate that work of a priority is expected to get, in thousandths of a core.
+func Rate(milli int64) Field { return Field{fieldRate, milli} }
+
+// RateAge is the age of the figures behind a rate.
+func RateAge(d time.Duration) Field { return Field{fieldRateAge, d} }
+
+// Reserved is the CPU capacity that is left to more urgent work, in thousandths of a core.
+func Reserved(milli int64) Field { return Field{fieldReserved, milli} }
+
+// Prospect is what a job may expect: in time, late but useful, or hopeless.
+func Prospect(name string) Field { return Field{fieldProspect, name} }
+
 // Wanted is the number of agents that an entry wants to use.
 func Wanted(n int) Field { return Field{fieldWanted, n} }
 
