--- a/schedule/rate.go
+++ b/schedule/rate.go
@@ -82,3 +82,11 @@
 	s.average = s.value(now, current)
 	s.at, s.known = now, true
 }
+
+// age returns the time since work of the priority was last placed, 0 if none was.
+func (p *placedRates) age(priority work.Priority, now time.Duration) time.Duration {
+	if r := p.byPriority[priority]; r != nil {
+		return now - r.at
+	}
+	return 0
+}
