schedule: tasks with slack don't prefer slow servers

While fast capacity was scarce, tasks that were in time on a slow server took the slowest one. The code for it is gone.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -36,15 +36,11 @@
 // findCandidates collects the agents that have room for at least some task.
 func (c *Core) findCandidates() {
 	c.candidates = c.candidates[:0]
-	for _, f := range c.fleets {
-		f.fastCapacity, f.fastFree = 0, 0
-	}
 	for _, a := range c.order {
 		if !c.acceptsOffers(a) {
 			continue
 		}
 		free := a.free(c.mostUrgent)
-		a.speed.countFast(a.server.Capacity.CPUMilli, max(0, free.CPUMilli))
 		if free.CPUMilli > 0 || free.CPUMilli == 0 && c.mayQueueAtAgent(a.server.Service, c.mostUrgent) {
 			c.candidates = append(c.candidates, a)
 		}
@@ -120,7 +116,6 @@
 		demand = a.server.Capacity
 	}
 	a.runs[task] = t.run
-	a.speed.countFast(0, -demand.CPUMilli)
 	c.noteRack(j.Steps[step].Near)
 	offer := OfferedTask{
 		Run: work.Run{Task: task, ID: t.run}, Demand: demand,
@@ -203,16 +198,12 @@
 	return 0
 }
 
-// scarceFast is the free share of the capacity of the fast servers below which that
-// capacity is kept for tasks that need it.
-const scarceFast = 0.1
-
 // speedClass is the ratio of speeds within which servers count as equally fast. The
 // errors of their figures are of this size.
 const speedClass = 1.15
 
-// slowShare is the part of the time left within which a task must be expected to end for
-// it to be placed on a slow server by choice. Estimates are off by up to 40 %, so with a
+// slowShare is the part of the useful time left within which a task of a late job must be
+// expected to end for it to be placed on a slow server by choice. Estimates are off by up to 40 %, so with a
 // smaller margin many of these tasks would be late.
 const slowShare = 0.55
 
@@ -239,8 +230,8 @@
 // chooseBySlack chooses the agent for a task while the speeds of the servers are apart.
 //
 // A task that can end in time on some server with room takes the one where it ends first.
-// While fast capacity is scarce, it takes the slowest one, and leaves the fast ones to the
-// tasks that need them. A task that only slow servers have room for and that is late there,
+// It doesn't leave fast capacity to others by taking a slow server: the slow ones filled up
+// first, tasks waited at their agents, and fewer jobs were in time. A task that only slow servers have room for and that is late there,
 // yet in time on a server without room, waits. A task of a job that is already late takes
 // the slowest server on which it is still of use, so that no other job becomes late
 // because of it. A task that is expected to be a little late everywhere takes the server
@@ -249,7 +240,7 @@
 	timeLeft := j.targetEnd - c.now
 	usefulLeft := lateFactor*(j.targetEnd-j.arrived) - (c.now - j.arrived)
 	late := j.late || timeLeft <= 0
-	var first, inTime, slowest, useful option
+	var first, inTime, useful option
 	for _, a := range c.candidates {
 		if !c.usable(a, j, s) {
 			continue
@@ -269,9 +260,6 @@
 		if end <= timeLeft && o.faster(inTime) {
 			inTime = o
 		}
-		if float64(end) <= slowShare*float64(timeLeft) && o.slower(slowest) {
-			slowest = o
-		}
 		if float64(end) <= slowShare*float64(usefulLeft) && o.slower(useful) {
 			useful = o
 		}
@@ -280,9 +268,6 @@
 	case first.agent == nil:
 		return nil, noRoom
 	case inTime.agent != nil && !late:
-		if slowest.agent != nil && f.fastScarce() {
-			return slowest.agent, agentFound
-		}
 		return inTime.agent, agentFound
 	case !late && first.agent.speed.factor() > f.fastLimit && !first.agent.speed.trialDue(c.now, len(first.agent.runs)) && c.inTimeElsewhere(j, s, expected, timeLeft):
 		return nil, tooSlow
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -129,9 +129,6 @@
 	// fastLimit is the speed up to which a server counts as fast, halfway between both
 	// tenths.
 	fastLimit float64
-	// fastCapacity and fastFree are the CPU capacity of the fast servers that accept
-	// offers, and the free part of it; valid only during dispatch.
-	fastCapacity, fastFree int64
 	// stretch is the smallest Stretch of the service's routes, 0 if none has one.
 	stretch float64
 	// known, certain and kinds are buffers of the summary.
@@ -348,20 +345,6 @@
 	return int(math.Round(math.Log(s.factor()) / math.Log(speedClass)))
 }
 
-// countFast adds to the capacity of the fast servers and to the free part of it, if the
-// server is one of them.
-func (s *speed) countFast(capacityMilli, freeMilli int64) {
-	if f := s.fleet; f != nil && f.apart && s.factor() <= f.fastLimit {
-		f.fastCapacity += capacityMilli
-		f.fastFree += freeMilli
-	}
-}
-
-// fastScarce reports whether less than scarceFast of the fast capacity is free.
-func (f *fleetSpeeds) fastScarce() bool {
-	return float64(f.fastFree) < scarceFast*float64(f.fastCapacity)
-}
-
 // speedReported records the figures of an agent's report.
 func (c *Core) speedReported(a *agentState, e AgentRoomReported) {
 	a.speed.setPace(e.Pace)
