foxtaildock check-manifest: check a manifest before it is sent

Cause: a fault in the operators' manifest (a hidden route, a timeout below the target latency, a number that overflows) was first seen once the manifest was in force. Entries take it as it is.

Change: the new package manifest checks a manifest and compares it with the version in force, on typed values and without I/O. platform.DecodeManifestFile decodes the file as entries do, and also the services, a route's kind, unknown fields, fields given twice and each value of a wrong type. The names on the wire stay in package platform; the command asks it for them. wireManifest is split into named types that both decoders use; what entries accept has not changed. The default and the largest timeout of callers are now constants of package manifest. The range of attempts (1 to 1,000) and the largest stretch (1,000) are chosen; that of the priority is the int32 of the messages to agents.

No existing test is changed.

--- a/cmd/foxtaildock/args.go
+++ b/cmd/foxtaildock/args.go
@@ -28,6 +28,7 @@
 	Undrain       *undrainCommand       `arg:"subcommand:undrain" help:"return one backend server to service"`
 	Audit         *auditCommand         `arg:"subcommand:audit" help:"show changes to the document, accepted and refused"`
 	CheckSettings *checkSettingsCommand `arg:"subcommand:check-settings" help:"check settings files of foxtaildockd"`
+	CheckManifest *checkManifestCommand `arg:"subcommand:check-manifest" help:"check a manifest before it is sent to the store"`
 	shared
 }
 
