schedule: a task waits at an agent only if no other with room ends it in time

All entries know the same speeds now, and the fastest servers filled up first: with a wait counted as a quarter of the task's time, a full fast server looked better than a free one of usual speed.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -164,8 +164,8 @@
 	if f := c.speedsOf(j.Route.Service); f.apart && j.hasObjective() {
 		return c.chooseBySlack(f, j, s, t, expected)
 	}
-	var best *agentState
-	var bestCost time.Duration
+	timeLeft := j.targetEnd - c.now
+	var best, free option
 	for _, a := range c.candidates {
 		if !c.usable(a, j, s) {
 			continue
@@ -174,20 +174,26 @@
 		if !ok || !c.mayWaitAt(a, j, s, expected) {
 			continue
 		}
-		cost += c.penalty(a, t)
-		if best == nil || cost < bestCost {
-			best, bestCost = a, cost
+		o := option{agent: a, cost: cost + c.penalty(a, t)}
+		if o.faster(best) {
+			best = o
+		}
+		if !o.waits(j.Route.Priority, s) && o.faster(free) {
+			free = o
 		}
 	}
-	if best == nil {
+	if best.agent == nil {
 		return nil, noRoom
 	}
-	timeLeft := j.targetEnd - c.now
-	slow := best.speed.factor() >= slowPace && !best.speed.trialDue(c.now, len(best.runs))
-	if bestCost > timeLeft && !j.late && slow && c.inTimeElsewhere(j, s, expected, timeLeft) {
+	// A wait at an agent is uncertain, and a job is as late as the last of its tasks.
+	if free.agent != nil && free.cost <= timeLeft {
+		best = free
+	}
+	slow := best.agent.speed.factor() >= slowPace && !best.agent.speed.trialDue(c.now, len(best.agent.runs))
+	if best.cost > timeLeft && !j.late && slow && c.inTimeElsewhere(j, s, expected, timeLeft) {
 		return nil, tooSlow
 	}
-	return best, agentFound
+	return best.agent, agentFound
 }
 
 // penalty returns what is added to the cost of an agent for the task.
@@ -218,6 +224,9 @@
 // faster reports whether the option is better because its task ends first.
 func (o option) faster(than option) bool { return than.agent == nil || o.cost < than.cost }
 
+// waits reports whether a task of the step would have to wait at the agent.
+func (o option) waits(p work.Priority, s *Step) bool { return !s.Demand.Fits(o.agent.free(p)) }
+
 // slower reports whether the option is better because it uses the slowest server, or
 // among equally slow ones that on which the task ends first.
 func (o option) slower(than option) bool {
@@ -229,7 +238,8 @@
 
 // chooseBySlack chooses the agent for a task while the speeds of the servers are apart.
 //
-// A task that can end in time on some server with room takes the one where it ends first.
+// A task that can end in time on some server with room takes the one where it ends first; it
+// waits at an agent only if there is none.
 // It doesn't leave fast capacity to others by taking a slow server: the slow ones filled up
 // first, tasks waited at their agents, and fewer jobs were in time. A task that only slow servers have room for and that is late there,
 // yet in time on a server without room, waits. A task of a job that is already late takes
@@ -240,7 +250,7 @@
 	timeLeft := j.targetEnd - c.now
 	usefulLeft := lateFactor*(j.targetEnd-j.arrived) - (c.now - j.arrived)
 	late := j.late || timeLeft <= 0
-	var first, inTime, useful option
+	var first, inTime, free, useful option
 	for _, a := range c.candidates {
 		if !c.usable(a, j, s) {
 			continue
@@ -260,6 +270,9 @@
 		if end <= timeLeft && o.faster(inTime) {
 			inTime = o
 		}
+		if end <= timeLeft && !o.waits(j.Route.Priority, s) && o.faster(free) {
+			free = o
+		}
 		if float64(end) <= slowShare*float64(usefulLeft) && o.slower(useful) {
 			useful = o
 		}
@@ -267,6 +280,8 @@
 	switch {
 	case first.agent == nil:
 		return nil, noRoom
+	case free.agent != nil && !late:
+		return free.agent, agentFound
 	case inTime.agent != nil && !late:
 		return inTime.agent, agentFound
 	case !late && first.agent.speed.factor() > f.fastLimit && !first.agent.speed.trialDue(c.now, len(first.agent.runs)) && c.inTimeElsewhere(j, s, expected, timeLeft):
