serverspeed: the package is named for what it holds

durations was planned for the distributions of run times as well, which are not built; it held the average speed of a server only. Names and comments change, behaviour doesn't: go test ./run ./schedule as before.

--- a/run/speed.go
+++ b/run/speed.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"foxtaildock.example/dock/durations"
+	"foxtaildock.example/dock/serverspeed"
 	"foxtaildock.example/dock/work"
 )
 
@@ -26,7 +26,7 @@
 
 // serverSpeed is the speed of the backend server, from the runs of all entries.
 type serverSpeed struct {
-	average durations.Speed
+	average serverspeed.Average
 	// reported is the value that entries are told, 0 while there are too few samples.
 	reported float64
 }
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"foxtaildock.example/dock/durations"
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/run"
+	"foxtaildock.example/dock/serverspeed"
 )
 
 // routeWeight is the weight of the newest sample in the average run time of a route. It
@@ -30,7 +30,7 @@
 	reported   run.SpeedFigure
 	reportedAt time.Duration
 	// own is the average of this entry's runs.
-	own  durations.Speed
+	own  serverspeed.Average
 	pace float64 // of the running tasks, as reported by the agent
 	// ended is the speed by the tasks that have ended, relative to the fleet's, 0 if it
 	// was not computed yet.
@@ -74,7 +74,7 @@
 // report records the agent's figure. It is limited to the range of speeds that can be.
 func (s *speed) report(now time.Duration, f run.SpeedFigure) {
 	if f.Value > 0 {
-		f.Value = min(max(f.Value, durations.MinSpeed), durations.MaxSpeed)
+		f.Value = min(max(f.Value, serverspeed.Min), serverspeed.Max)
 	}
 	s.reported, s.reportedAt = f, max(0, now-f.Age)
 }
--- a/durations/speed.go
+++ b/serverspeed/serverspeed.go
@@ -1,4 +1,6 @@
-package durations
+// Package serverspeed tracks the speed of a backend server by the run times of its tasks. It
+// has no clock and no I/O. Agents (package run) and entries (package schedule) use it.
+package serverspeed
 
 import (
 	"math"
@@ -8,8 +10,8 @@
 // Range of the speed of a backend server, as run time divided by the expected run time.
 // Samples and reported figures outside of it are limited to it.
 const (
-	MinSpeed = 0.25
-	MaxSpeed = 8
+	Min = 0.25
+	Max = 8
 )
 
 const (
@@ -31,9 +33,9 @@
 	recoveryShare  = 0.5
 )
 
-// Speed is a moving average of the ratio of run time to expected run time of the tasks
+// Average is a moving average of the ratio of run time to expected run time of the tasks
 // that have ended on one backend server. The zero value has no samples.
-type Speed struct {
+type Average struct {
 	value    float64
 	samples  uint32
 	outliers int // samples in a row that exceeded the limit
@@ -41,7 +43,7 @@
 }
 
 // Value returns the average, 1 if there are no samples.
-func (s *Speed) Value() float64 {
+func (s *Average) Value() float64 {
 	if s.samples == 0 {
 		return 1
 	}
@@ -49,13 +51,13 @@
 }
 
 // Samples returns the number of samples.
-func (s *Speed) Samples() uint32 { return s.samples }
+func (s *Average) Samples() uint32 { return s.samples }
 
 // At returns the time of the last sample.
-func (s *Speed) At() time.Duration { return s.at }
+func (s *Average) At() time.Duration { return s.at }
 
 // limit counts the outliers in a row, and returns the ratio limited accordingly.
-func (s *Speed) limit(value, ratio float64) float64 {
+func (s *Average) limit(value, ratio float64) float64 {
 	limit := outlierLimit * value
 	if ratio <= limit {
 		s.outliers = 0
@@ -70,12 +72,12 @@
 
 // Add adds the ratio of one task that has ended. A ratio that is not a positive finite
 // number is ignored.
-func (s *Speed) Add(now time.Duration, ratio float64) {
+func (s *Average) Add(now time.Duration, ratio float64) {
 	if !(ratio > 0) || math.IsInf(ratio, 1) {
 		return
 	}
 	value := s.Value()
-	ratio = min(max(ratio, MinSpeed), MaxSpeed)
+	ratio = min(max(ratio, Min), Max)
 	ratio = s.limit(value, ratio)
 	// The first samples are averaged with one assumed sample of normal speed.
 	weight := max(speedWeight, 1/float64(s.samples+2))
