--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -66,7 +66,7 @@
 	placed                  placedRates
 	fleet                   fleet
 	backlog                 backlog
-	fleets                  []*fleetSpeeds  // in order of appearance
+	speeds                  []*fleetSpeeds  // by service, in order of appearance
 	speedsDue               time.Duration   // when the fleets' speeds are summarized again
 	racks                   map[string]bool // labels that jobs have named as racks
 	noFree                  []noFreeCapacity
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -154,7 +154,7 @@
 		return
 	}
 	c.speedsDue = c.now + speedsInterval
-	for _, f := range c.fleets {
+	for _, f := range c.speeds {
 		f.reset()
 	}
 	c.collectStretches()
@@ -167,7 +167,7 @@
 		a.speed.fleet = f
 		unknown = f.collect(&a.speed, c.now) || unknown
 	}
-	for _, f := range c.fleets {
+	for _, f := range c.speeds {
 		if changed := f.summarize(); changed {
 			c.logApart(f)
 		}
@@ -192,13 +192,13 @@
 // speedsOf returns the speeds of the backend servers of a service, which are created if
 // needed.
 func (c *Core) speedsOf(service ident.Service) *fleetSpeeds {
-	for _, f := range c.fleets {
+	for _, f := range c.speeds {
 		if f.service == service {
 			return f
 		}
 	}
 	f := &fleetSpeeds{service: service, normal: 1, kinds: map[string][]float64{}}
-	c.fleets = append(c.fleets, f)
+	c.speeds = append(c.speeds, f)
 	return f
 }
 
@@ -302,7 +302,7 @@
 			}
 		}
 	}
-	for _, f := range c.fleets {
+	for _, f := range c.speeds {
 		for _, values := range f.kinds {
 			slices.Sort(values)
 		}
