--- a/overload/plan_test.go
+++ b/overload/plan_test.go
@@ -66,7 +66,7 @@
 		}
 		ahead := 0.0
 		slices.SortFunc(order, func(a, b int) int {
-			return cmp.Or(cmp.Compare(prospects[a], prospects[b]), cmp.Compare(jobs[a].LatestStart, jobs[b].LatestStart))
+			return cmp.Or(cmp.Compare(prospects[a], prospects[b]), cmp.Compare(jobs[a].LatestStart, jobs[b].LatestStart), cmp.Compare(jobs[a].Order, jobs[b].Order))
 		})
 		for i := range jobs {
 			if jobs[i].Started {
