--- a/schedule/backlog.go
+++ b/schedule/backlog.go
@@ -109,12 +109,8 @@
 // waitingCPUMs returns the expected CPU work of the job's waiting tasks, in thousandths of a
 // core times milliseconds.
 func (c *Core) waitingCPUMs(j *jobState) int64 {
-	sum := 0.0
-	for s := range j.steps {
-		left := j.Steps[s].Count - j.steps[s].next
-		sum += float64(left) * c.cpuWork(j, s)
-	}
-	return int64(math.Round(min(max(sum/float64(time.Millisecond), 0), maxWaitingCPUMs)))
+	cpuMs := c.waitingWork(j) / float64(time.Millisecond)
+	return int64(math.Round(min(max(cpuMs, 0), maxWaitingCPUMs)))
 }
 
 // Waiting returns the work that waits at the entry by service and priority, each divided by
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -209,8 +209,8 @@
 const speedClass = 1.15
 
 // slowShare is the part of the useful time left within which a task of a late job must be
-// expected to end for it to be placed on a slow server by choice. Estimates are off by up to 40 %, so with a
-// smaller margin many of these tasks would be late.
+// expected to end for it to be placed on a slow server by choice. Estimates are off by up to
+// 40 %, so with a smaller margin many of these tasks would be late.
 const slowShare = 0.55
 
 // option is a way to place a task: an agent with room, and what speaks for it.
@@ -239,10 +239,10 @@
 // chooseBySlack chooses the agent for a task while the speeds of the servers are apart.
 //
 // A task that can end in time on some server with room takes the one where it ends first; it
-// waits at an agent only if there is none.
-// It doesn't leave fast capacity to others by taking a slow server: the slow ones filled up
-// first, tasks waited at their agents, and fewer jobs were in time. A task that only slow servers have room for and that is late there,
-// yet in time on a server without room, waits. A task of a job that is already late takes
+// waits at an agent only if there is none. It doesn't leave fast capacity to others by taking
+// a slow server: the slow ones filled up first, tasks waited at their agents, and fewer jobs
+// were in time. A task that only slow servers have room for and that is late there, yet in
+// time on a server without room, waits. A task of a job that is already late takes
 // the slowest server on which it is still of use, so that no other job becomes late
 // because of it. A task that is expected to be a little late everywhere takes the server
 // where it ends first, since it may still end in time.
