--- /dev/null
+++ b/review/harness/executor.go
@@ -0,0 +1,436 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Bounds of the executors, as the settings files of the processes state them.
+const (
+	holdMax   = time.Second
+	graceStop = 50 * time.Millisecond
+	stopTakes = 10 * time.Millisecond
+)
+
+// kind is what an executor life reports about itself.
+type kind struct {
+	Service string
+	Labels  []string
+	CPU     int64
+	MemMb   int64
+}
+
+// executor is a stand-in of one executor: one machine, with one life after the other.
+type executor struct {
+	site    *site
+	index   int
+	zone    string
+	app     string // address of its calls
+	control string // address of its agent's heartbeat listener
+	beat    time.Duration
+
+	mu       sync.Mutex
+	id       string
+	kind     kind
+	born     int64
+	bornAt   time.Time
+	sequence int64
+	draining bool
+	down     bool
+	mute     bool // it answers and reports nothing, and runs on
+	fence    int64
+	expiry   int64 // on the life's clock, in ms
+	runs     map[string]*activeRun
+	ended    map[string]int // highest run that was stopped or has ended, by task
+	ends     [][]any
+	endN     int64
+	changed  chan struct{}
+	drainAck time.Time
+	beatNow  chan struct{}
+}
+
+type activeRun struct {
+	task      string
+	run       int
+	cpu       int64
+	startedAt time.Time
+	length    time.Duration
+	fails     bool
+	stopAt    time.Time
+}
+
+func newExecutor(s *site, index int, zone, app, control string, k kind) *executor {
+	e := &executor{site: s, index: index, zone: zone, app: app, control: control, beat: 1500 * time.Millisecond, changed: make(chan struct{}), beatNow: make(chan struct{}, 1)}
+	e.begin(fmt.Sprintf("i-%d", index), k, 0)
+	return e
+}
+
+// begin starts a life. The time of day of its machine is off by skew. The caller holds the
+// lock, or is the only one who knows the executor.
+func (e *executor) begin(id string, k kind, skew time.Duration) {
+	e.id, e.kind = id, k
+	e.bornAt = time.Now()
+	e.born = e.bornAt.Add(skew).UnixMilli()
+	e.sequence, e.fence, e.expiry, e.endN = 0, 0, 0, 0
+	e.draining, e.down, e.drainAck = false, false, time.Time{}
+	e.runs, e.ended, e.ends = map[string]*activeRun{}, map[string]int{}, nil
+	e.notify()
+	e.beatSoon()
+	e.site.rec.logf("executor %d begins a life: id %s, born %d, labels %v", e.index, id, e.born, k.Labels)
+}
+
+// crash ends the life and everything that runs.
+func (e *executor) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.runs {
+		e.site.rec.ended(e, r, "crashed")
+	}
+	e.runs = map[string]*activeRun{}
+	e.down = true
+	e.notify()
+	e.site.rec.logf("executor %d crashes", e.index)
+}
+
+// restart begins another life.
+func (e *executor) restart(id string, k kind, skew time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.begin(id, k, skew)
+}
+
+func (e *executor) drain() {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	e.beatSoon()
+	e.site.rec.logf("executor %d drains", e.index)
+}
+
+func (e *executor) setMute(mute bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mute = mute
+	e.site.rec.logf("executor %d mute: %v", e.index, mute)
+}
+
+// leave sends the DELETE of a planned end.
+func (e *executor) leave() {
+	e.mu.Lock()
+	id := e.id
+	e.mu.Unlock()
+	req, err := http.NewRequest(http.MethodDelete, "http://"+e.control+"/instances/"+id, nil)
+	if err != nil {
+		return
+	}
+	if res, err := http.DefaultClient.Do(req); err == nil {
+		_ = res.Body.Close()
+	}
+	e.site.rec.logf("executor %d: DELETE of %s sent", e.index, id)
+}
+
+func (e *executor) beatSoon() {
+	select {
+	case e.beatNow <- struct{}{}:
+	default:
+	}
+}
+
+func (e *executor) notify() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+func (e *executor) clock(now time.Time) int64 { return now.Sub(e.bornAt).Milliseconds() }
+
+// advance ends what is due. The caller holds the lock.
+func (e *executor) advance(now time.Time) {
+	changed := false
+	for key, r := range e.runs {
+		how := ""
+		switch {
+		case e.clock(now) > e.expiry:
+			how = "lapsed"
+		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
+			how = "stopped"
+		case now.Sub(r.startedAt) >= r.length:
+			how = "done"
+			if r.fails {
+				how = "failed"
+			}
+		default:
+			continue
+		}
+		delete(e.runs, key)
+		e.ended[r.task] = max(e.ended[r.task], r.run)
+		e.endN++
+		e.ends = append(e.ends, []any{e.endN, r.task, r.run, how, ""})
+		e.site.rec.ended(e, r, how)
+		changed = true
+	}
+	if changed {
+		e.notify()
+	}
+}
+
+// run advances the executor and sends its pings until the context ends.
+func (e *executor) run(ctx context.Context) {
+	go e.pings(ctx)
+	ticker := time.NewTicker(2 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.mu.Lock()
+			e.advance(now)
+			e.mu.Unlock()
+		}
+	}
+}
+
+func (e *executor) pings(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := e.beat
+		if !e.ping(ctx) {
+			wait = 300 * time.Millisecond
+		}
+		select {
+		case <-ctx.Done():
+		case <-e.beatNow:
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (e *executor) body(now time.Time) map[string]any {
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
+	return map[string]any{
+		"service": e.kind.Service, "address": e.app, "zone": e.zone, "version": "v1", "slots": 8, "state": state,
+		"coldLeftMs": 0, "capacity": map[string]int64{"cpu": e.kind.CPU, "memMb": e.kind.MemMb, "gpu": 0},
+		"labels": e.kind.Labels, "clockMs": e.clock(now), "sequence": e.sequence, "born": e.born,
+	}
+}
+
+// ping sends one report and returns whether it was acknowledged.
+func (e *executor) ping(ctx context.Context) bool {
+	e.mu.Lock()
+	if e.down || e.mute {
+		e.mu.Unlock()
+		return false
+	}
+	e.sequence++
+	id, draining, body := e.id, e.draining, e.body(time.Now())
+	e.mu.Unlock()
+	ok := sendPing(ctx, e.control, id, body)
+	if ok && draining {
+		e.mu.Lock()
+		if e.draining && e.drainAck.IsZero() {
+			e.drainAck = time.Now()
+			e.site.rec.logf("executor %d: draining acknowledged", e.index)
+		}
+		e.mu.Unlock()
+	}
+	return ok
+}
+
+func sendPing(ctx context.Context, control, id string, body any) bool {
+	text, _ := json.Marshal(body)
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+control+"/instances/"+id, bytes.NewReader(text))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode/100 == 2
+}
+
+type order struct {
+	Task       string `json:"task"`
+	RunID      int    `json:"runId"`
+	Spec       string `json:"spec"`
+	ExpiryMs   int64  `json:"expiryMs"`
+	FenceToken int64  `json:"fenceToken"`
+	LastSeen   int64  `json:"lastSeen"`
+	WaitMs     int64  `json:"waitMs"`
+}
+
+// ServeHTTP serves the calls of the agent.
+func (e *executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		reply(w, http.StatusBadRequest, map[string]any{})
+		return
+	}
+	e.mu.Lock()
+	if e.down {
+		e.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	if e.mute {
+		e.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
+		now := time.Now()
+		answer := map[string]any{"clockMs": e.clock(now)}
+		e.mu.Unlock()
+		reply(w, http.StatusMisdirectedRequest, answer)
+		return
+	}
+	if r.URL.Path == "/hold" {
+		e.mu.Unlock()
+		e.hold(w, r, o)
+		return
+	}
+	defer e.mu.Unlock()
+	switch r.URL.Path {
+	case "/run-start":
+		e.start(w, o)
+	case "/run-stop":
+		e.stop(w, o)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (e *executor) refuse(w http.ResponseWriter, now time.Time, reason string) {
+	reply(w, http.StatusConflict, map[string]any{"clockMs": e.clock(now), "reason": reason})
+}
+
+func (e *executor) extend(now time.Time, expiry int64) {
+	e.expiry = max(e.expiry, min(expiry, e.clock(now)+holdMax.Milliseconds()))
+}
+
+func (e *executor) start(w http.ResponseWriter, o order) {
+	now := time.Now()
+	e.advance(now)
+	if o.FenceToken < e.fence {
+		e.refuse(w, now, "fence")
+		return
+	}
+	e.fence = o.FenceToken
+	if e.clock(now) > o.ExpiryMs {
+		e.refuse(w, now, "late")
+		return
+	}
+	e.extend(now, o.ExpiryMs)
+	key := o.Task + "#" + strconv.Itoa(o.RunID)
+	if e.runs[key] != nil {
+		reply(w, http.StatusOK, map[string]any{"clockMs": e.clock(now)})
+		return
+	}
+	if o.RunID <= e.ended[o.Task] {
+		e.refuse(w, now, "old")
+		return
+	}
+	t := e.site.taskOf(o.Task)
+	run := &activeRun{task: o.Task, run: o.RunID, cpu: t.cpu, startedAt: now, length: t.length, fails: t.fails}
+	e.runs[key] = run
+	e.site.rec.started(e, run, o.Spec)
+	var sum int64
+	for _, r := range e.runs {
+		sum += r.cpu
+	}
+	if sum > e.kind.CPU {
+		e.site.rec.broken("LIMIT", "executor %d runs %d of %d thousandths of a core after the start of %s", e.index, sum, e.kind.CPU, key)
+	}
+	reply(w, http.StatusOK, map[string]any{"clockMs": e.clock(now)})
+}
+
+func (e *executor) stop(w http.ResponseWriter, o order) {
+	now := time.Now()
+	e.advance(now)
+	if o.FenceToken < e.fence {
+		e.refuse(w, now, "fence")
+		return
+	}
+	e.fence = o.FenceToken
+	e.ended[o.Task] = max(e.ended[o.Task], o.RunID)
+	if r := e.runs[o.Task+"#"+strconv.Itoa(o.RunID)]; r != nil && r.stopAt.IsZero() {
+		r.stopAt = now.Add(stopTakes)
+	}
+	reply(w, http.StatusOK, map[string]any{"clockMs": e.clock(now)})
+}
+
+func (e *executor) hold(w http.ResponseWriter, r *http.Request, o order) {
+	deadline := time.After(time.Duration(min(o.WaitMs, 2000)) * time.Millisecond)
+	e.mu.Lock()
+	born := e.born
+	for first := true; ; first = false {
+		now := time.Now()
+		if e.down || e.born != born {
+			e.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		e.advance(now)
+		if first {
+			if o.FenceToken < e.fence {
+				e.refuse(w, now, "fence")
+				e.mu.Unlock()
+				return
+			}
+			e.fence = o.FenceToken
+			if o.ExpiryMs > 0 {
+				e.extend(now, o.ExpiryMs)
+			}
+			for len(e.ends) > 0 && e.ends[0][0].(int64) <= o.LastSeen {
+				e.ends = e.ends[1:]
+			}
+		}
+		hasEnds := len(e.ends) > 0 && e.ends[len(e.ends)-1][0].(int64) > o.LastSeen
+		if o.WaitMs == 0 || hasEnds {
+			break
+		}
+		changed := e.changed
+		e.mu.Unlock()
+		expired := false
+		select {
+		case <-changed:
+		case <-deadline:
+			expired = true
+		case <-r.Context().Done():
+			return
+		}
+		e.mu.Lock()
+		if expired {
+			break
+		}
+	}
+	defer e.mu.Unlock()
+	if e.down || e.born != born {
+		panic(http.ErrAbortHandler)
+	}
+	now := time.Now()
+	e.advance(now)
+	running := [][]any{}
+	for _, a := range e.runs {
+		percent := min(100, int(100*now.Sub(a.startedAt)/max(a.length, 1)))
+		running = append(running, []any{a.task, a.run, "", percent, float64(a.cpu)})
+	}
+	sort.Slice(running, func(i, j int) bool { return strings.Compare(running[i][0].(string), running[j][0].(string)) < 0 })
+	finished := e.ends[:min(len(e.ends), 500)]
+	if finished == nil {
+		finished = [][]any{}
+	}
+	reply(w, http.StatusOK, map[string]any{"clockMs": e.clock(now), "born": e.born, "running": running, "finished": finished})
+}
