--- a/review/harness/executor.go
+++ b/review/harness/executor.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -55,6 +56,7 @@
 	changed  chan struct{}
 	drainAck time.Time
 	beatNow  chan struct{}
+	server   *http.Server // nil while the executor is down
 }
 
 type activeRun struct {
@@ -87,10 +89,25 @@
 	e.site.rec.logf("executor %d begins a life: id %s, born %d, labels %v", e.index, id, e.born, k.Labels)
 }
 
-// crash ends the life and everything that runs.
+// listen serves the calls of the agent until the next crash.
+func (e *executor) listen() error {
+	l, err := net.Listen("tcp", e.app)
+	if err != nil {
+		return err
+	}
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
+	go func(server *http.Server) { _ = server.Serve(l) }(e.server) // returns after Close
+	return nil
+}
+
+// crash ends the life and everything that runs, closes all channels, and refuses new ones.
 func (e *executor) crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.server != nil {
+		_ = e.server.Close()
+		e.server = nil
+	}
 	for _, r := range e.runs {
 		e.site.rec.ended(e, r, "crashed")
 	}
@@ -105,6 +122,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.begin(id, k, skew)
+	if err := e.listen(); err != nil {
+		e.site.rec.logf("executor %d can't listen: %v", e.index, err)
+	}
 }
 
 func (e *executor) drain() {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -38,6 +38,7 @@
 	"cancel":   {"UNASKED", playCancel},
 	"freeze":   {"Fault", playFreeze},
 	"ping":     {"Fault", playPing},
+	"restart":  {"ROUTE", playRestart},
 	"torture":  {"", playTorture},
 	"liveness": {"", playLiveness},
 }
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -110,7 +110,7 @@
 		app := net.JoinHostPort(s.address(100+i), strconv.Itoa(portApp))
 		e := newExecutor(s, i, zones[i%len(zones)], app, s.agents[i].control, k)
 		s.executors = append(s.executors, e)
-		if err := s.serve(app, e); err != nil {
+		if err := e.listen(); err != nil {
 			return s, err
 		}
 		go e.run(ctx)
@@ -258,6 +258,9 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
+	for _, e := range s.executors {
+		e.crash()
+	}
 	for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
 		p.mu.Lock()
 		if p.cmd != nil {
