--- a/review/harness/restart.go
+++ b/review/harness/restart.go
@@ -10,6 +10,9 @@
 // restartPause is how long an executor is down when it crashes and is started again.
 const restartPause = 20 * time.Millisecond
 
+// restartInterval is the time between two restarts.
+const restartInterval = 500 * time.Millisecond
+
 // playRestart lets one executor after the other crash and start again under its id, as one
 // of the other kind. The tasks of all jobs require a kind.
 func playRestart(ctx context.Context, dir string, rec *recorder, trouble bool) error {
@@ -41,7 +44,7 @@
 		}
 	})
 	for n := 0; trouble && load.Err() == nil; n++ {
-		time.Sleep(time.Second)
+		time.Sleep(restartInterval)
 		e := s.executors[n%len(s.executors)]
 		k := e.kind
 		k.Labels = labelsOf(k.Labels[0] != "a")
