--- a/review/harness/ping.go
+++ b/review/harness/ping.go
@@ -9,7 +9,7 @@
 // playPing sends each agent one ping of another writer before the traffic starts. The ping
 // is like one of an executor, but names a service that the manifest doesn't have.
 func playPing(ctx context.Context, dir string, rec *recorder, trouble bool) error {
-	s, err := startUsual(ctx, dir, rec)
+	s, err := startUsual(ctx, dir, rec, 11)
 	if s != nil {
 		defer s.close()
 	}
