--- a/review/harness/cancel.go
+++ b/review/harness/cancel.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,7 +20,7 @@
 // smallKind is an executor of the small site.
 var smallKind = kind{Service: service, Labels: []string{"a", "r1-1"}, CPU: 16000, MemMb: 65536}
 
-// playCancel cancels a job while the machine of the entry that has it is frozen.
+// playCancel cancels jobs while the machine of the entry that has them is frozen.
 func playCancel(ctx context.Context, dir string, rec *recorder, trouble bool) error {
 	kinds := make([]kind, 6)
 	for i := range kinds {
@@ -42,14 +43,12 @@
 	go otherClients(load, s)
 	time.Sleep(contact + time.Second)
 
-	length := 3500 * time.Millisecond
-	j := &jobSpec{id: "5c0e7a21d94b36f8", queue: queue, spec: "ledger", steps: []step{
-		{count: 2, cpu: 1600, estimate: length, length: length},
-		{count: 2, cpu: 1600, estimate: length, length: length, after: []int{0}},
-		{count: 2, cpu: 1600, estimate: length, length: length, after: []int{1}},
-	}}
-	answered := make(chan answer, 1)
-	go func() { answered <- s.submit(ctx, 0, j, 25*time.Second) }()
+	jobs := make([]*jobSpec, cancelledJobs)
+	var posts sync.WaitGroup
+	for i := range jobs {
+		jobs[i] = chainJob(i)
+		posts.Go(func() { s.submit(ctx, 0, jobs[i], 25*time.Second) })
+	}
 	time.Sleep(500 * time.Millisecond)
 	for last := b.lastCheck(); last.Equal(b.lastCheck()); {
 		time.Sleep(5 * time.Millisecond) // until a check has passed
@@ -67,34 +66,53 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
-	// The platform forwards the client's new channel to the entry of the next zone.
-	cancelled := s.cancel(ctx, 1, j)
+	// The platform forwards the clients' new channels to the entries of the other zones.
+	answers := make([]answer, len(jobs))
+	var cancels sync.WaitGroup
+	for i, j := range jobs {
+		cancels.Go(func() { answers[i] = s.cancel(ctx, 1+i%2, j) })
+	}
+	cancels.Wait()
 	ackAt := time.Now()
 	if trouble && time.Since(frozenAt) > freezeLength {
-		return fmt.Errorf("the cancelling was answered after the freeze, %v after its begin", time.Since(frozenAt))
-	}
-	if cancelled.status != 410 && cancelled.status/100 != 2 {
-		rec.logf("the cancelling was not acknowledged, so the rule allows all starts")
-		return nil
+		return fmt.Errorf("the cancels were answered after the freeze, %v after its begin", time.Since(frozenAt))
 	}
 	// From then on all machines are in touch, and cancel_ms is over.
 	from := ackAt.Add(cancelMs + graceStop)
 	if calm := frozenAt.Add(freezeLength + contact); trouble && calm.After(from) {
 		from = calm
 	}
-	rec.logf("cancelling acknowledged with %d; no machine in touch may start a task of %s after %.3f", cancelled.status, j.id, from.Sub(rec.began).Seconds())
-	select {
-	case a := <-answered:
-		rec.logf("the client's POST was answered: %v", a)
-	case <-time.After(22 * time.Second):
-	}
+	rec.logf("no machine in touch may start a task of a job whose cancelling was acknowledged after %.3f", from.Sub(rec.began).Seconds())
+	posts.Wait()
 	time.Sleep(time.Until(from.Add(time.Second)))
-	for _, st := range rec.startsAfter(j.id, from) {
-		rec.broken("UNASKED", "%s run %d starts on executor %d, %v after the cancelling was acknowledged", st.task, st.run, st.on, st.at.Sub(ackAt).Round(time.Millisecond))
+	for i, j := range jobs {
+		if a := answers[i]; a.status != 410 && a.status/100 != 2 {
+			continue // not acknowledged
+		}
+		for _, st := range rec.startsAfter(j.id, from) {
+			rec.broken("UNASKED", "%s run %d starts on executor %d, %v after the cancelling was acknowledged with %d", st.task, st.run, st.on, st.at.Sub(ackAt).Round(time.Millisecond), answers[i].status)
+		}
 	}
 	return nil
 }
 
+// cancelledJobs is the number of jobs that are cancelled.
+const cancelledJobs = 6
+
+// chainJob returns a job of three steps, one after the other.
+func chainJob(n int) *jobSpec {
+	const length = 3500 * time.Millisecond
+	j := &jobSpec{id: fmt.Sprintf("5c0e7a21d94b36%02x", n), queue: queue, spec: "ledger"}
+	for i := range 3 {
+		st := step{count: 2, cpu: 1600, estimate: length, length: length}
+		if i > 0 {
+			st.after = []int{i - 1}
+		}
+		j.steps = append(j.steps, st)
+	}
+	return j
+}
+
 // otherClients sends small jobs to the entries of the other zones.
 func otherClients(ctx context.Context, s *site) {
 	for n := 0; ctx.Err() == nil; n++ {
--- a/review/harness/executor.go
+++ b/review/harness/executor.go
@@ -57,6 +57,7 @@
 	drainAck time.Time
 	beatNow  chan struct{}
 	server   *http.Server // nil while the executor is down
+	acked    int          // pings that were acknowledged
 }
 
 type activeRun struct {
@@ -232,6 +233,13 @@
 	}
 }
 
+// acknowledged returns how many pings of the executor were acknowledged.
+func (e *executor) acknowledged() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.acked
+}
+
 func (e *executor) body(now time.Time) map[string]any {
 	state := "ready"
 	if e.draining {
@@ -255,9 +263,10 @@
 	id, draining, body := e.id, e.draining, e.body(time.Now())
 	e.mu.Unlock()
 	ok := sendPing(ctx, e.control, id, body)
-	if ok && draining {
+	if ok {
 		e.mu.Lock()
-		if e.draining && e.drainAck.IsZero() {
+		e.acked++
+		if draining && e.draining && e.drainAck.IsZero() {
 			e.drainAck = time.Now()
 			e.site.rec.logf("executor %d: draining acknowledged", e.index)
 		}
--- a/review/harness/ping.go
+++ b/review/harness/ping.go
@@ -26,6 +26,10 @@
 			rec.logf("another writer's ping to agent %d, acknowledged: %v", i, ok)
 		}
 	}
+	before := make([]int, len(s.executors))
+	for i, e := range s.executors {
+		before[i] = e.acknowledged()
+	}
 	time.Sleep(2 * time.Second) // more than an interval of the executors' own pings
 	t := &tally{answers: map[int]int{}}
 	var clients sync.WaitGroup
@@ -37,6 +41,9 @@
 		clients.Go(func() { t.add(s.submit(ctx, n%3, mixedJob(n), clientDeadline)) })
 	}
 	clients.Wait()
+	for i, e := range s.executors {
+		rec.logf("executor %d: %d of its own pings were acknowledged meanwhile", i, e.acknowledged()-before[i])
+	}
 	report(rec, t)
 	return nil
 }
