--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -68,7 +69,7 @@
 	s := &start{at: time.Now(), task: a.task, run: a.run, on: e.index}
 	r.line("executor %d starts %s run %d", e.index, a.task, a.run)
 	for _, o := range r.live {
-		if o.task == a.task && !e.site.speculative(a.task) {
+		if o.task == a.task {
 			r.breach("TWICE", "%s run %d on executor %d starts beside run %d on executor %d", a.task, a.run, e.index, o.run, o.on)
 		}
 	}
@@ -88,7 +89,7 @@
 		r.breach("UNASKED", "executor %d starts %s with another spec", e.index, a.task)
 	}
 	st := j.steps[step]
-	if st.requires != "" && !contains(e.kind.Labels, st.requires) {
+	if st.requires != "" && !slices.Contains(e.kind.Labels, st.requires) {
 		r.breach("ROUTE", "executor %d with labels %v starts %s, which requires %s", e.index, e.kind.Labels, a.task, st.requires)
 	}
 	if since, out := r.evacuated[e.zone]; out && time.Since(since) > evacuateMs {
@@ -146,15 +147,6 @@
 	return list
 }
 
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Bounds of the rules EVAC and DRAIN.
 const (
 	evacuateMs = 5 * time.Second
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -304,8 +304,6 @@
 	return taskInfo{cpu: st.cpu, length: st.length, fails: st.fails}
 }
 
-func (s *site) speculative(string) bool { return false }
-
 // awaitReady waits until all entries are ready and a small job has run at each.
 func (s *site) awaitReady(ctx context.Context) error {
 	until := time.Now().Add(20 * time.Second)
