--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -59,7 +59,7 @@
 func (s *site) submit(ctx context.Context, entry int, j *jobSpec, deadline time.Duration) answer {
 	steps := []map[string]any{}
 	for _, st := range j.steps {
-		m := map[string]any{"count": st.count, "cpu": st.cpu, "memMb": 64, "estimateMs": st.estimate.Milliseconds()}
+		m := map[string]any{"count": st.count, "cpu": st.cpu, "memMb": 64, wire.Estimate: st.estimate.Milliseconds()}
 		if len(st.after) > 0 {
 			m["after"] = st.after
 		}
@@ -69,7 +69,7 @@
 		steps = append(steps, m)
 	}
 	s.register(j)
-	text, _ := json.Marshal(map[string]any{"spec": j.spec, "bestEffort": true, "steps": steps})
+	text, _ := json.Marshal(map[string]any{"spec": j.spec, wire.AnsweredAtEnd: true, "steps": steps})
 	s.rec.logf("client: POST %s%s to entry %d", j.queue, j.id, entry)
 	a := s.call(ctx, http.MethodPost, entry, j.queue+j.id, text, deadline)
 	s.rec.logf("client: POST %s%s at entry %d: %v", j.queue, j.id, entry, a)
@@ -90,7 +90,7 @@
 	defer cancel()
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}
 	defer transport.CloseIdleConnections()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.entries[entry].frontend+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.entries[entry].callers+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
--- a/review/harness/executor.go
+++ b/review/harness/executor.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -293,19 +295,39 @@
 }
 
 type order struct {
-	Task       string `json:"task"`
-	RunID      int    `json:"runId"`
-	Spec       string `json:"spec"`
-	ExpiryMs   int64  `json:"expiryMs"`
-	FenceToken int64  `json:"fenceToken"`
-	LastSeen   int64  `json:"lastSeen"`
-	WaitMs     int64  `json:"waitMs"`
+	Task     string `json:"task"`
+	RunID    int    `json:"runId"`
+	Spec     string `json:"spec"`
+	LastSeen int64  `json:"lastSeen"`
+	WaitMs   int64  `json:"waitMs"`
+	expiry   int64
+	fence    int64
+}
+
+// decodeOrder reads the body of a call.
+func decodeOrder(body io.Reader) (o order, err error) {
+	text, err := io.ReadAll(body)
+	if err != nil {
+		return o, err
+	}
+	var fields map[string]json.RawMessage
+	if err := errors.Join(json.Unmarshal(text, &o), json.Unmarshal(text, &fields)); err != nil {
+		return o, err
+	}
+	for name, value := range map[string]*int64{wire.Expiry: &o.expiry, wire.Fence: &o.fence} {
+		if field, found := fields[name]; found {
+			if err := json.Unmarshal(field, value); err != nil {
+				return o, err
+			}
+		}
+	}
+	return o, nil
 }
 
 // ServeHTTP serves the calls of the agent.
 func (e *executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var o order
-	if json.NewDecoder(r.Body).Decode(&o) != nil {
+	o, err := decodeOrder(r.Body)
+	if err != nil {
 		reply(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
@@ -319,7 +341,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
+	if want := r.Header.Get(wire.Instance); want != "" && want != e.id {
 		now := time.Now()
 		answer := map[string]any{"clockMs": e.clock(now)}
 		e.mu.Unlock()
@@ -333,9 +355,9 @@
 	}
 	defer e.mu.Unlock()
 	switch r.URL.Path {
-	case "/run-start":
+	case wire.Start:
 		e.start(w, o)
-	case "/run-stop":
+	case wire.Stop:
 		e.stop(w, o)
 	default:
 		http.NotFound(w, r)
@@ -353,16 +375,16 @@
 func (e *executor) start(w http.ResponseWriter, o order) {
 	now := time.Now()
 	e.advance(now)
-	if o.FenceToken < e.fence {
+	if o.fence < e.fence {
 		e.refuse(w, now, "fence")
 		return
 	}
-	e.fence = o.FenceToken
-	if e.clock(now) > o.ExpiryMs {
+	e.fence = o.fence
+	if e.clock(now) > o.expiry {
 		e.refuse(w, now, "late")
 		return
 	}
-	e.extend(now, o.ExpiryMs)
+	e.extend(now, o.expiry)
 	key := o.Task + "#" + strconv.Itoa(o.RunID)
 	if e.runs[key] != nil {
 		reply(w, http.StatusOK, map[string]any{"clockMs": e.clock(now)})
@@ -389,11 +411,11 @@
 func (e *executor) stop(w http.ResponseWriter, o order) {
 	now := time.Now()
 	e.advance(now)
-	if o.FenceToken < e.fence {
+	if o.fence < e.fence {
 		e.refuse(w, now, "fence")
 		return
 	}
-	e.fence = o.FenceToken
+	e.fence = o.fence
 	e.ended[o.Task] = max(e.ended[o.Task], o.RunID)
 	if r := e.runs[o.Task+"#"+strconv.Itoa(o.RunID)]; r != nil && r.stopAt.IsZero() {
 		r.stopAt = now.Add(stopTakes)
@@ -413,14 +435,14 @@
 		}
 		e.advance(now)
 		if first {
-			if o.FenceToken < e.fence {
+			if o.fence < e.fence {
 				e.refuse(w, now, "fence")
 				e.mu.Unlock()
 				return
 			}
-			e.fence = o.FenceToken
-			if o.ExpiryMs > 0 {
-				e.extend(now, o.ExpiryMs)
+			e.fence = o.fence
+			if o.expiry > 0 {
+				e.extend(now, o.expiry)
 			}
 			for len(e.ends) > 0 && e.ends[0][0].(int64) <= o.LastSeen {
 				e.ends = e.ends[1:]
--- a/review/harness/liveness.go
+++ b/review/harness/liveness.go
@@ -83,17 +83,17 @@
 			}
 		}},
 		{"evacuate and back", func(s *site) {
-			s.store.put("op", "evacuate/lulea", map[string]any{})
+			s.store.put("op", wire.Evacuation+"lulea", map[string]any{})
 			time.Sleep(2 * time.Second)
-			s.store.put("op", "evacuate/lulea", nil)
+			s.store.put("op", wire.Evacuation+"lulea", nil)
 		}},
 		{"evacuate all and back", func(s *site) {
 			for _, z := range zones {
-				s.store.put("op", "evacuate/"+z, map[string]any{})
+				s.store.put("op", wire.Evacuation+z, map[string]any{})
 			}
 			time.Sleep(2 * time.Second)
 			for _, z := range zones {
-				s.store.put("op", "evacuate/"+z, nil)
+				s.store.put("op", wire.Evacuation+z, nil)
 			}
 		}},
 	}
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -156,9 +156,9 @@
 // evacuate evacuates a zone, or takes it back.
 func (s *site) evacuate(zone string, out bool) {
 	if out {
-		s.store.put("op", "evacuate/"+zone, map[string]any{})
+		s.store.put("op", wire.Evacuation+zone, map[string]any{})
 	} else {
-		s.store.put("op", "evacuate/"+zone, nil)
+		s.store.put("op", wire.Evacuation+zone, nil)
 	}
 	s.rec.mu.Lock()
 	defer s.rec.mu.Unlock()
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,7 +25,7 @@
 
 // Ports of every machine.
 const (
-	portFrontend  = 24161
+	portCallers   = 24161
 	portReadiness = 24167
 	portControl   = 24166
 	portApp       = 24165
@@ -42,7 +43,7 @@
 	command   []string
 	settings  string
 	log       *os.File
-	frontend  string
+	callers   string
 	readiness string
 	control   string
 	store     string // the address at which it reaches the store
@@ -128,7 +129,7 @@
 	routes := []map[string]any{}
 	for priority, prefix := range []string{"/q1/", "/q2/", "/q3/"} {
 		routes = append(routes, map[string]any{
-			"name": "route" + strconv.Itoa(priority), "host": host, "pathPrefix": prefix, "kind": "unsafe", "timeoutMs": 30000,
+			"name": "route" + strconv.Itoa(priority), "host": host, wire.Prefix: prefix, "kind": "unsafe", "timeoutMs": 30000,
 			"targetLatencyMs": 60, "priority": priority, "service": service, "attempts": 3, "stretch": 1.6,
 		})
 	}
@@ -174,20 +175,18 @@
 	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 	p := &process{
 		site: s, role: role, name: fmt.Sprintf("%s-%d", role, i), settings: filepath.Join(s.dir, fmt.Sprintf("%s-%d.toml", role, i)),
-		frontend: at(portFrontend), readiness: at(portReadiness), control: at(portControl), store: at(portStore),
+		callers: at(portCallers), readiness: at(portReadiness), control: at(portControl), store: at(portStore),
 	}
-	zone := zones[i%len(zones)]
-	seeds := fmt.Sprintf("[\"%s:%d\", \"%s:%d\"]", s.address(10), portControl, s.address(11), portControl)
-	text := fmt.Sprintf("nodeName = %q\nrole = %q\nip = %q\nzone = %q\nregion = \"nord\"\nportRange = [%d, %d]\nseeds = %s\nbootstrap = true\nheartbeatMs = 1500\ncommands = \"invoke\"\n",
-		p.name, role, ip, zone, portInternal, portInternal+15, seeds)
-	if role == "agent" {
-		text += fmt.Sprintf("machineClass = \"side\"\nserves = [\"side\"]\napp = %q\n[listen]\ncontrol = %q\n[limits]\ncpuShare = 0.24\ncores = 1\nmemoryMb = 152\nmaxFds = 4096\n", at(portApp), p.control)
-	} else {
-		text += fmt.Sprintf("machineClass = \"edge\"\nserves = [\"edge\", \"control\"]\n[listen]\nfrontend = %q\nreadiness = %q\ncontrol = %q\n[limits]\ncpuShare = 0.4\ncores = 1\nmemoryMb = 284\nmaxFds = 4100\n", p.frontend, p.readiness, p.control)
+	var text bytes.Buffer
+	err := settingsTemplate.Execute(&text, settingsFields{
+		Name: p.name, Role: role, IP: ip, Zone: zones[i%len(zones)], Internal: portInternal, LastInternal: portInternal + 15,
+		Seeds: []string{net.JoinHostPort(s.address(10), strconv.Itoa(portControl)), net.JoinHostPort(s.address(11), strconv.Itoa(portControl))},
+		App:   at(portApp), Control: p.control, Callers: p.callers, Readiness: p.readiness, Store: p.store,
+	})
+	if err != nil {
+		panic(err) // the template is a part of this program
 	}
-	text += "[bounds]\nseedLagS = 3\naddrReuseS = 2\ncontactMs = 3000\nackMs = 4000\nsyncS = 4\ndrainMs = 2000\ngraceS = 6\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\nevacuateMs = 5000\nrecoveryS = 12\nholdMaxMs = 1000\ngraceStopMs = 50\ngangWaitMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = 120\nremoteFactor = 1.5\nrequireFence = false\nleaseMs = 3000\nretryMs = 1300\n"
-	text += fmt.Sprintf("[platform]\naddress = %q\nform = \"table\"\nwritesPerS = 800\nreadsPerS = 2000\ntxMs = 4.0\nrowBytes = 65536\ncrossShard = true\nretentionS = 20\n", p.store)
-	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(p.settings, text.Bytes(), 0o600); err != nil {
 		panic(err)
 	}
 	return p
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -24,15 +24,35 @@
 	Part    string `json:"part,omitempty"`
 	Key     string `json:"key"`
 	Value   string `json:"value,omitempty"`
-	Version uint64 `json:"rowVersion,omitempty"`
+	Version uint64 `json:"-"`
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
+// message returns the row as the store sends it.
+func (r row) message() map[string]any {
+	m := map[string]any{"table": r.Table, "key": r.Key, wire.Version: r.Version}
+	if r.Deleted {
+		m["deleted"] = true
+	} else {
+		m["value"] = r.Value
+	}
+	return m
+}
+
 type page struct {
-	Rows    []row  `json:"rows"`
-	HasMore bool   `json:"hasMore"`
-	Version uint64 `json:"rowVersion"`
-	NowMs   int64  `json:"nowMs"`
+	rows    []row
+	hasMore bool
+	version uint64
+	nowMs   int64
+}
+
+// message returns the page as the store sends it.
+func (p page) message() map[string]any {
+	rows := make([]map[string]any, len(p.rows))
+	for i, r := range p.rows {
+		rows[i] = r.message()
+	}
+	return map[string]any{"rows": rows, "hasMore": p.hasMore, wire.Version: p.version, "nowMs": p.nowMs}
 }
 
 // store is a stand-in of the platform's metadata store.
@@ -100,11 +120,11 @@
 		}
 		time.Sleep(4 * time.Millisecond)
 		switch r.URL.Path {
-		case "/rows-get":
+		case wire.Get:
 			s.get(w, r)
-		case "/rows-feed":
+		case wire.Feed:
 			s.feed(w, r)
-		case "/rows-tx":
+		case wire.Tx:
 			s.tx(w, r)
 		default:
 			http.NotFound(w, r)
@@ -115,18 +135,18 @@
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	s.mu.Lock()
-	answer := page{Version: s.version, NowMs: time.Since(s.began).Milliseconds(), Rows: []row{}}
+	answer := page{version: s.version, nowMs: time.Since(s.began).Milliseconds()}
 	for k, v := range s.rows {
 		if k[0] == q.Get("table") && k[1] >= q.Get("from") {
-			answer.Rows = append(answer.Rows, v)
+			answer.rows = append(answer.rows, v)
 		}
 	}
 	s.mu.Unlock()
-	slices.SortFunc(answer.Rows, func(a, b row) int { return strings.Compare(a.Key, b.Key) })
-	if len(answer.Rows) > 500 {
-		answer.Rows, answer.HasMore = answer.Rows[:500], true
+	slices.SortFunc(answer.rows, func(a, b row) int { return strings.Compare(a.Key, b.Key) })
+	if len(answer.rows) > 500 {
+		answer.rows, answer.hasMore = answer.rows[:500], true
 	}
-	reply(w, http.StatusOK, answer)
+	reply(w, http.StatusOK, answer.message())
 }
 
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
@@ -136,22 +156,22 @@
 	timeout := time.After(time.Duration(min(wait, 30000)) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		answer := page{Version: s.version, NowMs: time.Since(s.began).Milliseconds(), Rows: []row{}}
+		answer := page{version: s.version, nowMs: time.Since(s.began).Milliseconds()}
 		for _, h := range s.history {
 			if h.Table == q.Get("table") && h.Version > after {
-				answer.Rows = append(answer.Rows, h)
+				answer.rows = append(answer.rows, h)
 			}
 		}
 		changed := s.changed
 		s.mu.Unlock()
-		if len(answer.Rows) > 0 {
-			reply(w, http.StatusOK, answer)
+		if len(answer.rows) > 0 {
+			reply(w, http.StatusOK, answer.message())
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			reply(w, http.StatusOK, answer)
+			reply(w, http.StatusOK, answer.message())
 			return
 		case <-r.Context().Done():
 			return
@@ -173,7 +193,7 @@
 			return
 		}
 	}
-	reply(w, http.StatusOK, map[string]any{"rowVersion": s.commit(body.Puts)})
+	reply(w, http.StatusOK, map[string]any{wire.Version: s.commit(body.Puts)})
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
