schedule: offers that an agent refused no longer count as in flight

Cause: two beliefs of the entry. An offer left the list of those in flight only with a room report that includes it, and an agent sends its room only when it has changed. An offer that it refuses changes nothing, so the offer held capacity for good; once the capacity of all agents was held, nothing was offered and no room changed any more. And an agent acknowledged every heartbeat, also one that renewed no lease, against the protocol ("the newest heartbeat that renewed the lease"). The first one after a freeze returns a clock from before it, so the entry took agents for ready that refused all it offered ("entry not heard").

Change: every message of an agent says which offers it has processed; one without a room report means that the last room report includes them. An agent acknowledges a heartbeat only if the entry has a lease after it.

TestLoadIsSentWithTheAnswerToAHeartbeat sent heartbeats without a clock and wanted them acknowledged; its heartbeats now carry one, its assertions are the same.

--- a/bench/sitesim/load_test.go
+++ b/bench/sitesim/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 )
 
 // netBenefit returns the benefit less half of the share of worth that was rejected
@@ -76,6 +77,28 @@
 	}
 }
 
+// An entry that is alone on its site starts tasks again after a freeze. All offers that its
+// agents refused before its lease was renewed counted as in flight for good, so that no agent
+// seemed to have room (review/2). The leases are renewed within two heartbeat intervals.
+func TestASoleEntryServesAgainAfterAFreeze(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		cfg := StandardSite(seed, 10*time.Second)
+		cfg.Entries, cfg.Agents = 1, 6
+		cfg.Rate = func(time.Duration) float64 { return 0.2 }
+		cfg.Faults = []Fault{{Kind: FreezeEntry, At: 0, For: 1500 * time.Millisecond}}
+		s, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r := s.Run(); r.Served < 0.8 { // all but those of the first two seconds
+			t.Errorf("seed %d: a share of %.3f of the jobs was served, want 0.8", seed, r.Served)
+		}
+		for _, v := range s.Violations() {
+			t.Errorf("seed %d: violated guarantee: %s", seed, v)
+		}
+	}
+}
+
 // Close to the capacity of the site, short queues come and go. Nearly all jobs must be
 // served: a late answer is better than none.
 func TestShortQueuesRefuseFewJobs(t *testing.T) {
--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -67,8 +67,9 @@
 	results   []numbered
 	lastOffer uint64
 	heartbeat uint64
-	room      run.Room
-	stalled   []work.Run
+	// room is nil if it hasn't changed since the last message of the session.
+	room    *run.Room
+	stalled []work.Run
 	// load is sent with the answer to a heartbeat, nil otherwise.
 	load *run.Load
 	// clock is the agent's clock when it sent the message.
@@ -87,8 +88,9 @@
 	if hello.Agent == v.self {
 		s.results.Acknowledge(hello.ResultsSeen)
 	}
-	m := toEntry{welcome: true, agent: v.self, held: v.core.Held(name), results: slices.Clone(s.results.Unacknowledged()), room: v.core.Room()}
-	s.room = m.room
+	m := toEntry{welcome: true, agent: v.self, held: v.core.Held(name), results: slices.Clone(s.results.Unacknowledged())}
+	room := v.core.Room()
+	s.room, m.room = room, &room
 	v.send(s, m)
 	v.flush()
 }
@@ -122,7 +124,10 @@
 		if s.ended || s.room.Equal(&room) && !s.dirty && len(s.unsentResults) == 0 && len(s.unsentStalled) == 0 {
 			continue
 		}
-		m := toEntry{agent: v.self, results: s.unsentResults, lastOffer: s.lastOffer, heartbeat: s.heartbeat, room: room, stalled: s.unsentStalled}
+		m := toEntry{agent: v.self, results: s.unsentResults, lastOffer: s.lastOffer, heartbeat: s.heartbeat, stalled: s.unsentStalled}
+		if !s.room.Equal(&room) {
+			m.room = &room
+		}
 		if s.dirty {
 			load := v.core.Load(v.site.now())
 			m.load = &load
@@ -175,6 +180,7 @@
 	openedAt  time.Duration // when the entry began to use the agent
 	dialedAt  time.Duration
 	lastHeard time.Duration
+	beatAt    time.Duration // when the next heartbeat is due
 }
 
 // Times of an entry. A session ends after missedHeartbeats intervals without a message.
@@ -283,14 +289,20 @@
 	if e.links[i] != l {
 		return // released
 	}
-	if e.site.now()-l.lastHeard > missedHeartbeats*e.site.terms.HeartbeatInterval {
+	interval, now := e.site.terms.HeartbeatInterval, e.site.now()
+	if l.beatAt > 0 && now-l.beatAt > interval/2 {
+		// The entry was paused, as in package link: messages of the agent may wait.
+		l.lastHeard = max(l.lastHeard, now-(missedHeartbeats-1)*interval)
+	}
+	if now-l.lastHeard > missedHeartbeats*interval {
 		e.detach(i, "no message from the agent within the silence timeout")
 		e.dial(i)
 	}
 	if l.open {
 		e.sendHeartbeat(i)
 	}
-	e.later(e.site.terms.HeartbeatInterval, func() { e.heartbeatLoop(i, l) })
+	l.beatAt = now + interval
+	e.later(interval, func() { e.heartbeatLoop(i, l) })
 }
 
 func (e *entryNode) sendHeartbeat(i int) {
@@ -302,10 +314,13 @@
 	}
 	e.toAgent(i, func(v *vm, s *agentSession) {
 		s.results.Acknowledge(beat.ResultsSeen)
-		s.heartbeat, s.dirty = beat.Number, true
+		s.dirty = true
 		if beat.AgentClock > 0 {
 			v.step(run.EntryHeartbeat{Entry: s.name, AsOf: beat.AgentClock})
 		}
+		if v.core.HasLease(s.name) {
+			s.heartbeat = beat.Number
+		}
 		v.step(run.WaitingReported{Entry: s.name, Waiting: waiting})
 		v.step(run.DomainWithdrawn{Withdrawn: withdrawn})
 	})
@@ -363,13 +378,14 @@
 		e.sendHeartbeat(i)
 		e.step(schedule.AgentAttached{Agent: m.agent, Address: string(rune('a' + i)), Held: m.held, RequestedAt: l.dialedAt})
 	}
-	e.step(schedule.AgentMessageReceived{Agent: m.agent, AckedHeartbeatSentAt: l.end.SentAt(m.heartbeat)})
-	room := m.room
-	room.Server.Draining = room.Server.Draining || room.Closed
-	if e.site.cfg.NoSpeeds {
-		room.Speed = run.SpeedFigure{}
+	received := schedule.AgentMessageReceived{Agent: m.agent, AckedHeartbeatSentAt: l.end.SentAt(m.heartbeat)}
+	if m.room == nil {
+		received.LastOfferIncluded = m.lastOffer
+	}
+	e.step(received)
+	if m.room != nil {
+		e.roomReported(m)
 	}
-	e.step(schedule.AgentRoomReported{Agent: m.agent, Server: room.Server, Used: room.Used, Queued: room.Queued, LastOfferIncluded: m.lastOffer, Pace: room.Pace, Speed: room.Speed})
 	if m.load != nil {
 		e.step(schedule.AgentLoadReported{Agent: m.agent, Load: *m.load})
 	}
@@ -378,6 +394,15 @@
 	}
 }
 
+func (e *entryNode) roomReported(m toEntry) {
+	room := *m.room
+	room.Server.Draining = room.Server.Draining || room.Closed
+	if e.site.cfg.NoSpeeds {
+		room.Speed = run.SpeedFigure{}
+	}
+	e.step(schedule.AgentRoomReported{Agent: m.agent, Server: room.Server, Used: room.Used, Queued: room.Queued, LastOfferIncluded: m.lastOffer, Pace: room.Pace, Speed: room.Speed})
+}
+
 func (e *entryNode) linkOf(agent ident.Incarnation) (int, bool) {
 	for i, l := range e.links {
 		if l != nil && l.open && l.end.Agent() == agent {
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -250,7 +250,11 @@
 			Held: link.RunsOf(w.GetHeld()), RequestedAt: e.requestedAt,
 		})
 	}
-	d.step(schedule.AgentMessageReceived{Agent: agent, AckedHeartbeatSentAt: a.sentAt(m.GetHeartbeat())})
+	received := schedule.AgentMessageReceived{Agent: agent, AckedHeartbeatSentAt: a.sentAt(m.GetHeartbeat())}
+	if m.GetRoom() == nil {
+		received.LastOfferIncluded = m.GetTaken()
+	}
+	d.step(received)
 	if r := m.GetRoom(); r != nil {
 		if !link.ValidRemaining(r) {
 			d.cfg.Log.Warn("invalid remaining time of a backend server", telemetry.Peer(agent), telemetry.Backend(r.GetIncarnation()))
--- a/run/run.go
+++ b/run/run.go
@@ -294,6 +294,12 @@
 	}
 }
 
+// HasLease reports whether tasks of the entry may be started and go on, as of the last step.
+func (c *Core) HasLease(entry ident.Incarnation) bool {
+	_, live := c.entries[entry]
+	return live
+}
+
 // expireEntries drops expired leases and stops the runs of entries without one.
 func (c *Core) expireEntries() {
 	for entry, asOf := range c.entries {
@@ -302,7 +308,7 @@
 		}
 	}
 	for _, t := range c.inOrder() {
-		if _, live := c.entries[t.entry]; !live && !t.stop.wanted {
+		if !c.HasLease(t.entry) && !t.stop.wanted {
 			c.stop(t, reasonNoLease)
 		}
 	}
--- a/runner/fuzz_test.go
+++ b/runner/fuzz_test.go
@@ -2,15 +2,12 @@
 
 import (
 	"testing"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"foxtaildock.example/dock/lease"
 	"foxtaildock.example/dock/link"
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/run"
-	"foxtaildock.example/dock/telemetry"
 	"foxtaildock.example/dock/work"
 )
 
@@ -29,24 +26,17 @@
 	add(&linkpb.ToAgent{Offers: []*linkpb.Offer{{Job: "j", Service: "s", Tasks: []*linkpb.OfferedTask{
 		{Run: 1, Demand: link.DemandMessage(work.Demand{CPUMilli: -1000})}, {Run: 1, Index: 1 << 31, ExpectedMs: -1 << 62}, {},
 	}}, {}}, Stops: []*linkpb.TaskKey{{Job: "j", Run: 1}, {}}})
-	terms, err := lease.New(1300*time.Millisecond, time.Second, 50*time.Millisecond)
-	if err != nil {
-		f.Fatal(err)
-	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		m := &linkpb.ToAgent{}
 		if proto.Unmarshal(text, m) != nil {
 			return
 		}
-		r := New(Config{Self: "agent", Domain: "d", Terms: terms, Backend: &instantServer{began: time.Now()}, Log: telemetry.Discard()})
-		r.baseCtx = t.Context()
+		r, s := newIdleRunner(t)
 		r.handle(run.ServerReported{
 			Server:      work.Server{Incarnation: "server", Service: "s", Domain: "d", Capacity: work.Demand{CPUMilli: 4000, MemoryMB: 1000}},
 			StartUnixMs: serverStartMs, Sequence: 1,
 		})
 		r.handle(run.HoldAnswered{Call: 1, Stamp: run.Stamp{StartUnixMs: serverStartMs}})
-		s := &entrySession{entry: "e", hello: &linkpb.Hello{Entry: "e"}, out: make(chan *linkpb.FromAgent, outQueueSize), closed: make(chan struct{})}
-		r.handle(attachEvent{s})
 		r.handle(messageEvent{s, m})
 		r.flush()
 		if room := r.core.Room(); room.Used.CPUMilli < 0 || !room.Used.Fits(room.Server.Capacity) {
--- a/runner/load_test.go
+++ b/runner/load_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/lease"
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/run"
@@ -38,7 +39,7 @@
 		t.Fatalf("first message %v, want a welcome without a load", m)
 	}
 	for number, test := range []struct{ sent, want float64 }{{500, 500}, {0, 0}, {700, 700}, {math.NaN(), 0}} {
-		beat := &linkpb.Heartbeat{Number: uint64(number + 1)}
+		beat := &linkpb.Heartbeat{Number: uint64(number + 1), AgentClockMs: clock.Now().Milliseconds()}
 		if test.sent != 0 {
 			beat.Waiting = []*linkpb.WaitingWork{{Service: "s", CpuMs: test.sent}}
 		}
--- a/runner/session.go
+++ b/runner/session.go
@@ -32,8 +32,8 @@
 	results session.Outbox[run.Report]
 	// processed is the sequence of the entry's last message that was processed.
 	processed uint64
-	// lastHeartbeat is the number of the entry's last heartbeat.
-	lastHeartbeat uint64
+	// renewedBy is the number of the newest heartbeat with which the entry had a lease.
+	renewedBy uint64
 	// heartbeatReceived is true until the heartbeat is answered.
 	heartbeatReceived bool
 	// waitingKnown is true if the entry's last heartbeat named waiting work.
@@ -177,10 +177,12 @@
 
 func (r *Runner) handleHeartbeat(s *entrySession, b *linkpb.Heartbeat) {
 	s.results.Acknowledge(b.GetResultsSeen())
-	s.lastHeartbeat = b.GetNumber()
 	if b.GetAgentClockMs() > 0 {
 		r.step(run.EntryHeartbeat{Entry: s.entry, AsOf: link.Millis(b.GetAgentClockMs())})
 	}
+	if r.core.HasLease(s.entry) {
+		s.renewedBy = b.GetNumber()
+	}
 	s.heartbeatReceived = true
 	r.handleWaiting(s, b.GetWaiting())
 	s.pendingMessage() // so that the heartbeat is answered
@@ -305,7 +307,7 @@
 	m := s.pendingMessage()
 	s.pending = nil
 	m.Taken = s.processed
-	m.Heartbeat = s.lastHeartbeat
+	m.Heartbeat = s.renewedBy
 	m.ClockMs = now.Milliseconds()
 	m.OperatorVersion = r.view.Rows().Version
 	if s.heartbeatReceived {
--- a/schedule/agents.go
+++ b/schedule/agents.go
@@ -25,8 +25,8 @@
 	// lastMessage is when the agent's newest message was processed. No lease counts
 	// from a later time.
 	lastMessage time.Duration
-	// ackedHeartbeatSentAt is when the newest heartbeat that the agent has received was
-	// sent.
+	// ackedHeartbeatSentAt is when the newest heartbeat that renewed the lease at the
+	// agent was sent.
 	ackedHeartbeatSentAt time.Duration
 	// runs are the runs of this entry that the agent may hold.
 	runs map[work.Task]work.RunID
@@ -207,7 +207,13 @@
 	a.queued = e.Queued
 	a.checkWaiting(e.Queued, e.LastOfferIncluded)
 	c.speedReported(a, e)
-	a.inFlight = slices.DeleteFunc(a.inFlight, func(o sentOffer) bool { return o.sequence <= e.LastOfferIncluded })
+	c.offersProcessed(a, e.LastOfferIncluded)
+}
+
+// offersProcessed drops the offers up to the sequence from those in flight: the newest room
+// report includes what they use, which is nothing if the agent has refused them.
+func (c *Core) offersProcessed(a *agentState, last uint64) {
+	a.inFlight = slices.DeleteFunc(a.inFlight, func(o sentOffer) bool { return o.sequence <= last })
 	c.recordFree(a)
 }
 
@@ -226,6 +232,9 @@
 	if a := c.agents[e.Agent]; a != nil && a.attached {
 		a.lastMessage = c.now
 		a.ackedHeartbeatSentAt = max(a.ackedHeartbeatSentAt, e.AckedHeartbeatSentAt)
+		if e.LastOfferIncluded > 0 {
+			c.offersProcessed(a, e.LastOfferIncluded)
+		}
 	}
 }
 
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -98,9 +98,13 @@
 // message.
 type AgentMessageReceived struct {
 	Agent ident.Incarnation
-	// AckedHeartbeatSentAt is when the newest heartbeat that the agent has received was
-	// sent, 0 if unknown.
+	// AckedHeartbeatSentAt is when the newest heartbeat that renewed the entry's lease at
+	// the agent was sent, 0 if unknown.
 	AckedHeartbeatSentAt time.Duration
+	// LastOfferIncluded is the sequence of the last offer that the agent had processed, if
+	// the message has no room report: the last one that it sent then includes the offer. 0
+	// if the room report of the message follows.
+	LastOfferIncluded uint64
 }
 
 // RunEnded is the end of a run.
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -459,3 +459,24 @@
 		})
 	}
 }
+
+// An agent that has refused all offers sends no room report, since nothing has changed there.
+// The refused offers counted as in flight for good, and no task was offered any more (review/2).
+func TestRefusedOffersDoNotStayInFlight(t *testing.T) {
+	b := newTestBench(t)
+	b.attachAgent("a", "1")
+	b.ackHeartbeat("a")
+	b.submit("j", 0, 4)
+	for round := range 3 {
+		runs := offered(b.takeActions())
+		if len(runs) != 4 {
+			t.Fatalf("round %d: %d tasks are offered to an agent with room for 4", round, len(runs))
+		}
+		for r := range runs {
+			b.step(RunEnded{Agent: "a", Run: r, Outcome: work.NotStarted, Reason: "entry not heard"})
+		}
+		b.step(AgentMessageReceived{Agent: "a", AckedHeartbeatSentAt: b.now, LastOfferIncluded: b.core.agents["a"].sequence})
+		b.takeActions()
+		b.tickFor(2*cooldown, cooldown)
+	}
+}
