run, platform: a task starts only on the incarnation of the server that it was chosen for

Cause: a start names only the server's ID, which stays the same. Between the crash and the agent's next look at the server, starts went over new connections to the new incarnation; the HTTP client opens one by itself when those of its pool are found closed. And an offer didn't say which incarnation the entry had chosen: one that was on its way when the agent took the new one into use was started there. Capacity and service of the new incarnation could be missed in the same way.

Change: a connection leads to one process as long as it lasts. Entries get a name of the incarnation with the room (ID and start) and return it with their offers; the agent refuses offers for another one. So an entry also sees a restart under the same ID as what it is, and starts anew with what it knows of the server's speed and health.

--- a/bench/sitesim/session.go
+++ b/bench/sitesim/session.go
@@ -439,7 +439,7 @@
 	}
 	e.toAgent(i, func(v *vm, s *agentSession) {
 		for _, t := range a.Tasks {
-			v.step(run.Offered{Entry: s.name, Run: t.Run, Spec: a.Spec, Service: a.Service, Priority: a.Priority, Demand: t.Demand, Expected: t.Expected, Route: a.Route, Slack: t.Slack, Estimate: t.Estimate})
+			v.step(run.Offered{Entry: s.name, Run: t.Run, Spec: a.Spec, Server: a.Server, Service: a.Service, Priority: a.Priority, Demand: t.Demand, Expected: t.Expected, Route: a.Route, Slack: t.Slack, Estimate: t.Estimate})
 		}
 		s.lastOffer = max(s.lastOffer, a.Sequence)
 	})
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -342,7 +342,7 @@
 	if s == nil {
 		return // the core ends these runs as not started when the session is opened again
 	}
-	o := &linkpb.Offer{Job: string(a.Job), Spec: a.Spec, Service: string(a.Service), Priority: int32(a.Priority), Route: a.Route}
+	o := &linkpb.Offer{Job: string(a.Job), Spec: a.Spec, Service: string(a.Service), Priority: int32(a.Priority), Route: a.Route, Incarnation: a.Server}
 	for _, t := range a.Tasks {
 		o.Tasks = append(o.Tasks, &linkpb.OfferedTask{
 			Step: uint32(t.Run.Task.Step), Index: uint32(t.Run.Task.Index),
--- a/run/events.go
+++ b/run/events.go
@@ -28,9 +28,12 @@
 
 // Offered assigns a run of a task to the agent.
 type Offered struct {
-	Entry    ident.Incarnation
-	Run      work.Run
-	Spec     string // tells the backend server what to run; this system doesn't interpret it
+	Entry ident.Incarnation
+	Run   work.Run
+	Spec  string // tells the backend server what to run; this system doesn't interpret it
+	// Server names the incarnation of the backend server that the entry chose the task for,
+	// as in Room; "" if the sender doesn't tell. Another one may be of another kind.
+	Server   string
 	Service  ident.Service
 	Priority work.Priority
 	Demand   work.Demand
@@ -96,13 +99,16 @@
 	RefusedBusy
 	// RefusedConnection: no process listens at the server's address, so nothing was sent.
 	RefusedConnection
+	// RefusedIncarnation: the server at the address isn't known to be the incarnation that
+	// the start is for, so nothing was sent.
+	RefusedIncarnation
 	// NoAnswer: the start may have been carried out, or may still be.
 	NoAnswer
 )
 
 // String returns the reply's name for logs and for reasons of reports.
 func (r StartReply) String() string {
-	return [...]string{"unknown", "started", "old", "late", "room", "fence", "bad", "busy", "connection refused", "no answer"}[r]
+	return [...]string{"unknown", "started", "old", "late", "room", "fence", "bad", "busy", "connection refused", "other incarnation", "no answer"}[r]
 }
 
 // StopAnswered is the result of CallStop.
@@ -189,23 +195,29 @@
 // Action is an output of the core, which its caller carries out.
 type Action interface{ action() }
 
-// CallStart asks the backend server to start a run.
+// CallStart asks the backend server to start a run. It must reach no other incarnation than
+// Server.
 type CallStart struct {
+	Server Incarnation
 	Run    work.Run
 	Spec   string
 	Expiry time.Duration // end of the lease on the server's clock, after which the server refuses the start
 	Fence  int64         // fencing token
 }
 
-// CallStop asks the backend server to stop a run.
+// CallStop asks the backend server to stop a run. It must reach no other incarnation than
+// Server.
 type CallStop struct {
-	Run   work.Run
-	Fence int64 // fencing token
+	Server Incarnation
+	Run    work.Run
+	Fence  int64 // fencing token
 }
 
-// CallHold renews the lease and asks for the runs in progress and those that ended.
+// CallHold renews the lease and asks for the runs in progress and those that ended. The
+// answer names the incarnation that gave it.
 type CallHold struct {
-	Call uint64
+	Server Incarnation
+	Call   uint64
 	// Expiry is the new end of the lease on the server's clock. 0 renews nothing.
 	Expiry time.Duration
 	Fence  int64 // fencing token
--- a/run/hold.go
+++ b/run/hold.go
@@ -119,7 +119,7 @@
 )
 
 func (c *Core) sendHold(wait time.Duration) {
-	call := CallHold{Call: c.holds.next, Fence: c.server.fence, LastSeen: c.server.lastSeen, Wait: wait}
+	call := CallHold{Server: c.server.report.incarnation(), Call: c.holds.next, Fence: c.server.fence, LastSeen: c.server.lastSeen, Wait: wait}
 	if c.server.phase == serverInUse && len(c.tasks) > 0 && c.renewable() {
 		call.Expiry = c.extendLease()
 	}
@@ -224,7 +224,7 @@
 		t := c.tasks[r.Run.Task]
 		if t == nil || t.run != r.Run || t.phase == phaseQueued {
 			c.server.foreign++
-			c.emit(CallStop{Run: r.Run, Fence: c.server.fence})
+			c.emit(CallStop{Server: c.server.report.incarnation(), Run: r.Run, Fence: c.server.fence})
 			continue
 		}
 		c.progress(t, r.Percent)
--- a/run/offers.go
+++ b/run/offers.go
@@ -46,6 +46,9 @@
 	if e.Service != c.server.report.Server.Service {
 		return reasonService
 	}
+	if e.Server != "" && e.Server != c.server.report.incarnation().String() {
+		return reasonIncarnation
+	}
 	if len(c.queue) >= c.cfg.QueueLimit {
 		return reasonFull
 	}
@@ -97,5 +100,5 @@
 		ran = c.now - t.started
 	}
 	c.recordRunTime(t, outcome, ran)
-	c.emit(Report{Entry: t.entry, Run: t.run, Outcome: outcome, Ran: ran, Reason: reason, Server: t.server})
+	c.emit(Report{Entry: t.entry, Run: t.run, Outcome: outcome, Ran: ran, Reason: reason, Server: t.server.ID})
 }
--- a/run/orders.go
+++ b/run/orders.go
@@ -65,10 +65,10 @@
 	t.phase = phaseStarting
 	t.since = c.now
 	t.started = c.now
-	t.server = c.server.report.Server.Incarnation
+	t.server = c.server.report.incarnation()
 	t.progressedAt = c.now
 	t.expiry = c.extendLease()
-	c.emit(CallStart{Run: t.run, Spec: t.spec, Expiry: t.expiry, Fence: c.server.fence})
+	c.emit(CallStart{Server: t.server, Run: t.run, Spec: t.spec, Expiry: t.expiry, Fence: c.server.fence})
 }
 
 func (c *Core) startAnswered(e StartAnswered) {
@@ -88,6 +88,10 @@
 		c.end(t, work.NotStarted, e.Reply.String())
 		c.raiseFence()
 		return
+	case RefusedIncarnation:
+		c.end(t, work.NotStarted, e.Reply.String())
+		c.holds.shortPollWanted = true // it may be gone
+		return
 	default:
 		c.end(t, work.NotStarted, e.Reply.String())
 		return
@@ -115,7 +119,7 @@
 		}
 		s.sent = true
 		s.sentAt = c.now
-		c.emit(CallStop{Run: t.run, Fence: c.server.fence})
+		c.emit(CallStop{Server: c.server.report.incarnation(), Run: t.run, Fence: c.server.fence})
 	}
 }
 
--- a/run/run.go
+++ b/run/run.go
@@ -101,7 +101,7 @@
 	latestStart time.Duration
 	since       time.Duration // when it entered its current phase
 	started     time.Duration // when CallStart was issued
-	server      string        // incarnation of the backend server that CallStart was sent to
+	server      Incarnation   // of the backend server that CallStart was sent to
 	expiry      time.Duration // of its start, on the server's clock
 	// listedFrom is the number of the first CallHold whose answer must list the run.
 	listedFrom   uint64
@@ -196,6 +196,7 @@
 // no update then.
 func (r *Room) Equal(o *Room) bool {
 	return r.Server.Incarnation == o.Server.Incarnation && r.Server.Draining == o.Server.Draining &&
+		r.Server.Service == o.Server.Service && r.Server.Domain == o.Server.Domain && slices.Equal(r.Server.Labels, o.Server.Labels) &&
 		r.Server.Capacity == o.Server.Capacity && r.Used == o.Used && r.Closed == o.Closed && r.Pace == o.Pace && r.endsAt == o.endsAt &&
 		r.Speed.Value == o.Speed.Value && slices.Equal(r.Queued, o.Queued)
 }
@@ -205,6 +206,7 @@
 	r := Room{Used: c.used(), Closed: c.refusal() != "", Pace: c.pace.quantized(c.now), Speed: c.speed.figure(c.now)}
 	if c.server.phase == serverInUse {
 		r.Server, r.endsAt = c.server.report.Server, c.server.endsAt
+		r.Server.Incarnation = c.server.report.incarnation().String()
 		r.Server.Remaining = c.server.remaining(c.now)
 	}
 	for _, t := range c.queue {
@@ -250,6 +252,7 @@
 	reasonWithdrawn       = "failure domain withdrawn"
 	reasonClosing         = "agent closes"
 	reasonService         = "other service"
+	reasonIncarnation     = "chosen for another incarnation of the backend server"
 	reasonFull            = "queue full"
 	reasonTooLarge        = "larger than the backend server"
 	reasonInvalidDemand   = "negative demand"
--- a/run/speed.go
+++ b/run/speed.go
@@ -51,7 +51,7 @@
 // recordRunTime updates the speed of the backend server with a run that has ended. Only
 // runs that were done count, and only those that the incarnation in use was asked to start.
 func (c *Core) recordRunTime(t *task, outcome work.Outcome, ran time.Duration) {
-	if outcome != work.Done || t.phase == phaseOrphaned || t.server != c.server.report.Server.Incarnation {
+	if outcome != work.Done || t.phase == phaseOrphaned || t.server != c.server.report.incarnation() {
 		return
 	}
 	if t.expected > 0 && ran > 0 {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -22,9 +22,11 @@
 // own. The returned event is valid in any case; the error says why there was no usable
 // answer.
 type Backend interface {
-	Start(ctx context.Context, incarnation string, call run.CallStart) (run.StartAnswered, error)
-	Stop(ctx context.Context, incarnation string, call run.CallStop) (run.StopAnswered, error)
-	Hold(ctx context.Context, incarnation string, call run.CallHold) (run.Event, error)
+	// Start and Stop send nothing unless the server at the address is the incarnation that
+	// the call names.
+	Start(ctx context.Context, call run.CallStart) (run.StartAnswered, error)
+	Stop(ctx context.Context, call run.CallStop) (run.StopAnswered, error)
+	Hold(ctx context.Context, call run.CallHold) (run.Event, error)
 }
 
 // Config holds the identity, the lease terms and the dependencies of an agent.
@@ -74,7 +76,6 @@
 	// with the manifest. Entries that can't reach the store may ask for them.
 	ownRows         operator.Rows
 	rowsWanted      chan struct{} // asks Presence to read the operators' rows
-	server          string        // incarnation of the backend server that calls are addressed to
 	idle            atomic.Bool
 	attached        atomic.Int64 // entries with an open session
 	attachedDomains atomic.Int64 // failure domains of those entries
@@ -211,12 +212,12 @@
 	switch a := a.(type) {
 	case run.CallStart:
 		r.cfg.Log.Info("start", telemetry.Run(a.Run.String()), telemetry.Expiry(a.Expiry), telemetry.FencingToken(a.Fence))
-		go r.callStart(a, r.server)
+		go r.callStart(a)
 	case run.CallStop:
 		r.cfg.Log.Info("stop", telemetry.Run(a.Run.String()), telemetry.FencingToken(a.Fence))
-		go r.callStop(a, r.server)
+		go r.callStop(a)
 	case run.CallHold:
-		go r.callHold(a, r.server)
+		go r.callHold(a)
 	case run.Report:
 		r.report(a)
 	case run.ReportStalled:
@@ -227,15 +228,12 @@
 }
 
 func (r *Runner) logServerChange(a run.LogMessage) {
-	if a.Incarnation != "" {
-		r.server = a.Incarnation
-	}
 	r.cfg.Log.Info(a.Text, telemetry.Backend(a.Incarnation), telemetry.Age(a.Age), telemetry.Remaining(a.Remaining), telemetry.ReasonText(a.Reason))
 }
 
-func (r *Runner) callStart(a run.CallStart, server string) {
+func (r *Runner) callStart(a run.CallStart) {
 	began := time.Now()
-	answer, err := r.cfg.Backend.Start(r.baseCtx, server, a)
+	answer, err := r.cfg.Backend.Start(r.baseCtx, a)
 	r.cfg.Metrics.observeCall("start", time.Since(began), err)
 	if answer.Reply != run.Started {
 		r.cfg.Log.Warn("start not confirmed", telemetry.Run(a.Run.String()), telemetry.OutcomeText(answer.Reply.String()), telemetry.Err(err))
@@ -243,9 +241,9 @@
 	r.enqueue(answer)
 }
 
-func (r *Runner) callStop(a run.CallStop, server string) {
+func (r *Runner) callStop(a run.CallStop) {
 	began := time.Now()
-	answer, err := r.cfg.Backend.Stop(r.baseCtx, server, a)
+	answer, err := r.cfg.Backend.Stop(r.baseCtx, a)
 	r.cfg.Metrics.observeCall("stop", time.Since(began), err)
 	if err != nil {
 		r.cfg.Log.Warn("stop not answered", telemetry.Run(a.Run.String()), telemetry.Err(err))
@@ -253,9 +251,9 @@
 	r.enqueue(answer)
 }
 
-func (r *Runner) callHold(a run.CallHold, server string) {
+func (r *Runner) callHold(a run.CallHold) {
 	began := time.Now()
-	answer, err := r.cfg.Backend.Hold(r.baseCtx, server, a)
+	answer, err := r.cfg.Backend.Hold(r.baseCtx, a)
 	r.cfg.Metrics.observeCall("hold", time.Since(began), err)
 	if err != nil {
 		r.cfg.Log.Warn("lease call not answered", telemetry.Call(a.Call), telemetry.Err(err))
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -35,18 +35,18 @@
 	return run.Stamp{StartUnixMs: serverStartMs, Clock: time.Since(s.began)}
 }
 
-func (s *instantServer) Start(_ context.Context, _ string, call run.CallStart) (run.StartAnswered, error) {
+func (s *instantServer) Start(_ context.Context, call run.CallStart) (run.StartAnswered, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ended = append(s.ended, run.EndedRun{Number: int64(len(s.ended) + 1), Run: call.Run, How: run.EndDone})
 	return run.StartAnswered{Run: call.Run, Reply: run.Started, Stamp: s.stamp()}, nil
 }
 
-func (s *instantServer) Stop(_ context.Context, _ string, call run.CallStop) (run.StopAnswered, error) {
+func (s *instantServer) Stop(_ context.Context, call run.CallStop) (run.StopAnswered, error) {
 	return run.StopAnswered{Run: call.Run, Answered: true, Stamp: s.stamp()}, nil
 }
 
-func (s *instantServer) Hold(ctx context.Context, _ string, call run.CallHold) (run.Event, error) {
+func (s *instantServer) Hold(ctx context.Context, call run.CallHold) (run.Event, error) {
 	for deadline := time.Now().Add(call.Wait); ; {
 		s.mu.Lock()
 		unseen := s.ended[call.LastSeen:]
--- a/runner/session.go
+++ b/runner/session.go
@@ -222,7 +222,7 @@
 				Task: work.Task{Job: work.JobID(o.GetJob()), Step: int(t.GetStep()), Index: int(t.GetIndex())},
 				ID:   work.RunID(t.GetRun()),
 			},
-			Spec: o.GetSpec(), Service: ident.Service(o.GetService()),
+			Spec: o.GetSpec(), Server: o.GetIncarnation(), Service: ident.Service(o.GetService()),
 			Priority: work.Priority(o.GetPriority()), Demand: link.DemandOf(t.GetDemand()),
 			Expected: link.Millis(t.GetExpectedMs()), Route: o.GetRoute(),
 			Slack: link.Millis(t.GetSlackMs()), Estimate: link.Millis(t.GetDeclaredMs()),
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -161,6 +161,7 @@
 	Sequence uint64 // counts the offers to the agent from 1
 	Job      work.JobID
 	Spec     string
+	Server   string // incarnation of the backend server that the tasks are meant for
 	Service  ident.Service
 	Priority work.Priority
 	Route    string // name of the job's route
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -145,7 +145,7 @@
 		a.sequence++
 		c.emit(SendOffers{
 			Agent: a.id, Sequence: a.sequence, Job: j.ID, Spec: j.Spec,
-			Service: j.Route.Service, Priority: j.Route.Priority, Route: j.Route.Name, Tasks: tasks,
+			Server: a.server.Incarnation, Service: j.Route.Service, Priority: j.Route.Priority, Route: j.Route.Name, Tasks: tasks,
 		})
 	}
 }
