run, platform: the server itself, not a report, decides which incarnation an agent uses

Cause: an agent adopted any report with a later start than that of its server, and ignored all reports with an earlier one from then on. A restarted server with an earlier start, as after a jump of the time of day, was ignored for the same reason. A report of the same incarnation with a sequence far ahead kept out all that followed, and "drains" was believed for good.

Change: a report of another incarnation is only a proposal. It makes the agent ask its server at once, by a lease call that names the incarnation in use; the answer of the server decides: as the same one, the proposal is dropped; as another one (its start in the lists, or status 421), the proposal takes its place. Nothing starts before a list has confirmed an incarnation. Reports of one incarnation are ordered by its clock, which the server's answers bound, and one that contradicts earlier ones in what an incarnation doesn't change (service, failure domain, labels, ready after draining) counts once the next one repeats it. So a belief that is wrong after all is corrected by the server's second report at the latest, without other traffic.

The tests' stand-in for the server now answers as the incarnation that it is, not as the one that the agent takes it for; assertions are unchanged.

--- a/daemon/platform_agent.go
+++ b/daemon/platform_agent.go
@@ -62,7 +62,7 @@
 	if err := p.listen("internal", p.set.Internal, rpc.NewServer(internal)); err != nil {
 		return err
 	}
-	if err := p.listen("reports", p.set.Control, plainServer(platform.NewHeartbeatHandler(r))); err != nil {
+	if err := p.listen("reports", p.set.Control, plainServer(platform.NewHeartbeatHandler(p.set.Backend, r))); err != nil {
 		return err
 	}
 	return p.listenMetrics(r.Observed(), func() error {
--- a/run/down_test.go
+++ b/run/down_test.go
@@ -55,7 +55,7 @@
 func TestARunOfAnIncarnationThatIsReplacedWentDownWithIt(t *testing.T) {
 	h := startOneRun(t)
 	h.now += 50 * time.Millisecond
-	h.step(report(serverStartMs+60_000, 1, 0))
+	h.restart(report(serverStartMs+60_000, 1, 0))
 	h.answerHold(nil, nil)
 	reports := of[Report](h.take())
 	if len(reports) != 1 || reports[0].Outcome != work.Lost || !ServerWentDown(reports[0].Reason) {
@@ -67,6 +67,7 @@
 func TestAPlannedEndOfAServerIsNoCrash(t *testing.T) {
 	h := startOneRun(t)
 	h.step(ServerLeft{Incarnation: "server"})
+	h.startMs = serverStartMs + 60_000
 	h.step(report(serverStartMs+60_000, 1, 0))
 	h.answerHold(nil, nil)
 	reports := of[Report](h.take())
--- a/run/events.go
+++ b/run/events.go
@@ -11,7 +11,8 @@
 type Event interface{ event() }
 
 // ServerReported is a backend server's report about itself. It is ignored unless it is
-// newer than the last report of the same incarnation.
+// newer than the last report of the same incarnation. Anyone may have sent it: the answers of
+// the server decide which incarnation is in use.
 type ServerReported struct {
 	Server work.Server
 	// StartUnixMs is the start of the incarnation by the server's wall clock, in Unix
@@ -173,7 +174,10 @@
 	// ConnectionRefused is true if no process listens at the server's address: its process
 	// has ended. A server that is cut off or frozen doesn't refuse connections.
 	ConnectionRefused bool
-	Stamp             Stamp
+	// OtherIncarnation is true if the server has answered that it isn't the one that the call
+	// was for.
+	OtherIncarnation bool
+	Stamp            Stamp
 }
 
 // Tick is the passing of time without another event.
--- a/run/hold.go
+++ b/run/hold.go
@@ -18,7 +18,8 @@
 	// longPollWait is how long the server may wait before it answers that call.
 	longPollWait time.Duration
 	// shortPoll is the number of the outstanding short poll, 0 if there is none.
-	shortPoll uint64
+	shortPoll   uint64
+	shortPollAt time.Duration
 	// shortPollWanted is true if a short poll is to be sent.
 	shortPollWanted bool
 	// retryAt is the earliest time of the next call after one that failed.
@@ -54,8 +55,9 @@
 		return
 	}
 	h := &c.holds
-	if h.next == 0 {
-		h.next = 1
+	h.next = c.nextCall()
+	if c.proposed.report != nil {
+		h.shortPollWanted = true
 	}
 	if len(c.tasks) > 0 && (c.now-h.renewedAt >= c.cfg.Terms.RenewInterval || c.overdue()) {
 		h.shortPollWanted = true
@@ -70,11 +72,15 @@
 	}
 	if h.shortPollWanted && h.shortPoll == 0 {
 		h.shortPoll = h.next
+		h.shortPollAt = c.now
 		h.shortPollWanted = false
 		c.sendHold(0)
 	}
 }
 
+// nextCall returns the number of the next call. Calls are numbered from 1.
+func (c *Core) nextCall() uint64 { return max(c.holds.next, 1) }
+
 // overdueAfter is how late the answer to a long poll may be before a short poll is
 // sent beside it: many times what a server on the same VM takes.
 const overdueAfter = 8 * time.Millisecond
@@ -98,6 +104,8 @@
 // every idleWait.
 func (c *Core) nextLongPollWait() time.Duration {
 	switch {
+	case c.proposed.report != nil:
+		return 0
 	case c.server.phase == serverClearing:
 		return clearingWait
 	case len(c.tasks) == 0:
@@ -127,22 +135,27 @@
 	c.emit(call)
 }
 
-// completeCall marks a call as no longer outstanding. It returns false if it wasn't
-// outstanding.
-func (c *Core) completeCall(call uint64) bool {
+// completeCall marks a call as no longer outstanding, and returns when it was sent. It
+// returns false if it wasn't outstanding.
+func (c *Core) completeCall(call uint64) (sentAt time.Duration, outstanding bool) {
 	switch call {
 	case c.holds.longPoll:
 		c.holds.longPoll = 0
+		return c.holds.longPollAt, true
 	case c.holds.shortPoll:
 		c.holds.shortPoll = 0
-	default:
-		return false
+		return c.holds.shortPollAt, true
 	}
-	return true
+	return 0, false
 }
 
 func (c *Core) holdFailed(e HoldFailed) {
-	if !c.completeCall(e.Call) || !c.acceptStamp(e.Stamp) {
+	_, outstanding := c.completeCall(e.Call)
+	if !outstanding || c.server.phase == serverNone || e.Call < c.server.firstCall {
+		return
+	}
+	if e.OtherIncarnation || e.Stamp.StartUnixMs != 0 && e.Stamp.StartUnixMs != c.server.report.StartUnixMs {
+		c.otherIncarnation()
 		return
 	}
 	c.holds.failing = true
@@ -165,8 +178,12 @@
 }
 
 func (c *Core) holdAnswered(e HoldAnswered) {
-	known := c.completeCall(e.Call)
-	if !c.acceptStamp(e.Stamp) || !known {
+	if e.Stamp.StartUnixMs == 0 {
+		c.holdFailed(HoldFailed{Call: e.Call}) // lists of an unknown incarnation
+		return
+	}
+	sentAt, outstanding := c.completeCall(e.Call)
+	if !outstanding || !c.acceptAnswer(e.Call, sentAt, e.Stamp) {
 		return
 	}
 	c.holds.failing = false
--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -1,17 +1,25 @@
 package run
 
-import "strconv"
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"foxtaildock.example/dock/lease"
+	"foxtaildock.example/dock/work"
+)
 
 // Incarnation identifies one incarnation of a backend server. A server may start again
 // under the ID that it had.
 type Incarnation struct {
 	ID string
-	// StartUnixMs is the start by the server's wall clock, in Unix milliseconds.
+	// StartUnixMs is the start by the server's wall clock, in Unix milliseconds. It may be
+	// below that of an earlier incarnation, since that clock may jump.
 	StartUnixMs int64
 }
 
-// String returns the name of the incarnation, by which entries tell it from others. It is
-// empty for the zero value.
+// String returns the name of the incarnation, which entries compare. It is empty for the zero
+// value.
 func (i Incarnation) String() string {
 	if i == (Incarnation{}) {
 		return ""
@@ -22,3 +30,165 @@
 func (e *ServerReported) incarnation() Incarnation {
 	return Incarnation{ID: e.Server.Incarnation, StartUnixMs: e.StartUnixMs}
 }
+
+// proposal is a report of another incarnation than the one in use. Anyone may send a
+// report, so it only makes the agent ask: the answer of the server itself decides.
+type proposal struct {
+	// report is nil if nothing is proposed.
+	report *ServerReported
+	// decidedFrom is the number of the first call that is sent after the report.
+	decidedFrom uint64
+}
+
+// serverReported handles a report of a backend server. Which incarnation the agent uses
+// doesn't depend on it, except while none is confirmed.
+func (c *Core) serverReported(e ServerReported) {
+	s := &c.server
+	switch {
+	case s.phase == serverNone:
+		c.adopt(e)
+	case s.report.incarnation() == e.incarnation():
+		c.updateReport(e)
+	case !s.confirmed:
+		former := s.report
+		c.adopt(e)
+		c.propose(former)
+	default:
+		c.propose(e)
+	}
+}
+
+// propose makes the agent ask the server whether its incarnation is still the one in use.
+func (c *Core) propose(e ServerReported) {
+	c.proposed = proposal{report: &e, decidedFrom: c.nextCall()}
+	c.holds.shortPollWanted = true
+}
+
+// reportSlack is how far a report's clock may be ahead of what the server's answers allow:
+// both are rounded to milliseconds, and timers fire late.
+const reportSlack = 100 * time.Millisecond
+
+// updateReport takes over a later report of the incarnation in use. Its place in the order
+// of the reports is that of its clock, which the server's own answers bound, so that a
+// report from elsewhere can't keep later ones out. Reports with the same clock are ordered
+// by sequence.
+func (c *Core) updateReport(e ServerReported) {
+	s := &c.server
+	if e.Clock < s.report.Clock || e.Clock == s.report.Clock && e.Sequence <= s.report.Sequence {
+		return // a delayed or duplicate report
+	}
+	if s.confirmed && e.Clock > s.clockUpperBound(c.now)+reportSlack {
+		c.emit(LogMessage{Text: "report ignored: its clock is ahead of the backend server's", Incarnation: e.Server.Incarnation})
+		return
+	}
+	if contradicts(&s.report.Server, &e.Server) && !c.repeatsDisputed(&e) {
+		c.disputed = &e
+		c.emit(LogMessage{Text: "report ignored until it is repeated: it contradicts earlier ones", Incarnation: e.Server.Incarnation})
+		return
+	}
+	c.disputed = nil
+	s.report = e
+	c.noteServerEnd()
+}
+
+// contradicts reports whether two reports of one incarnation differ in what an incarnation
+// doesn't change: the kind of the server, and that it drains once it has begun to.
+func contradicts(old, e *work.Server) bool {
+	return old.Service != e.Service || old.Domain != e.Domain || !slices.Equal(old.Labels, e.Labels) || old.Draining && !e.Draining
+}
+
+// repeatsDisputed reports whether the report agrees with the last one that contradicted
+// the report in use. The latter is then the one that can't be right.
+func (c *Core) repeatsDisputed(e *ServerReported) bool {
+	d := c.disputed
+	return d != nil && e.Clock > d.Clock && !contradicts(&d.Server, &e.Server)
+}
+
+// adopt switches to another incarnation of the backend server. Nothing is started there
+// before a list of its runs has confirmed it.
+//
+// The sum of the server's start time and its monotonic clock gives a fencing token
+// above those of earlier incarnations of the agent and of the server, so that no token
+// has to be stored.
+func (c *Core) adopt(e ServerReported) {
+	before := max(c.server.fence, c.holds.fence)
+	c.pace, c.speed = pace{}, serverSpeed{}
+	c.orphanRuns(c.goneReason())
+	c.holds.failing = false
+	c.holds.listedAt = 0
+	c.proposed, c.disputed = proposal{}, nil
+	c.server = serverState{
+		phase: serverClearing, report: e, firstCall: c.nextCall(),
+		lastContact: c.now,
+		fence:       max(before+1, e.StartUnixMs+e.Clock.Milliseconds()),
+	}
+	c.holds.shortPollWanted = true
+	c.emit(LogMessage{Text: "backend server reported", Incarnation: e.Server.Incarnation})
+	c.noteServerEnd()
+}
+
+// otherIncarnation handles an answer that shows that the incarnation in use isn't, or is no
+// longer, the server's. The reported one, if there is any, takes its place.
+func (c *Core) otherIncarnation() {
+	c.emit(LogMessage{Text: "another incarnation of the backend server answers", Incarnation: c.server.report.Server.Incarnation})
+	c.abandon(c.goneReason())
+}
+
+// confirm records that the server has answered a call as the incarnation in use. A report
+// of another one that arrived before the call was sent names none that exists.
+func (c *Core) confirm(call uint64) {
+	s := &c.server
+	if p := c.proposed; p.report != nil && call >= p.decidedFrom {
+		c.proposed = proposal{}
+		c.emit(LogMessage{Text: "report ignored: the backend server answers as another incarnation", Incarnation: p.report.Server.Incarnation})
+	}
+	if s.confirmed {
+		return
+	}
+	s.confirmed = true
+	if s.report.Clock > s.clockUpperBound(c.now)+reportSlack {
+		s.report.Clock, s.report.Sequence = 0, 0 // it must not keep out the reports that follow
+	}
+}
+
+// acceptAnswer reports whether the answer to a lease call counts for the incarnation in use.
+// It must name it. An answer that names another one shows that the one in use is gone, unless
+// the call was sent before that was adopted.
+func (c *Core) acceptAnswer(call uint64, sentAt time.Duration, s Stamp) bool {
+	if c.server.phase == serverNone || call < c.server.firstCall {
+		return false
+	}
+	if s.StartUnixMs != c.server.report.StartUnixMs {
+		c.otherIncarnation()
+		return false
+	}
+	c.updateClock(sentAt, s.Clock)
+	c.confirm(call)
+	return true
+}
+
+// acceptStamp reports whether the answer to an order counts for the incarnation in use. The
+// order was sent to that alone, so an answer that names none counts as well.
+func (c *Core) acceptStamp(s Stamp) bool {
+	return c.server.phase != serverNone && (s.StartUnixMs == 0 || s.StartUnixMs == c.server.report.StartUnixMs)
+}
+
+// updateClock takes over the server's clock from an answer. The known clock never goes back.
+func (c *Core) updateClock(sentAt, clock time.Duration) {
+	s := &c.server
+	if s.confirmed {
+		clock = max(clock, s.clockLowerBound(c.now))
+	}
+	s.clock, s.lastContact, s.clockSentAt = clock, c.now, sentAt
+}
+
+// clockUpperBound returns a time that the server's clock can't have passed yet.
+func (s *serverState) clockUpperBound(now time.Duration) time.Duration {
+	return s.clock + time.Duration(float64(now-s.clockSentAt)*(1+lease.ClockDrift))
+}
+
+// clockLowerBound returns a time that the server's clock has certainly reached, unless the
+// VM was suspended: it may be slow by up to lease.ClockDrift.
+func (s *serverState) clockLowerBound(now time.Duration) time.Duration {
+	return s.clock + time.Duration(float64(now-s.lastContact)*(1-lease.ClockDrift))
+}
--- a/run/run.go
+++ b/run/run.go
@@ -48,7 +48,11 @@
 	now    time.Duration
 	server serverState
 	holds  holdState
-	tasks  map[work.Task]*task
+	// proposed is a report of another incarnation than the one in use, and disputed one that
+	// contradicts earlier ones of the incarnation in use, nil if there is none.
+	proposed proposal
+	disputed *ServerReported
+	tasks    map[work.Task]*task
 	// held lists the tasks of the map in order of arrival.
 	held  []*task
 	queue []*task
--- a/run/run_test.go
+++ b/run/run_test.go
@@ -19,6 +19,8 @@
 	core *Core
 	now  time.Duration
 	out  []Action
+	// startMs is when the server's incarnation started that answers now.
+	startMs int64
 }
 
 func newHarness(t *testing.T) *harness {
@@ -66,6 +68,7 @@
 func (h *harness) useServer() {
 	h.t.Helper()
 	h.step(EntryHeartbeat{Entry: entryA, AsOf: h.now})
+	h.startMs = serverStartMs
 	h.step(report(serverStartMs, 1, 0))
 	h.answerHold(nil, nil)
 	if h.core.Room().Server.Incarnation == "" {
@@ -75,14 +78,14 @@
 }
 
 // answerHold answers the outstanding short poll, or else the long poll. The server's
-// clock equals the time of the harness.
+// clock equals the time of the harness. The lists are those of the incarnation that runs.
 func (h *harness) answerHold(running []RunningRun, ended []EndedRun) []Action {
 	h.t.Helper()
 	call := h.core.holds.shortPoll
 	if call == 0 {
 		call = h.core.holds.longPoll
 	}
-	return h.step(HoldAnswered{Call: call, Stamp: Stamp{StartUnixMs: h.core.server.report.StartUnixMs, Clock: h.now}, Running: running, Ended: ended})
+	return h.step(HoldAnswered{Call: call, Stamp: Stamp{StartUnixMs: h.startMs, Clock: h.now}, Running: running, Ended: ended})
 }
 
 func runOf(index int, id work.RunID) work.Run {
@@ -259,6 +262,7 @@
 func TestANewAgentClearsItsServer(t *testing.T) {
 	h := newHarness(t)
 	h.step(EntryHeartbeat{Entry: entryA, AsOf: h.now})
+	h.startMs = serverStartMs
 	h.step(report(serverStartMs, 9, 5*time.Second))
 	stray := runOf(3, 1)
 	h.answerHold([]RunningRun{{Run: stray}}, nil)
--- a/run/server.go
+++ b/run/server.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"foxtaildock.example/dock/lease"
 	"foxtaildock.example/dock/work"
 )
 
@@ -24,12 +23,19 @@
 type serverState struct {
 	phase  serverPhase
 	report ServerReported
-	fence  int64
-	// clock is a time that the server's clock had certainly reached at lastContact.
+	// confirmed is true once the server has answered as the incarnation of the report.
+	confirmed bool
+	// firstCall is the number of the first call that was sent to this incarnation.
+	firstCall uint64
+	fence     int64
+	// clock is a time that the server's clock had certainly reached at lastContact, 0 before
+	// any answer.
 	clock time.Duration
 	// lastContact is when the server last answered or, before any answer, when its
 	// report arrived.
 	lastContact time.Duration
+	// clockSentAt is when the call was sent whose answer told the clock.
+	clockSentAt time.Duration
 	// expiry is the latest end of the lease, on the server's clock, that any call may
 	// have set.
 	expiry time.Duration
@@ -44,51 +50,6 @@
 	refuses bool
 }
 
-// clockLowerBound returns a time that the server's clock has certainly reached: it
-// may be slow by up to lease.ClockDrift.
-func (s *serverState) clockLowerBound(now time.Duration) time.Duration {
-	return s.clock + time.Duration(float64(now-s.lastContact)*(1-lease.ClockDrift))
-}
-
-func (c *Core) serverReported(e ServerReported) {
-	s := &c.server
-	same := s.phase != serverNone && s.report.StartUnixMs == e.StartUnixMs && s.report.Server.Incarnation == e.Server.Incarnation
-	switch {
-	case same && e.Sequence <= s.report.Sequence:
-		return // a delayed or duplicate report
-	case same:
-		draining := s.report.Server.Draining || e.Server.Draining
-		s.report = e
-		s.report.Server.Draining = draining
-		c.noteServerEnd()
-		return
-	case s.phase != serverNone && e.StartUnixMs < s.report.StartUnixMs:
-		return // of an earlier incarnation
-	}
-	c.adopt(e)
-}
-
-// adopt switches to a newly reported incarnation of the backend server.
-//
-// The sum of the server's start time and its monotonic clock gives a fencing token
-// above those of earlier incarnations of the agent and of the server, so that no token
-// has to be stored.
-func (c *Core) adopt(e ServerReported) {
-	before := max(c.server.fence, c.holds.fence)
-	c.pace, c.speed = pace{}, serverSpeed{}
-	c.orphanRuns(c.goneReason())
-	c.holds.failing = false
-	c.holds.listedAt = 0
-	c.server = serverState{
-		phase: serverClearing, report: e,
-		clock: e.Clock, lastContact: c.now,
-		fence: max(before+1, e.StartUnixMs+e.Clock.Milliseconds()),
-	}
-	c.holds.shortPollWanted = true
-	c.emit(LogMessage{Text: "backend server reported", Incarnation: e.Server.Incarnation})
-	c.noteServerEnd()
-}
-
 // noteServerEnd keeps the end that follows from the newest report. A time that can't be right
 // counts as unknown.
 func (c *Core) noteServerEnd() {
@@ -133,8 +94,8 @@
 	if c.server.phase == serverNone || c.server.report.Server.Incarnation != e.Incarnation {
 		return
 	}
-	c.abandon(reasonServerLeft)
 	c.emit(LogMessage{Text: "backend server left", Incarnation: e.Incarnation})
+	c.abandon(reasonServerLeft)
 }
 
 // goneReason returns why the runs of an incarnation that has a successor are lost. One
@@ -157,11 +118,17 @@
 	return reasonServerRefuses
 }
 
-// abandon stops using the current incarnation while its successor isn't known yet.
+// abandon stops using the current incarnation. The one that was reported meanwhile, if there
+// is any, takes its place.
 func (c *Core) abandon(reason string) {
 	c.orphanRuns(reason)
+	next := c.proposed.report
+	c.proposed, c.disputed = proposal{}, nil
 	c.holds.fence = max(c.holds.fence, c.server.fence)
 	c.server = serverState{}
+	if next != nil {
+		c.adopt(*next)
+	}
 }
 
 // orphanRuns returns the waiting tasks to their entries and marks all other runs as
@@ -193,33 +160,6 @@
 	}
 }
 
-// acceptStamp reports whether an answer counts for the incarnation in use. An answer
-// that names this incarnation updates the known clock of the server; one that names
-// none counts as well. An answer of a later incarnation shows that the one in use is
-// gone.
-func (c *Core) acceptStamp(s Stamp) bool {
-	if c.server.phase == serverNone {
-		return false
-	}
-	if s.StartUnixMs == 0 {
-		return true
-	}
-	if s.StartUnixMs != c.server.report.StartUnixMs {
-		if s.StartUnixMs > c.server.report.StartUnixMs {
-			c.abandon(c.goneReason())
-			c.emit(LogMessage{Text: "another incarnation of the backend server answers"})
-		}
-		return false
-	}
-	if s.Clock > c.server.clockLowerBound(c.now) {
-		c.server.clock = s.Clock
-	} else {
-		c.server.clock = c.server.clockLowerBound(c.now)
-	}
-	c.server.lastContact = c.now
-	return true
-}
-
 // extendLease returns the end, on the server's clock, of a lease that begins now.
 func (c *Core) extendLease() time.Duration {
 	c.holds.renewedAt = c.now
--- a/run/speed_test.go
+++ b/run/speed_test.go
@@ -64,7 +64,7 @@
 	}
 	e := report(serverStartMs+1, 1, 0)
 	e.Server.Incarnation = "successor"
-	h.step(e)
+	h.restart(e)
 	if s := h.core.Room().Speed; s != (SpeedFigure{}) {
 		t.Errorf("speed of the successor %+v, want unknown", s)
 	}
