run: what the agent knows of its server's clock is corrected after a suspension

Callers would have seen a task run at two servers at once: after its VM had been suspended for 3 s an agent asked for leases of 3.25 s where 312 ms are meant, and the server grants up to 1 s. So the runs of an agent that is lost could go on for longer than the 784 ms after which its entry starts them elsewhere.

Cause: the agent's clock counts the time of a suspension, the server's stands still. The agent took its own estimate for a lower bound of the server's clock, and the larger one of both for good.

Change: the answer to any call that was sent after the last one that told the clock is believed as it is. A clock that is lower than known only makes leases shorter.

Evidence: TestTheServersClockIsCorrectedAfterASuspension failed with "a lease of 3.2515s is asked for after the suspension, want 312ms".

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -162,7 +162,7 @@
 		c.otherIncarnation()
 		return false
 	}
-	c.updateClock(sentAt, s.Clock)
+	c.updateClock(call, sentAt, s.Clock)
 	c.confirm(call)
 	return true
 }
@@ -173,13 +173,20 @@
 	return c.server.phase != serverNone && (s.StartUnixMs == 0 || s.StartUnixMs == c.server.report.StartUnixMs)
 }
 
-// updateClock takes over the server's clock from an answer. The known clock never goes back.
-func (c *Core) updateClock(sentAt, clock time.Duration) {
+// updateClock takes over the server's clock from the answer to a call. The clock never goes
+// back, but what was known of it may have been too high: the VM was suspended, and the server's
+// clock stood still meanwhile. Then the answer to any call that was sent later corrects it, so
+// that leases aren't longer than meant.
+func (c *Core) updateClock(call uint64, sentAt, clock time.Duration) {
 	s := &c.server
-	if s.confirmed {
-		clock = max(clock, s.clockLowerBound(c.now))
+	known := s.clockLowerBound(c.now)
+	if s.confirmed && clock < known && call < s.clockFrom {
+		clock = known
+	}
+	if s.confirmed && clock < known-reportSlack {
+		c.emit(LogMessage{Text: "clock of the backend server was behind what was assumed", Incarnation: s.report.Server.Incarnation, Age: known - clock})
 	}
-	s.clock, s.lastContact, s.clockSentAt = clock, c.now, sentAt
+	s.clock, s.lastContact, s.clockSentAt, s.clockFrom = clock, c.now, sentAt, c.nextCall()
 }
 
 // clockUpperBound returns a time that the server's clock can't have passed yet.
--- a/run/incarnation_test.go
+++ b/run/incarnation_test.go
@@ -227,3 +227,39 @@
 		}
 	}
 }
+
+// The agent took the clock of a suspended VM's server for as far ahead as the time that the
+// suspension took, and asked for leases that were longer by that.
+func TestTheServersClockIsCorrectedAfterASuspension(t *testing.T) {
+	s := newRealServer(t)
+	s.stepAnswered(s.nextReport())
+	s.step(EntryHeartbeat{Entry: entryA, AsOf: s.now})
+	s.now += 3 * time.Second
+	s.startedAt += 3 * time.Second // the server's clock stood still
+	s.step(HoldFailed{Call: s.core.holds.longPoll})
+	s.now += holdRetryDelay
+	s.step(EntryHeartbeat{Entry: entryA, AsOf: s.now})
+	s.answerOutstanding()
+	s.take()
+	s.step(offer(0))
+	starts := of[CallStart](s.take())
+	if len(starts) != 1 {
+		t.Fatalf("%d starts after the suspension, want 1", len(starts))
+	}
+	if lease := starts[0].Expiry - s.clock(); lease > s.core.cfg.Terms.Server {
+		t.Errorf("a lease of %v is asked for after the suspension, want %v", lease, s.core.cfg.Terms.Server)
+	}
+}
+
+// answerOutstanding answers all outstanding lease calls with the runs that the core holds.
+func (s *realServer) answerOutstanding() {
+	var running []RunningRun
+	for _, t := range s.core.held {
+		running = append(running, RunningRun{Run: t.run})
+	}
+	for _, call := range []uint64{s.core.holds.longPoll, s.core.holds.shortPoll} {
+		if call != 0 {
+			s.step(HoldAnswered{Call: call, Stamp: Stamp{StartUnixMs: s.startMs, Clock: s.clock()}, Running: running})
+		}
+	}
+}
--- a/run/server.go
+++ b/run/server.go
@@ -36,6 +36,8 @@
 	lastContact time.Duration
 	// clockSentAt is when the call was sent whose answer told the clock.
 	clockSentAt time.Duration
+	// clockFrom is the number of the first call that was sent after that answer.
+	clockFrom uint64
 	// expiry is the latest end of the lease, on the server's clock, that any call may
 	// have set.
 	expiry time.Duration
