run: after a pause nothing is started or renewed before the server was heard

A gap between two steps of more than a lease shows that the process was paused. The agent then asks its server at once, by a call that renews nothing, and starts and renews only after an answer to it.

TestNothingIsStartedOrRenewedOnAClockFromBeforeAPause failed before: one task started, and a lease was asked for.

--- a/run/hold.go
+++ b/run/hold.go
@@ -32,6 +32,10 @@
 	failedAt time.Duration
 	// fence is the highest fencing token used with abandoned incarnations.
 	fence int64
+	// resumedFrom is the number of the first call after a pause of the process, 0 once such a
+	// call was answered. The server's clock is uncertain until then: it stands still while the
+	// VM is suspended, the agent's goes on.
+	resumedFrom uint64
 	// listedAt is the server's clock in the newest list of runs that was processed.
 	listedAt time.Duration
 }
@@ -104,7 +108,7 @@
 // every idleWait.
 func (c *Core) nextLongPollWait() time.Duration {
 	switch {
-	case c.proposed.report != nil:
+	case c.proposed.report != nil || c.holds.resumedFrom > 0:
 		return 0
 	case c.server.phase == serverClearing:
 		return clearingWait
--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -162,6 +162,9 @@
 		c.otherIncarnation()
 		return false
 	}
+	if call >= c.holds.resumedFrom {
+		c.holds.resumedFrom = 0
+	}
 	c.updateClock(call, sentAt, s.Clock)
 	c.confirm(call)
 	return true
--- a/run/incarnation_test.go
+++ b/run/incarnation_test.go
@@ -251,11 +251,44 @@
 	}
 }
 
-// answerOutstanding answers all outstanding lease calls with the runs that the core holds.
+// After a pause the first starts and lease calls used the clock from before it. They may extend
+// the lease by the time of a suspension, up to the longest that servers grant.
+func TestNothingIsStartedOrRenewedOnAClockFromBeforeAPause(t *testing.T) {
+	s := newRealServer(t)
+	s.stepAnswered(s.nextReport())
+	s.step(EntryHeartbeat{Entry: entryA, AsOf: s.now})
+	s.step(offer(0))
+	s.started(0)
+	s.take()
+	s.now += s.core.cfg.Terms.Server + time.Millisecond
+	s.step(EntryHeartbeat{Entry: entryA, AsOf: s.now})
+	s.step(offer(1))
+	out := s.take()
+	if n := len(of[CallStart](out)); n > 0 {
+		t.Errorf("%d tasks start before the server was heard", n)
+	}
+	calls := of[CallHold](out)
+	if len(calls) == 0 || calls[len(calls)-1].Wait > 0 {
+		t.Errorf("lease calls %+v after the pause, want one that is answered at once", calls)
+	}
+	for _, call := range calls {
+		if call.Expiry > 0 {
+			t.Errorf("a lease is asked for until %v before the server was heard", call.Expiry)
+		}
+	}
+	s.answerOutstanding()
+	if n := len(of[CallStart](s.take())); n != 1 {
+		t.Errorf("%d tasks start once the server was heard, want 1", n)
+	}
+}
+
+// answerOutstanding answers all outstanding lease calls with the runs that the core has started.
 func (s *realServer) answerOutstanding() {
 	var running []RunningRun
 	for _, t := range s.core.held {
-		running = append(running, RunningRun{Run: t.run})
+		if t.phase != phaseQueued {
+			running = append(running, RunningRun{Run: t.run})
+		}
 	}
 	for _, call := range []uint64{s.core.holds.longPoll, s.core.holds.shortPoll} {
 		if call != 0 {
--- a/run/run.go
+++ b/run/run.go
@@ -128,8 +128,8 @@
 // Step processes one event and returns the resulting actions. now is the agent's
 // monotonic clock; values below an earlier one count as that one.
 func (c *Core) Step(now time.Duration, e Event) []Action {
-	c.now = max(c.now, now)
 	c.out = nil
+	c.advance(now)
 	switch e := e.(type) {
 	case ServerReported:
 		c.serverReported(e)
@@ -167,6 +167,18 @@
 	return c.out
 }
 
+// advance sets the time of a step. Steps come often, at least with each Tick. After a gap that
+// is longer than a lease, the server has to be heard before its clock counts again.
+func (c *Core) advance(now time.Duration) {
+	last := c.now
+	c.now = max(c.now, now)
+	if c.server.phase != serverNone && c.now-last > c.cfg.Terms.Server {
+		c.holds.resumedFrom = c.nextCall()
+		c.holds.shortPollWanted = true
+		c.emit(LogMessage{Text: "agent process was paused", Incarnation: c.server.report.Server.Incarnation, Age: c.now - last})
+	}
+}
+
 func (c *Core) emit(a Action) { c.out = append(c.out, a) }
 
 // Room is the state of the agent's backend server that entries are sent.
--- a/run/server.go
+++ b/run/server.go
@@ -174,9 +174,12 @@
 // lease is no longer extended, so that the runs of a server that may be gone lapse.
 const silentRenewals = 2.2
 
-// renewable reports whether the lease may still be extended: the last call was
-// answered, or the last answer is recent enough.
-func (c *Core) renewable() bool {
+// renewable reports whether the lease may be extended: the server answers, and its clock is
+// known.
+func (c *Core) renewable() bool { return c.answering() && c.holds.resumedFrom == 0 }
+
+// answering reports whether the last call was answered, or the last answer is recent enough.
+func (c *Core) answering() bool {
 	return !c.holds.failing || float64(c.now-c.server.lastContact) <= silentRenewals*float64(c.cfg.Terms.RenewInterval)
 }
 
@@ -186,14 +189,14 @@
 
 // silent reports whether the server may be gone and must get no new tasks.
 func (c *Core) silent() bool {
-	return c.holds.failing && c.now-c.server.lastContact > silentAfter
+	return c.holds.resumedFrom > 0 || c.holds.failing && c.now-c.server.lastContact > silentAfter
 }
 
 // expireServer reports all runs as lost once the server has been silent for so long
 // that every lease there must have lapsed on the server's own clock.
 func (c *Core) expireServer() {
 	s := &c.server
-	if s.phase == serverNone || c.renewable() {
+	if s.phase == serverNone || c.answering() {
 		return
 	}
 	if s.clockLowerBound(c.now) <= s.expiry+c.cfg.Terms.StopTime {
