run: a refused fencing token rises in doubling steps

The server keeps the highest one that it has seen, so the next agent on the VM would be refused until its token, which rose by 1 with each refusal, got there: never.

The steps double now; any token is passed with at most 54 refusals, and an idle agent repeats the call each 10 ms in place of 250 ms while it has such a question.

TestTheFencingTokenRisesAboveAnyThatTheServerHasSeen failed before for all three tokens.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -165,6 +165,7 @@
 	if call >= c.holds.resumedFrom {
 		c.holds.resumedFrom = 0
 	}
+	c.server.fenceStep = 0
 	c.updateClock(call, sentAt, s.Clock)
 	c.confirm(call)
 	return true
--- a/run/incarnation_test.go
+++ b/run/incarnation_test.go
@@ -114,6 +114,25 @@
 	s.settle()
 }
 
+// refuseFencesBelow answers lease calls with lower fencing tokens by refusals, and returns how
+// many there were until one was accepted, at most limit.
+func (s *realServer) refuseFencesBelow(fence int64, limit int) int {
+	for n := range limit {
+		s.now += holdRetryDelay
+		s.do(Tick{})
+		i := slices.IndexFunc(s.pending, func(p pendingCall) bool { return p.call.Fence >= fence })
+		if i >= 0 {
+			return n
+		}
+		pending := s.pending
+		s.pending = nil
+		for _, p := range pending {
+			s.do(HoldFailed{Call: p.call.Call, Refused: true})
+		}
+	}
+	return limit
+}
+
 // restartEarlier ends the server and all its connections, and starts it again under the ID,
 // with an earlier start by the time of day.
 func (s *realServer) restartEarlier(id string) {
@@ -282,6 +301,18 @@
 	}
 }
 
+// A server that has seen a high fencing token, such as from an agent that believed a report of
+// another writer, refused the calls of the next agent for good: its token rose by 1 each time.
+func TestTheFencingTokenRisesAboveAnyThatTheServerHasSeen(t *testing.T) {
+	for _, seen := range []int64{serverStartMs + 70_000, 1 << 43, maxFence} {
+		s := newRealServer(t)
+		s.do(s.nextReport())
+		if n := s.refuseFencesBelow(seen, 64); n == 64 {
+			t.Errorf("token %d isn't reached with 64 calls", seen)
+		}
+	}
+}
+
 // answerOutstanding answers all outstanding lease calls with the runs that the core has started.
 func (s *realServer) answerOutstanding() {
 	var running []RunningRun
--- a/run/run.go
+++ b/run/run.go
@@ -238,6 +238,13 @@
 // Idle reports whether the agent holds no task.
 func (c *Core) Idle() bool { return len(c.tasks) == 0 }
 
+// Asking reports whether a call to the server has to be repeated until it is answered: its
+// answer decides what the agent believes. A server without a process isn't asked more often.
+func (c *Core) Asking() bool {
+	asking := c.proposed.report != nil || c.holds.resumedFrom > 0
+	return c.server.fenceStep > 0 || asking && !c.server.refuses
+}
+
 // Held returns the runs that wait or run at the agent for the entry, in task order.
 func (c *Core) Held(entry ident.Incarnation) []work.Run {
 	var held []work.Run
--- a/run/server.go
+++ b/run/server.go
@@ -28,6 +28,8 @@
 	// firstCall is the number of the first call that was sent to this incarnation.
 	firstCall uint64
 	fence     int64
+	// fenceStep is by how much the token was raised last, 0 if the newest one was accepted.
+	fenceStep int64
 	// clock is a time that the server's clock had certainly reached at lastContact, 0 before
 	// any answer.
 	clock time.Duration
@@ -83,11 +85,16 @@
 	return c.server.report.Server.Draining && c.now >= c.server.endsAt
 }
 
+// maxFence is the largest fencing token: whole numbers up to it are exact in JSON.
+const maxFence = 1<<53 - 1
+
 // raiseFence raises the fencing token after the server has refused it, since another
-// incarnation of the agent has used a higher one.
+// incarnation of the agent has used a higher one. The server doesn't tell which, so the steps
+// double: about fifty refusals are enough for any token.
 func (c *Core) raiseFence() {
 	s := &c.server
-	s.fence = max(s.fence+1, s.report.StartUnixMs+s.clockLowerBound(c.now).Milliseconds())
+	s.fenceStep = max(1, 2*s.fenceStep)
+	s.fence = min(max(s.fence+s.fenceStep, s.report.StartUnixMs+s.clockLowerBound(c.now).Milliseconds()), maxFence)
 	c.holds.shortPollWanted = true
 	c.emit(LogMessage{Text: "fencing token refused; raised", Incarnation: s.report.Server.Incarnation})
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -53,7 +53,7 @@
 	// about the run time of a short task.
 	backfillAfter = 100 * time.Millisecond
 	// busyTick and idleTick are the longest pauses between two steps of the core, with
-	// and without tasks at the agent.
+	// and without tasks at the agent or an open question to its server.
 	busyTick = 10 * time.Millisecond
 	idleTick = 250 * time.Millisecond
 	// roomUpdateInterval is the shortest pause between a message to an entry and a
@@ -136,7 +136,7 @@
 	switch {
 	case roomPending:
 		return roomUpdateInterval
-	case r.core.Idle():
+	case r.core.Idle() && !r.core.Asking():
 		return idleTick
 	}
 	return busyTick
