--- a/run/incarnation_test.go
+++ b/run/incarnation_test.go
@@ -307,8 +307,8 @@
 	for _, seen := range []int64{serverStartMs + 70_000, 1 << 43, maxFence} {
 		s := newRealServer(t)
 		s.do(s.nextReport())
-		if n := s.refuseFencesBelow(seen, 64); n == 64 {
-			t.Errorf("token %d isn't reached with 64 calls", seen)
+		if n := s.refuseFencesBelow(seen, 54); n == 54 {
+			t.Errorf("token %d isn't reached with 54 calls", seen)
 		}
 	}
 }
