platform, run: an odd row in the lists of runs hides no other, an odd answer is none

Callers would have seen tasks stop and start elsewhere, or run twice: a row of another form made the whole answer unreadable, so that the agent took its server for silent; a clock or a start out of range was believed; a run whose progress can't be right counted as ended; an end with a number far ahead made the server forget all later ends, so that each later run was lost. A start whose answer named another incarnation was never resolved.

Cause: rows were decoded together with the answer, numbers had no range, and the number of the last seen end was never corrected.

If a run is listed neither as running nor as ended, the agent asks again from the last end of a run of its own on: what it believed to have seen can't have been right.

--- a/run/events.go
+++ b/run/events.go
@@ -133,6 +133,10 @@
 	Stamp   Stamp
 	Running []RunningRun
 	Ended   []EndedRun
+	// OddRows is the number of rows of the lists that couldn't be used, and OddRow the first
+	// of them, with the reason, for the log.
+	OddRows int
+	OddRow  string
 }
 
 // RunningRun is one run in a backend server's list.
--- a/run/hold.go
+++ b/run/hold.go
@@ -217,6 +217,7 @@
 		if t == nil || t.run != e.Run || t.phase == phaseQueued {
 			continue
 		}
+		c.server.lastOwnEnd = e.Number
 		c.end(t, outcomeOf(e.How), reasonOf(e.How))
 	}
 }
@@ -285,6 +286,8 @@
 		}
 		switch t.phase {
 		case phaseRunning:
+			// Its end may have had a lower number than one that can't have been right.
+			c.server.lastSeen = c.server.lastOwnEnd
 			c.end(t, work.Lost, reasonNotListed)
 		case phaseUnconfirmed:
 			c.resolveUnconfirmed(t)
--- a/run/orders.go
+++ b/run/orders.go
@@ -73,9 +73,12 @@
 
 func (c *Core) startAnswered(e StartAnswered) {
 	t := c.tasks[e.Run.Task]
-	if !c.acceptStamp(e.Stamp) || t == nil || t.run != e.Run || t.phase != phaseStarting {
+	if t == nil || t.run != e.Run || t.phase != phaseStarting {
 		return
 	}
+	if !c.acceptStamp(e.Stamp) {
+		e.Reply = NoAnswer // it can't be the server's
+	}
 	switch e.Reply {
 	case Started:
 		t.phase = phaseRunning
--- a/run/server.go
+++ b/run/server.go
@@ -45,6 +45,8 @@
 	expiry time.Duration
 	// lastSeen is the sequence number of the last end of a run that was processed.
 	lastSeen int64
+	// lastOwnEnd is that of the last one of a run that the agent held.
+	lastOwnEnd int64
 	// foreign is the number of runs on the server that the agent doesn't hold.
 	foreign int
 	// endsAt is when the draining server ends at the earliest, 0 if its newest report
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -70,6 +70,9 @@
 	sessions map[ident.Incarnation]*entrySession
 	// witnessed are the runs that went down with the backend server, by time.
 	witnessed []witnessed
+	// oddRow is the odd row of a backend server's lists that was logged last, at oddRowAt.
+	oddRow   string
+	oddRowAt time.Duration
 	// view has no manifest, since agents decide nothing by it.
 	view operator.View
 	// ownRows are the operators' rows that the agent last read from the store itself,
@@ -166,6 +169,9 @@
 
 func (r *Runner) handle(e any) {
 	switch e := e.(type) {
+	case run.HoldAnswered:
+		r.logOddRows(e)
+		r.step(e)
 	case run.Event:
 		r.step(e)
 	case attachEvent:
@@ -180,6 +186,26 @@
 	}
 }
 
+// oddRowsInterval is the shortest pause between two lines about odd rows, sameOddRowsInterval
+// that between two lines about the same ones, which a backend server may list with each answer.
+const (
+	oddRowsInterval     = time.Second
+	sameOddRowsInterval = time.Minute
+)
+
+// logOddRows logs that rows of a backend server's lists were ignored.
+func (r *Runner) logOddRows(e run.HoldAnswered) {
+	interval := oddRowsInterval
+	if e.OddRow == r.oddRow {
+		interval = sameOddRowsInterval
+	}
+	if e.OddRows == 0 || r.oddRowAt > 0 && clock.Now()-r.oddRowAt < interval {
+		return
+	}
+	r.oddRow, r.oddRowAt = e.OddRow, clock.Now()
+	r.cfg.Log.Warn("odd rows in a backend server's lists ignored", telemetry.Count(e.OddRows), telemetry.ReasonText(e.OddRow))
+}
+
 // ownRowsAreNewest reports whether the agent has read the newest operators' rows that it
 // knows of from the store itself, with the manifest.
 func (r *Runner) ownRowsAreNewest() bool {
