platform, directory: an odd row of the store hides no other

Rows of members with a port out of range or a name in place of an IP address were dialled for minutes.

Change: rows are decoded one by one. Those that can't be used are left out, and each read logs their number and the first of them in one bounded line ("odd rows in the store ignored"). A member needs an IP address with a port from 1 to 65535, names of at most 200 bytes and the key of its own row.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -64,13 +64,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
+	log = log.With(telemetry.Incarnation(self), telemetry.Domain(set.Domain))
 	return &platformProcess{
-		set: set, path: path, self: self, terms: terms, metrics: metrics,
-		log:   log.With(telemetry.Incarnation(self), telemetry.Domain(set.Domain)),
-		store: platform.NewStore(set), started: time.Now(), failed: make(chan error, 8),
+		set: set, path: path, self: self, terms: terms, metrics: metrics, log: log,
+		store: platform.NewStore(set, logOddRows(log)), started: time.Now(), failed: make(chan error, 8),
 	}, nil
 }
 
+// logOddRows returns a function that logs the rows of a read of the store that can't be used.
+func logOddRows(log *telemetry.Logger) func(table string, count int, first error) {
+	return func(table string, count int, first error) {
+		log.Warn("odd rows in the store ignored", telemetry.Dependency("store: "+table), telemetry.Count(count), telemetry.Err(first))
+	}
+}
+
 // listen opens a listener and serves it in a goroutine. It does nothing if the
 // address isn't valid, which means that the role has no such listener.
 func (p *platformProcess) listen(name string, address netip.AddrPort, server *http.Server) error {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 
 	"foxtaildock.example/dock/ident"
 )
@@ -68,15 +69,25 @@
 	return text, nil
 }
 
+// maxNameBytes is the longest name in a member's row.
+const maxNameBytes = 200
+
 // Decode parses the value of a member's row. It returns an error if that isn't JSON, if
-// the role is unknown, or if the incarnation or the address is missing.
+// the role is unknown, if a name is too long or the incarnation is missing, or if the address
+// isn't an IP address with a port.
 func Decode(value []byte) (Member, error) {
 	var m Member
-	if err := json.Unmarshal(value, &m); err != nil {
-		return Member{}, fmt.Errorf("decoding a member row of %d bytes: %w", len(value), err)
+	if json.Unmarshal(value, &m) != nil { // the error may quote all of the value
+		return Member{}, fmt.Errorf("found %d bytes that aren't a member, want a JSON object", len(value))
+	}
+	if m.Role != RoleEntry && m.Role != RoleAgent {
+		return Member{}, fmt.Errorf("role %.40q, want %s or %s", m.Role, RoleEntry, RoleAgent)
+	}
+	if m.Incarnation == "" || len(m.Incarnation) > maxNameBytes || len(m.Domain) > maxNameBytes {
+		return Member{}, fmt.Errorf("incarnation %.40q and failure domain %.40q, want names of up to %d bytes", m.Incarnation, m.Domain, maxNameBytes)
 	}
-	if m.Incarnation == "" || m.Address == "" || m.Role != RoleEntry && m.Role != RoleAgent {
-		return Member{}, fmt.Errorf("member row with unknown role or missing field: role %q, address %q, incarnation %q", m.Role, m.Address, m.Incarnation)
+	if address, err := netip.ParseAddrPort(m.Address); err != nil || address.Port() == 0 {
+		return Member{}, fmt.Errorf("address %.40q, want an IP address with a port", m.Address)
 	}
 	return m, nil
 }
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"foxtaildock.example/dock/clock"
@@ -127,12 +128,17 @@
 	}
 }
 
+var errOtherKey = errors.New("the key isn't that of the member's own row")
+
 func (d *Dispatcher) addMembers(page directory.Page) {
 	for _, row := range page.Rows {
 		if row.Deleted {
 			continue
 		}
 		m, err := directory.Decode(row.Value)
+		if err == nil && row.Key != m.Key() {
+			err = errOtherKey // another writer's; the member's own row tells where it is
+		}
 		if err != nil {
 			d.cfg.Log.Warn("invalid row in the table of members", telemetry.ReasonText(row.Key), telemetry.Err(err))
 			continue
