--- a/bench/usersite/backend.go
+++ b/bench/usersite/backend.go
@@ -209,29 +209,44 @@
 }
 
 func (b *Backend) reportOnce(ctx context.Context) bool {
-	text, capacity, silent, err := b.reportBody()
-	if err != nil || silent {
+	report, capacity, silent := b.nextReport()
+	if silent || b.sendReport(ctx, b.cfg.ID, report) != http.StatusOK {
 		return false
 	}
+	b.reportAccepted(capacity)
+	return true
+}
+
+// sendReport sends a report to the agent and returns the status of its answer, 0 if there was
+// none.
+func (b *Backend) sendReport(ctx context.Context, id string, report map[string]any) int {
+	text, err := json.Marshal(report)
+	if err != nil {
+		return 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+b.cfg.Reports+"/instances/"+b.cfg.ID, bytes.NewReader(text))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+b.cfg.Reports+"/instances/"+id, bytes.NewReader(text))
 	if err != nil {
-		return false
+		return 0
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return false // the agent may be down
+		return 0 // the agent may be down
 	}
-	defer func() { _ = res.Body.Close() }()
-	if res.StatusCode != http.StatusOK {
-		return false
-	}
-	b.reportAccepted(capacity)
-	return true
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+// SendOddReport sends the agent a report of another writer: that of the server with a
+// change, under an ID. It returns the status of the answer, 0 if there was none.
+func (b *Backend) SendOddReport(ctx context.Context, id string, change func(report map[string]any)) int {
+	report, _, _ := b.nextReport()
+	change(report)
+	return b.sendReport(ctx, id, report)
 }
 
-func (b *Backend) reportBody() (text []byte, capacity work.Demand, silent bool, err error) {
+func (b *Backend) nextReport() (report map[string]any, capacity work.Demand, silent bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sequence++
@@ -240,7 +255,7 @@
 		state = "draining"
 	}
 	stamp := b.server.Stamp(b.now())
-	report := map[string]any{
+	report = map[string]any{
 		"service": b.cfg.Service, "address": b.cfg.Address, "zone": b.cfg.Zone, "version": "v1", "slots": 8,
 		"state": state, "coldLeftMs": 0, "labels": []string{"a"}, "sequence": b.sequence,
 		"capacity": map[string]int64{"cpu": b.capacity.CPUMilli, "memMb": b.capacity.MemoryMB},
@@ -249,8 +264,7 @@
 	if !b.leavesAt.IsZero() {
 		report["remainingMs"] = max(0, time.Until(b.leavesAt)).Milliseconds()
 	}
-	text, err = json.Marshal(report)
-	return text, b.capacity, b.silent, err
+	return report, b.capacity, b.silent
 }
 
 // order is the body of an order, which is an agent's call to start, stop or hold runs.
--- /dev/null
+++ b/bench/usersite/belief_test.go
@@ -0,0 +1,83 @@
+package usersite
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// oddReports are reports that another writer sends to the agent of a server, under an ID.
+var oddReports = []struct {
+	name, id string
+	change   func(report map[string]any)
+}{
+	{"another service", "w-1", func(r map[string]any) { r["service"], r["born"] = "backup", time.Now().UnixMilli() }},
+	{"a later start", "server-0", func(r map[string]any) { r["born"] = time.Now().UnixMilli() }},
+	{"a start far ahead", "server-0", func(r map[string]any) { r["born"] = int64(9_000_000_000_000) }},
+	{"a start out of range", "server-0", func(r map[string]any) { r["born"] = int64(1) << 60 }},
+	{"an earlier start", "w-1", func(r map[string]any) { r["born"] = 1 }},
+	{"another address", "w-1", func(r map[string]any) { r["address"], r["born"] = "127.0.0.1:9", time.Now().UnixMilli() }},
+	{"a port out of range", "w-1", func(r map[string]any) { r["address"], r["born"] = "127.0.0.1:99999", time.Now().UnixMilli() }},
+	{"a sequence far ahead", "server-0", func(r map[string]any) { r["sequence"], r["service"] = int64(1)<<52, "backup" }},
+	{"a clock far ahead", "server-0", func(r map[string]any) { r["clockMs"], r["labels"] = 1_000_000_000, []string{"b"} }},
+	{"a negative capacity", "server-0", func(r map[string]any) { r["capacity"] = map[string]int64{"cpu": -1} }},
+	{"another capacity", "server-0", func(r map[string]any) { r["capacity"] = map[string]int64{"cpu": 1, "memMb": 1} }},
+	{"another kind", "server-0", func(r map[string]any) { r["labels"], r["zone"] = []string{"b"}, "elsewhere" }},
+	{"draining", "server-0", func(r map[string]any) { r["state"] = "draining" }},
+}
+
+// servedWithin is how long jobs may wait after an odd report: two reports of the server, which
+// come each 500 ms here, and the job itself.
+const servedWithin = 2 * time.Second
+
+// One report of another writer took the server of an agent out of use for good (review/3).
+func TestAServerServesAfterAnOddReport(t *testing.T) {
+	s := startSite(t, 1, 1, 20*time.Millisecond)
+	var c Caller
+	submit(t, s, &c, 0, "0000000000000001", 1)
+	for i, odd := range oddReports {
+		status := s.Backends[0].SendOddReport(t.Context(), odd.id, odd.change)
+		if status != http.StatusOK && status != http.StatusBadRequest {
+			t.Errorf("%s: status %d, want 200 or 400", odd.name, status)
+		}
+		began := time.Now()
+		for try := 0; ; try++ {
+			id := fmt.Sprintf("%08x%08x", i+1, try)
+			if r := c.Submit(t.Context(), s.CallerAddress(0), id, 8, 50*time.Millisecond, time.Second); r.State == "completed" {
+				break
+			}
+			if time.Since(began) > servedWithin {
+				t.Fatalf("%s: no job is served within %v of the report", odd.name, servedWithin)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// An entry that was frozen while no other used its agents refused everything for good
+// (review/2).
+func TestAFrozenEntryServesAgainWithoutOtherTraffic(t *testing.T) {
+	s := startSite(t, 1, 2, 20*time.Millisecond)
+	var c Caller
+	submit(t, s, &c, 0, "0000000000000001", 1)
+	if err := s.Entries[0].Pause(); err != nil {
+		t.Fatal(err)
+	}
+	var jobs sync.WaitGroup
+	for i := range 30 {
+		jobs.Go(func() {
+			time.Sleep(time.Duration(i) * 60 * time.Millisecond) // during the freeze and just after it
+			c.Submit(t.Context(), s.CallerAddress(0), fmt.Sprintf("%08x%08x", 1, i), 4, 50*time.Millisecond, 2*time.Second)
+		})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if err := s.Entries[0].Resume(); err != nil {
+		t.Fatal(err)
+	}
+	jobs.Wait()
+	if r := c.Submit(t.Context(), s.CallerAddress(0), "0000000000000002", 4, 50*time.Millisecond, 2*time.Second); r.State != "completed" {
+		t.Errorf("a job after the freeze is answered %+v, want it completed", r)
+	}
+}
