dispatcher, schedule: a cancel reaches every entry, and jobs that arrive after it

Cause: an entry that doesn't answer was taken for one without the job, and nothing remembered the cancel. A cancel that overtook its job was lost in the same way.

Change: every entry is told of every cancel. While an entry doesn't answer, a cancel is answered 200: nobody can say that no such job exists.

--- a/bench/usersite/belief_test.go
+++ b/bench/usersite/belief_test.go
@@ -1,6 +1,7 @@
 package usersite
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -81,3 +82,35 @@
 		t.Errorf("a job after the freeze is answered %+v, want it completed", r)
 	}
 }
+
+// A job went on after its cancel had been answered, if its entry was frozen meanwhile (review/1).
+func TestACancelHoldsAfterAFreezeOfTheJobsEntry(t *testing.T) {
+	s := startSite(t, 2, 1, 200*time.Millisecond)
+	var c Caller
+	submit(t, s, &c, 0, "0000000000000001", 1)
+	submit(t, s, &c, 1, "0000000000000002", 1)
+	const id = "0000000000000003"
+	reply := make(chan Reply, 1)
+	go func() {
+		reply <- c.Submit(context.Background(), s.CallerAddress(0), id, 24, 200*time.Millisecond, 9*time.Second)
+	}()
+	awaitStarts(t, s, 4)
+	if err := s.Entries[0].Pause(); err != nil {
+		t.Fatal(err)
+	}
+	if r := c.Cancel(t.Context(), s.CallerAddress(1), id); r.Status != http.StatusOK {
+		t.Errorf("the cancel is answered %+v while the job's entry is frozen, want 200", r)
+	}
+	time.Sleep(time.Second)
+	if err := s.Entries[0].Resume(); err != nil {
+		t.Fatal(err)
+	}
+	if r := <-reply; r.State != "cancelled" {
+		t.Errorf("the cancelled job is answered %+v", r)
+	}
+	starts := s.Checks.Starts()
+	time.Sleep(time.Second)
+	if n := s.Checks.Starts(); n != starts {
+		t.Errorf("%d tasks of the cancelled job start after it was answered", n-starts)
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -81,6 +81,7 @@
 	stoppingSince atomic.Int64 // clock.Now when the process was told to stop, 0 before
 	closing       atomic.Bool  // the process closes the connections of its callers
 	stats         atomic.Pointer[schedule.Stats]
+	cancels       cancelRelay
 }
 
 // New returns an entry. Start runs it.
@@ -92,6 +93,7 @@
 		waiters: map[work.JobID][]chan schedule.Answer{},
 	}
 	d.links = newLinks(d)
+	d.cancels.queues = map[string][]undelivered{}
 	d.stats.Store(&schedule.Stats{})
 	return d
 }
@@ -244,33 +246,6 @@
 	return n
 }
 
-// cancelLocal cancels a job if this entry has it, and reports whether it does.
-func (d *Dispatcher) cancelLocal(id work.JobID) bool {
-	if !d.HasJob(id) {
-		return false
-	}
-	d.enqueue(schedule.JobDropped{ID: id, Reason: "cancelled"})
-	return true
-}
-
-// Cancel cancels a job at this entry or, if it does not have it, at the other entries. It
-// reports whether an entry had the job.
-func (d *Dispatcher) Cancel(ctx context.Context, id work.JobID) bool {
-	found := d.cancelLocal(id)
-	if !found {
-		found = d.links.cancelOnPeers(ctx, id)
-	}
-	d.cfg.Log.Info("job cancelled", telemetry.JobID(string(id)), telemetry.OutcomeText(foundText(found)))
-	return found
-}
-
-func foundText(found bool) string {
-	if found {
-		return "found"
-	}
-	return "not found"
-}
-
 // Reasons for which an entry is not ready. The texts are bodies of HTTP answers.
 var (
 	errStopping   = errors.New("the process stops")
--- a/dispatcher/peers.go
+++ b/dispatcher/peers.go
@@ -25,7 +25,7 @@
 
 // eachPeer calls all other entries at once and returns when all calls have ended.
 func (l *links) eachPeer(ctx context.Context, call func(context.Context, linkpbconnect.EntryPeerClient)) {
-	l.callPeers(ctx, l.peerAddresses(), call)
+	l.callPeers(ctx, l.peerAddresses(), func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) { call(ctx, peer) })
 }
 
 // peerAddresses returns the addresses of the other entries, sorted.
@@ -35,12 +35,12 @@
 	return slices.Sorted(maps.Keys(l.peers))
 }
 
-func (l *links) callPeers(ctx context.Context, addresses []string, call func(context.Context, linkpbconnect.EntryPeerClient)) {
+func (l *links) callPeers(ctx context.Context, addresses []string, call func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient)) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var wait sync.WaitGroup
 	for _, address := range addresses {
-		wait.Go(func() { call(ctx, l.peer(address)) })
+		wait.Go(func() { call(ctx, address, l.peer(address)) })
 	}
 	wait.Wait()
 }
@@ -49,24 +49,6 @@
 	return linkpbconnect.NewEntryPeerClient(l.peerClient, "http://"+address, rpc.ClientOptions())
 }
 
-// cancelOnPeers asks the other entries to cancel a job, and reports whether one of them
-// had it.
-func (l *links) cancelOnPeers(ctx context.Context, id work.JobID) bool {
-	var mu sync.Mutex
-	found := false
-	l.eachPeer(ctx, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
-		res, err := peer.Cancel(ctx, connect.NewRequest(&linkpb.CancelRequest{Job: string(id)}))
-		if err != nil {
-			l.dispatcher.cfg.Log.Warn("peer doesn't answer", telemetry.JobID(string(id)), telemetry.Err(err))
-			return
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		found = found || res.Msg.GetFound()
-	})
-	return found
-}
-
 // rowsPeers is the number of entries that are asked for their operators' rows at a time.
 // If none of them has newer ones, the next attempt asks others.
 const rowsPeers = 3
@@ -90,7 +72,7 @@
 	d := l.dispatcher
 	rows, _, _ := d.view.current()
 	peers := nextPeers(l.peerAddresses(), attempt*rowsPeers, rowsPeers)
-	l.callPeers(ctx, peers, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
+	l.callPeers(ctx, peers, func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) {
 		requestedAt := clock.Now()
 		res, err := peer.Operator(ctx, connect.NewRequest(&linkpb.OperatorRequest{Version: rows.Version}))
 		if err != nil {
@@ -137,7 +119,8 @@
 	return connect.NewResponse(res), nil
 }
 
-// Cancel cancels a job if this entry has it, and tells whether it does.
+// Cancel cancels a job at this entry, also if it arrives later, and tells whether the entry has
+// it.
 func (p Peer) Cancel(_ context.Context, req *connect.Request[linkpb.CancelRequest]) (*connect.Response[linkpb.CancelResponse], error) {
 	found := p.Dispatcher.cancelLocal(work.JobID(req.Msg.GetJob()))
 	return connect.NewResponse(&linkpb.CancelResponse{Found: found}), nil
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -50,7 +50,7 @@
 // JobArrived is a submitted job. It may be a repeat of one that the core has.
 type JobArrived struct{ Job Job }
 
-// JobDropped ends a job that was cancelled or whose last caller has left.
+// JobDropped ends a job whose last caller has left.
 type JobDropped struct {
 	ID     work.JobID
 	Reason string
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -71,6 +71,7 @@
 	racks                   map[string]bool // labels that jobs have named as racks
 	noFree                  []noFreeCapacity
 	crashes                 crashHistory
+	cancelled               cancelledJobs
 	reserve                 reservations
 	plans                   queuePlans
 	fit                     fitCheck
@@ -84,14 +85,15 @@
 // New returns a core that knows no agents and no jobs yet.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg:     cfg,
-		jobs:    map[work.JobID]*jobState{},
-		agents:  map[ident.Incarnation]*agentState{},
-		times:   map[string]*routeTimes{},
-		racks:   map[string]bool{},
-		crashes: crashHistory{counts: map[work.Task]int{}},
-		plans:   queuePlans{sizes: map[string]*overload.Sizes{}, rates: map[queueKey]*plannedRate{}},
-		reserve: reservations{services: map[ident.Service]*serviceNeeds{}},
+		cfg:       cfg,
+		jobs:      map[work.JobID]*jobState{},
+		agents:    map[ident.Incarnation]*agentState{},
+		times:     map[string]*routeTimes{},
+		racks:     map[string]bool{},
+		crashes:   crashHistory{counts: map[work.Task]int{}},
+		cancelled: cancelledJobs{at: map[work.JobID]time.Duration{}},
+		plans:     queuePlans{sizes: map[string]*overload.Sizes{}, rates: map[queueKey]*plannedRate{}},
+		reserve:   reservations{services: map[ident.Service]*serviceNeeds{}},
 	}
 }
 
@@ -106,6 +108,8 @@
 		c.jobArrived(e.Job)
 	case JobDropped:
 		c.jobDropped(e)
+	case JobCancelled:
+		c.jobCancelled(e)
 	case AgentAttached:
 		c.agentAttached(e)
 	case AgentDetached:
@@ -206,6 +210,10 @@
 	if c.jobs[job.ID] != nil {
 		return // repeated submission: the callers share the answer
 	}
+	if c.cancelled.has(c.now, job.ID) {
+		c.emit(Answer{ID: job.ID, Verdict: Dropped, Reason: reasonCancelled, FirstStart: -1, Priority: job.Route.Priority})
+		return
+	}
 	j := c.newJob(job)
 	c.recordNeed(j)
 	c.recordSize(j)
