run: news that the server has left makes the agent ask it

The same cause as for reports of another writer, for the other message at that listener: one DELETE with the server's ID made the agent give up its runs, which were lost, and the server until its next report.

The agent now starts nothing more and asks the server. One that has ended refuses the connection and is given up then; one that goes on is used again with its second report, and its runs go on.

TestAServerThatIsSaidToHaveLeftAndGoesOnIsUsedAgain failed before. TestAPlannedEndOfAServerIsNoCrash now also lets the connections of the server that has left be refused, as they are; its assertions are the same.

--- a/run/down_test.go
+++ b/run/down_test.go
@@ -67,6 +67,9 @@
 func TestAPlannedEndOfAServerIsNoCrash(t *testing.T) {
 	h := startOneRun(t)
 	h.step(ServerLeft{Incarnation: "server"})
+	for _, call := range []uint64{h.core.holds.shortPoll, h.core.holds.longPoll} {
+		h.step(HoldFailed{Call: call, ConnectionRefused: true})
+	}
 	h.startMs = serverStartMs + 60_000
 	h.step(report(serverStartMs+60_000, 1, 0))
 	h.answerHold(nil, nil)
--- a/run/hold.go
+++ b/run/hold.go
@@ -162,6 +162,11 @@
 		c.otherIncarnation()
 		return
 	}
+	if e.ConnectionRefused && c.server.left {
+		c.emit(LogMessage{Text: "backend server left", Incarnation: c.server.report.Server.Incarnation})
+		c.abandon(reasonServerLeft)
+		return
+	}
 	c.holds.failing = true
 	c.holds.failedAt = c.now
 	c.server.refuses = c.server.refuses || e.ConnectionRefused
--- a/run/incarnation_test.go
+++ b/run/incarnation_test.go
@@ -231,6 +231,28 @@
 	}
 }
 
+// A message of another writer that the server has left took it out of use until its next report,
+// and its runs were lost.
+func TestAServerThatIsSaidToHaveLeftAndGoesOnIsUsedAgain(t *testing.T) {
+	s := newRealServer(t)
+	s.stepAnswered(s.nextReport())
+	s.step(EntryHeartbeat{Entry: entryA, AsOf: s.now})
+	s.step(offer(0))
+	s.started(0)
+	s.step(ServerLeft{Incarnation: s.id})
+	s.answerOutstanding()
+	if reports := of[Report](s.take()); len(reports) > 0 {
+		t.Errorf("reports %+v, want the run to go on", reports)
+	}
+	for range 2 {
+		s.now += 100 * time.Millisecond
+		s.step(s.nextReport())
+	}
+	if !s.inUse() {
+		t.Errorf("room %+v after two reports of the server, want it in use", s.core.Room())
+	}
+}
+
 // A server that is back with an earlier start, since the time of day jumped, was ignored for
 // good.
 func TestARestartWithAnEarlierStartIsNoticed(t *testing.T) {
--- a/run/server.go
+++ b/run/server.go
@@ -52,6 +52,8 @@
 	// endsAt is when the draining server ends at the earliest, 0 if its newest report
 	// doesn't tell.
 	endsAt time.Duration
+	// left is true once the server has said that it shuts down.
+	left bool
 	// refuses is true while no process listens at the server's address.
 	refuses bool
 }
@@ -101,12 +103,16 @@
 	c.emit(LogMessage{Text: "fencing token refused; raised", Incarnation: s.report.Server.Incarnation})
 }
 
+// serverLeft handles the news that the server shuts down as planned. Anyone may send that, so
+// nothing more is started, and the server is asked: one that goes on answers, and reports itself
+// ready again.
 func (c *Core) serverLeft(e ServerLeft) {
 	if c.server.phase == serverNone || c.server.report.Server.Incarnation != e.Incarnation {
 		return
 	}
-	c.emit(LogMessage{Text: "backend server left", Incarnation: e.Incarnation})
-	c.abandon(reasonServerLeft)
+	c.server.report.Server.Draining, c.server.left = true, true
+	c.holds.shortPollWanted = true
+	c.emit(LogMessage{Text: "backend server leaves", Incarnation: e.Incarnation})
 }
 
 // goneReason returns why the runs of an incarnation that has a successor are lost. One
