telemetry: messages from outside that are ignored are counted by kind

foxtaildock_messages_ignored_total has a label for reports, rows of runs and rows of the store, so that another writer shows without a search through all logs.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -46,6 +46,7 @@
 	terms     lease.Terms
 	store     *platform.Store
 	metrics   *telemetry.Metrics
+	ignored   *telemetry.Ignored
 	started   time.Time
 	listeners []*listener
 	failed    chan error
@@ -64,16 +65,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
+	ignored, err := telemetry.NewIgnored(metrics.Meter())
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
 	log = log.With(telemetry.Incarnation(self), telemetry.Domain(set.Domain))
 	return &platformProcess{
-		set: set, path: path, self: self, terms: terms, metrics: metrics, log: log,
-		store: platform.NewStore(set, logOddRows(log)), started: time.Now(), failed: make(chan error, 8),
+		set: set, path: path, self: self, terms: terms, metrics: metrics, ignored: ignored, log: log,
+		store: platform.NewStore(set, reportOddRows(log, ignored)), started: time.Now(), failed: make(chan error, 8),
 	}, nil
 }
 
-// logOddRows returns a function that logs the rows of a read of the store that can't be used.
-func logOddRows(log *telemetry.Logger) func(table string, count int, first error) {
+// reportOddRows returns a function that logs and counts the rows of a read of the store that
+// can't be used.
+func reportOddRows(log *telemetry.Logger, ignored *telemetry.Ignored) func(table string, count int, first error) {
 	return func(table string, count int, first error) {
+		ignored.Add(telemetry.IgnoredStoreRow, count)
 		log.Warn("odd rows in the store ignored", telemetry.Dependency("store: "+table), telemetry.Count(count), telemetry.Err(first))
 	}
 }
--- a/daemon/platform_agent.go
+++ b/daemon/platform_agent.go
@@ -31,7 +31,7 @@
 	}
 	r := runner.New(runner.Config{
 		Self: p.self, Domain: set.Domain, Terms: p.terms,
-		Backend: platform.NewBackend(set), Log: p.log, Metrics: counters,
+		Backend: platform.NewBackend(set), Log: p.log, Metrics: counters, Ignored: p.ignored,
 	})
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/run/events.go
+++ b/run/events.go
@@ -264,6 +264,8 @@
 	Age         time.Duration // how long the server has been silent, if that is the cause
 	Remaining   time.Duration // least time until the server ends, 0 if unknown
 	Reason      string
+	// ReportIgnored is true if a report of a backend server was ignored.
+	ReportIgnored bool
 }
 
 func (CallStart) action()     {}
--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -78,12 +78,12 @@
 		return // a delayed or duplicate report
 	}
 	if s.confirmed && e.Clock > s.clockUpperBound(c.now)+reportSlack {
-		c.emit(LogMessage{Text: "report ignored: its clock is ahead of the backend server's", Incarnation: e.Server.Incarnation})
+		c.emit(LogMessage{ReportIgnored: true, Text: "report ignored: its clock is ahead of the backend server's", Incarnation: e.Server.Incarnation})
 		return
 	}
 	if contradicts(&s.report.Server, &e.Server) && !c.repeatsDisputed(&e) {
 		c.disputed = &e
-		c.emit(LogMessage{Text: "report ignored until it is repeated: it contradicts earlier ones", Incarnation: e.Server.Incarnation})
+		c.emit(LogMessage{ReportIgnored: true, Text: "report ignored until it is repeated: it contradicts earlier ones", Incarnation: e.Server.Incarnation})
 		return
 	}
 	c.disputed = nil
@@ -140,7 +140,7 @@
 	s := &c.server
 	if p := c.proposed; p.report != nil && call >= p.decidedFrom {
 		c.proposed = proposal{}
-		c.emit(LogMessage{Text: "report ignored: the backend server answers as another incarnation", Incarnation: p.report.Server.Incarnation})
+		c.emit(LogMessage{ReportIgnored: true, Text: "report ignored: the backend server answers as another incarnation", Incarnation: p.report.Server.Incarnation})
 	}
 	if s.confirmed {
 		return
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -37,6 +37,8 @@
 	Backend Backend
 	Log     *telemetry.Logger
 	Metrics *Metrics
+	// Ignored counts messages from outside that can't be right.
+	Ignored *telemetry.Ignored
 }
 
 // Limits and intervals of the agent.
@@ -193,8 +195,11 @@
 	sameOddRowsInterval = time.Minute
 )
 
-// logOddRows logs that rows of a backend server's lists were ignored.
+// logOddRows counts and logs that rows of a backend server's lists were ignored.
 func (r *Runner) logOddRows(e run.HoldAnswered) {
+	if e.OddRows > 0 {
+		r.cfg.Ignored.Add(telemetry.IgnoredRunRow, e.OddRows)
+	}
 	interval := oddRowsInterval
 	if e.OddRow == r.oddRow {
 		interval = sameOddRowsInterval
@@ -254,6 +259,9 @@
 }
 
 func (r *Runner) logServerChange(a run.LogMessage) {
+	if a.ReportIgnored {
+		r.cfg.Ignored.Add(telemetry.IgnoredReport, 1)
+	}
 	r.cfg.Log.Info(a.Text, telemetry.Backend(a.Incarnation), telemetry.Age(a.Age), telemetry.Remaining(a.Remaining), telemetry.ReasonText(a.Reason))
 }
 
@@ -319,6 +327,7 @@
 // InvalidHeartbeat logs a heartbeat that can't be used. It implements
 // platform.HeartbeatReceiver.
 func (r *Runner) InvalidHeartbeat(incarnation string, err error) {
+	r.cfg.Ignored.Add(telemetry.IgnoredReport, 1)
 	r.cfg.Log.Warn("invalid heartbeat of a backend server", telemetry.Backend(incarnation), telemetry.Err(err))
 }
 
