run: a pause counts from the margin that leases leave; a server that goes on hasn't left

An idle agent steps each 250 ms, so a gap of 312 ms is common on a slow VM and says little; a suspension does harm from the margin between the end of the last run of a lost entry and the resubmission of its jobs on, 516 ms. And a server that was said to have left, went on and crashes later counts as crashed again (TestAServerThatIsSaidToHaveLeftAndGoesOnIsUsedAgain).

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -90,6 +90,10 @@
 	return time.Duration(float64(t.ServerMax)*(1+ClockDrift)) + t.StopTime
 }
 
+// Margin returns the time between the end of the last run of a lost entry and the earliest
+// resubmission of its jobs.
+func (t Terms) Margin() time.Duration { return t.ResendDelay - t.MaxRunAfterEntryLoss() }
+
 // MaxRunAfterEntryLoss returns the longest time from the last message that an agent
 // received from an entry until no run of that entry is left there, whatever happens to
 // the agent meanwhile.
--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -88,6 +88,7 @@
 	}
 	c.disputed = nil
 	s.report = e
+	s.left = s.left && e.Server.Draining
 	c.noteServerEnd()
 }
 
--- a/run/run.go
+++ b/run/run.go
@@ -168,11 +168,12 @@
 }
 
 // advance sets the time of a step. Steps come often, at least with each Tick. After a gap that
-// is longer than a lease, the server has to be heard before its clock counts again.
+// would make runs outlast the resubmission of their jobs if it was a suspension of the VM, the
+// server has to be heard before its clock counts again.
 func (c *Core) advance(now time.Duration) {
 	last := c.now
 	c.now = max(c.now, now)
-	if c.server.phase != serverNone && c.now-last > c.cfg.Terms.Server {
+	if c.server.phase != serverNone && c.now-last > c.cfg.Terms.Margin() {
 		c.holds.resumedFrom = c.nextCall()
 		c.holds.shortPollWanted = true
 		c.emit(LogMessage{Text: "agent process was paused", Incarnation: c.server.report.Server.Incarnation, Age: c.now - last})
