--- a/run/incarnation_test.go
+++ b/run/incarnation_test.go
@@ -70,6 +70,16 @@
 	return &realServer{harness: h, id: "server", sequence: 40}
 }
 
+// newBusyServer returns a server that is in use and runs one task.
+func newBusyServer(t *testing.T) *realServer {
+	s := newRealServer(t)
+	s.stepAnswered(s.nextReport())
+	s.step(EntryHeartbeat{Entry: entryA, AsOf: s.now})
+	s.step(offer(0))
+	s.started(0)
+	return s
+}
+
 func (s *realServer) clock() time.Duration { return s.now - s.startedAt }
 
 // nextReport returns the server's next report about itself.
@@ -234,11 +244,7 @@
 // A message of another writer that the server has left took it out of use until its next report,
 // and its runs were lost.
 func TestAServerThatIsSaidToHaveLeftAndGoesOnIsUsedAgain(t *testing.T) {
-	s := newRealServer(t)
-	s.stepAnswered(s.nextReport())
-	s.step(EntryHeartbeat{Entry: entryA, AsOf: s.now})
-	s.step(offer(0))
-	s.started(0)
+	s := newBusyServer(t)
 	s.step(ServerLeft{Incarnation: s.id})
 	s.answerOutstanding()
 	if reports := of[Report](s.take()); len(reports) > 0 {
@@ -298,11 +304,7 @@
 // After a pause the first starts and lease calls used the clock from before it. They may extend
 // the lease by the time of a suspension, up to the longest that servers grant.
 func TestNothingIsStartedOrRenewedOnAClockFromBeforeAPause(t *testing.T) {
-	s := newRealServer(t)
-	s.stepAnswered(s.nextReport())
-	s.step(EntryHeartbeat{Entry: entryA, AsOf: s.now})
-	s.step(offer(0))
-	s.started(0)
+	s := newBusyServer(t)
 	s.take()
 	s.now += s.core.cfg.Terms.Margin() + time.Millisecond
 	s.step(EntryHeartbeat{Entry: entryA, AsOf: s.now})
