run: a report that differs from earlier ones counts in full once it is repeated

With a tiny capacity jobs were answered as failed, as their tasks fitted no server any more; with a large one the agent would start more than the server has room for, which the users' rule LIMIT forbids; one that says "draining" counted until the next but one.

Cause: only the kind of a server was compared with earlier reports; capacity and the beginning of draining were taken over from any single report.

Change: what a report changes counts in full once the next one says the same. Until then it counts where that starts less and promises nothing: a server that may drain gets no task, of two capacities the smaller one is used, and what may be gone is told to entries as used. The next report of the server drops what it doesn't repeat. The agent's log says what a report changes, and what is ignored (which it didn't tell before).

TestLoadIsSentWithTheAnswerToAHeartbeat waited for a room update after a single report of a larger capacity, which no longer changes the room; it reports a smaller one now, its assertions are the same.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -1,12 +1,10 @@
 package run
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
 	"foxtaildock.example/dock/lease"
-	"foxtaildock.example/dock/work"
 )
 
 // Incarnation identifies one incarnation of a backend server. A server may start again
@@ -64,47 +62,6 @@
 	c.holds.shortPollWanted = true
 }
 
-// reportSlack is how far a report's clock may be ahead of what the server's answers allow:
-// both are rounded to milliseconds, and timers fire late.
-const reportSlack = 100 * time.Millisecond
-
-// updateReport takes over a later report of the incarnation in use. Its place in the order
-// of the reports is that of its clock, which the server's own answers bound, so that a
-// report from elsewhere can't keep later ones out. Reports with the same clock are ordered
-// by sequence.
-func (c *Core) updateReport(e ServerReported) {
-	s := &c.server
-	if e.Clock < s.report.Clock || e.Clock == s.report.Clock && e.Sequence <= s.report.Sequence {
-		return // a delayed or duplicate report
-	}
-	if s.confirmed && e.Clock > s.clockUpperBound(c.now)+reportSlack {
-		c.emit(LogMessage{ReportIgnored: true, Text: "report ignored: its clock is ahead of the backend server's", Incarnation: e.Server.Incarnation})
-		return
-	}
-	if contradicts(&s.report.Server, &e.Server) && !c.repeatsDisputed(&e) {
-		c.disputed = &e
-		c.emit(LogMessage{ReportIgnored: true, Text: "report ignored until it is repeated: it contradicts earlier ones", Incarnation: e.Server.Incarnation})
-		return
-	}
-	c.disputed = nil
-	s.report = e
-	s.left = s.left && e.Server.Draining
-	c.noteServerEnd()
-}
-
-// contradicts reports whether two reports of one incarnation differ in what an incarnation
-// doesn't change: the kind of the server, and that it drains once it has begun to.
-func contradicts(old, e *work.Server) bool {
-	return old.Service != e.Service || old.Domain != e.Domain || !slices.Equal(old.Labels, e.Labels) || old.Draining && !e.Draining
-}
-
-// repeatsDisputed reports whether the report agrees with the last one that contradicted
-// the report in use. The latter is then the one that can't be right.
-func (c *Core) repeatsDisputed(e *ServerReported) bool {
-	d := c.disputed
-	return d != nil && e.Clock > d.Clock && !contradicts(&d.Server, &e.Server)
-}
-
 // adopt switches to another incarnation of the backend server. Nothing is started there
 // before a list of its runs has confirmed it.
 //
@@ -117,7 +74,7 @@
 	c.orphanRuns(c.goneReason())
 	c.holds.failing = false
 	c.holds.listedAt = 0
-	c.proposed, c.disputed = proposal{}, nil
+	c.proposed = proposal{}
 	c.server = serverState{
 		phase: serverClearing, report: e, firstCall: c.nextCall(),
 		lastContact: c.now,
--- a/run/orders.go
+++ b/run/orders.go
@@ -23,7 +23,7 @@
 // runs there, since its capacity has shrunk after they were offered.
 func (c *Core) returnTooLarge() {
 	for _, t := range slices.Clone(c.queue) {
-		if !t.demand.Fits(c.server.report.Server.Capacity) {
+		if !t.demand.Fits(c.server.capacity()) {
 			c.end(t, work.NotStarted, reasonTooLarge)
 		}
 	}
@@ -36,7 +36,7 @@
 		return
 	}
 	c.returnTooLarge()
-	room := c.server.report.Server.Capacity.Minus(c.used())
+	room := c.server.capacity().Minus(c.used())
 	var passed *task // the first task that doesn't fit
 	for i := 0; i < len(c.queue); {
 		t := c.queue[i]
--- /dev/null
+++ b/run/report.go
@@ -0,0 +1,134 @@
+package run
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"foxtaildock.example/dock/work"
+)
+
+// A report of the incarnation in use may be another writer's: only its address, ID and start
+// tell whose it is. So a report that differs from earlier ones counts in full once the next one
+// says the same. Until then it counts where that starts less and promises nothing: a server that
+// may drain gets no task, and of two capacities the smaller one is used.
+
+// reportSlack is how far a report's clock may be ahead of what the server's answers allow:
+// both are rounded to milliseconds, and timers fire late.
+const reportSlack = 100 * time.Millisecond
+
+// updateReport takes over a later report of the incarnation in use. Its place in the order
+// of the reports is that of its clock, which the server's own answers bound, so that a
+// report from elsewhere can't keep later ones out. Reports with the same clock are ordered
+// by sequence.
+func (c *Core) updateReport(e ServerReported) {
+	s := &c.server
+	if !e.after(&s.report) {
+		return // a delayed or duplicate report
+	}
+	if s.confirmed && e.Clock > s.clockUpperBound(c.now)+reportSlack {
+		c.emit(LogMessage{ReportIgnored: true, Text: "report ignored: its clock is ahead of the backend server's", Incarnation: e.Server.Incarnation})
+		return
+	}
+	former, last := s.report.Server, s.disputed
+	s.report, s.disputed = e, nil
+	s.report.Server = settle(&former, last, &e.Server)
+	if differs(&s.report.Server, &e.Server) {
+		s.disputed = &e.Server
+	}
+	c.logReport(&former, last)
+	s.left = s.left && e.Server.Draining
+	c.noteServerEnd()
+}
+
+// after reports whether a report comes after another one of the same incarnation.
+func (e *ServerReported) after(o *ServerReported) bool {
+	return e.Clock > o.Clock || e.Clock == o.Clock && e.Sequence > o.Sequence
+}
+
+// settle returns what counts in full after a report e: what it says, except where it is the
+// first that differs from what counted before. last is the report before it if that differed,
+// else nil. Of a capacity that changes with each report, the smaller of the last two counts.
+func settle(before, last, e *work.Server) work.Server {
+	if last == nil {
+		last = before
+	}
+	settled := *e
+	if !sameKind(last, e) {
+		settled.Service, settled.Domain, settled.Labels = before.Service, before.Domain, before.Labels
+	}
+	if last.Draining != e.Draining {
+		settled.Draining = before.Draining
+	}
+	settled.Capacity = before.Capacity
+	if last.Capacity != before.Capacity && e.Capacity != before.Capacity {
+		settled.Capacity = last.Capacity.Least(e.Capacity)
+	}
+	return settled
+}
+
+// sameKind reports whether two reports agree in what an incarnation doesn't change.
+func sameKind(a, b *work.Server) bool {
+	return a.Service == b.Service && a.Domain == b.Domain && slices.Equal(a.Labels, b.Labels)
+}
+
+func differs(a, b *work.Server) bool {
+	return !sameKind(a, b) || a.Draining != b.Draining || a.Capacity != b.Capacity
+}
+
+// logReport logs what the newest report changes, or doesn't change yet, in what counts of the
+// server. last is the report before it if that differed from former.
+func (c *Core) logReport(former, last *work.Server) {
+	now, disputed := &c.server.report.Server, c.server.disputed
+	m := LogMessage{Incarnation: now.Incarnation}
+	switch {
+	case disputed != nil && (!sameKind(now, disputed) || now.Draining && !disputed.Draining):
+		m.ReportIgnored, m.Text, m.Reason = true, "report ignored until it is repeated: it contradicts earlier ones", difference(now, disputed)
+	case disputed != nil:
+		m.Text, m.Reason = "report differs from earlier ones; it counts in full once it is repeated", difference(now, disputed)
+	case differs(former, now):
+		m.Text, m.Reason = "backend server has changed", difference(former, now)
+	case last != nil:
+		m.ReportIgnored, m.Text, m.Reason = true, "report dropped: the one after it agrees with earlier ones", difference(now, last)
+	default:
+		return
+	}
+	c.emit(m)
+}
+
+// difference describes in what a report of the server differs from an earlier one, for the log.
+func difference(old, e *work.Server) string {
+	var list []string
+	add := func(name string, from, to any) { list = append(list, fmt.Sprintf("%s %.80v to %.80v", name, from, to)) }
+	if old.Service != e.Service {
+		add("service", old.Service, e.Service)
+	}
+	if old.Domain != e.Domain {
+		add("failure domain", old.Domain, e.Domain)
+	}
+	if !slices.Equal(old.Labels, e.Labels) {
+		add("labels", strings.Join(old.Labels, ","), strings.Join(e.Labels, ","))
+	}
+	if old.Draining != e.Draining {
+		add("draining", old.Draining, e.Draining)
+	}
+	if old.Capacity != e.Capacity {
+		add("capacity", old.Capacity, e.Capacity)
+	}
+	return strings.Join(list, ", ")
+}
+
+// draining reports whether the server gets no new task since it drains, may drain, or is said
+// to have left.
+func (s *serverState) draining() bool {
+	return s.left || s.report.Server.Draining || s.disputed != nil && s.disputed.Draining
+}
+
+// capacity returns the capacity that tasks may use: the least that the server may have.
+func (s *serverState) capacity() work.Demand {
+	if s.disputed == nil {
+		return s.report.Server.Capacity
+	}
+	return s.report.Server.Capacity.Least(s.disputed.Capacity)
+}
--- a/run/run.go
+++ b/run/run.go
@@ -48,10 +48,8 @@
 	now    time.Duration
 	server serverState
 	holds  holdState
-	// proposed is a report of another incarnation than the one in use, and disputed one that
-	// contradicts earlier ones of the incarnation in use, nil if there is none.
+	// proposed is a report of another incarnation than the one in use.
 	proposed proposal
-	disputed *ServerReported
 	tasks    map[work.Task]*task
 	// held lists the tasks of the map in order of arrival.
 	held  []*task
@@ -187,7 +185,7 @@
 	// Server is the zero value while no backend server is in use.
 	Server work.Server
 	// Used is the demand of everything that may be running, including what is
-	// being stopped.
+	// being stopped, and what the server may no longer have of its capacity.
 	Used work.Demand
 	// Queued is the demand of the waiting tasks, by priority in rising order.
 	Queued []QueuedDemand
@@ -223,6 +221,8 @@
 	r := Room{Used: c.used(), Closed: c.refusal() != "", Pace: c.pace.quantized(c.now), Speed: c.speed.figure(c.now)}
 	if c.server.phase == serverInUse {
 		r.Server, r.endsAt = c.server.report.Server, c.server.endsAt
+		r.Server.Draining = c.server.draining()
+		r.Used = r.Used.Plus(r.Server.Capacity.Minus(c.server.capacity()))
 		r.Server.Incarnation = c.server.report.incarnation().String()
 		r.Server.Remaining = c.server.remaining(c.now)
 	}
@@ -304,7 +304,7 @@
 		return reasonClosing
 	case c.server.phase != serverInUse:
 		return reasonNoServer
-	case c.server.report.Server.Draining:
+	case c.server.draining():
 		return reasonDraining
 	case c.withdrawn:
 		return reasonWithdrawn
--- a/run/server.go
+++ b/run/server.go
@@ -21,8 +21,12 @@
 
 // serverState is what the agent knows of its backend server.
 type serverState struct {
-	phase  serverPhase
+	phase serverPhase
+	// report is the newest report of the incarnation, with what counts in full of the server.
 	report ServerReported
+	// disputed is what the newest report says of the server, if that doesn't count in full
+	// yet, else nil.
+	disputed *work.Server
 	// confirmed is true once the server has answered as the incarnation of the report.
 	confirmed bool
 	// firstCall is the number of the first call that was sent to this incarnation.
@@ -65,7 +69,7 @@
 	known := s.endsAt > 0
 	s.endsAt = 0
 	left := s.report.Server.Remaining
-	if !s.report.Server.Draining || left <= 0 || left > work.MaxRemaining {
+	if !s.draining() || left <= 0 || left > work.MaxRemaining {
 		return
 	}
 	s.endsAt = c.now + left
@@ -86,7 +90,7 @@
 // endedAsPlanned reports whether a server that is gone now had drained before, at least for
 // as long as it reported.
 func (c *Core) endedAsPlanned() bool {
-	return c.server.report.Server.Draining && c.now >= c.server.endsAt
+	return c.server.draining() && c.now >= c.server.endsAt
 }
 
 // maxFence is the largest fencing token: whole numbers up to it are exact in JSON.
@@ -110,7 +114,7 @@
 	if c.server.phase == serverNone || c.server.report.Server.Incarnation != e.Incarnation {
 		return
 	}
-	c.server.report.Server.Draining, c.server.left = true, true
+	c.server.left = true
 	c.holds.shortPollWanted = true
 	c.emit(LogMessage{Text: "backend server leaves", Incarnation: e.Incarnation})
 }
@@ -140,7 +144,7 @@
 func (c *Core) abandon(reason string) {
 	c.orphanRuns(reason)
 	next := c.proposed.report
-	c.proposed, c.disputed = proposal{}, nil
+	c.proposed = proposal{}
 	c.holds.fence = max(c.holds.fence, c.server.fence)
 	c.server = serverState{}
 	if next != nil {
--- a/runner/load_test.go
+++ b/runner/load_test.go
@@ -52,7 +52,7 @@
 			t.Errorf("answer %v to the heartbeat %v, want a load with work %v", m, beat, test.want)
 		}
 	}
-	report.Sequence, report.Server.Capacity.CPUMilli = 2, 8000
+	report.Sequence, report.Server.Capacity.CPUMilli = 2, 2000
 	if m := next(report); m.GetRoom() == nil || m.GetLoad() != nil {
 		t.Errorf("message %v after a change of the capacity, want the room without a load", m)
 	}
--- a/work/work.go
+++ b/work/work.go
@@ -65,6 +65,11 @@
 	return Demand{CPUMilli: d.CPUMilli - o.CPUMilli, MemoryMB: d.MemoryMB - o.MemoryMB, GPUs: d.GPUs - o.GPUs}
 }
 
+// Least returns the smaller amount of each resource.
+func (d Demand) Least(o Demand) Demand {
+	return Demand{CPUMilli: min(d.CPUMilli, o.CPUMilli), MemoryMB: min(d.MemoryMB, o.MemoryMB), GPUs: min(d.GPUs, o.GPUs)}
+}
+
 // Fits reports whether every resource of the demand is within the room.
 func (d Demand) Fits(room Demand) bool {
 	return d.CPUMilli <= room.CPUMilli && d.MemoryMB <= room.MemoryMB && d.GPUs <= room.GPUs
