dispatcher: an entry that is gone no longer counts among the others

What operators saw: each entry that is replaced at another address stays known to the others for good. Each cancel of a job that isn't at its own entry waits 400 ms for all of them and is told to them for a minute, every unknown job counts as possibly theirs, and the subset of agents shrinks with the number of entries that were ever seen.

Cause: the table of what a process believes has nothing about the entries' view of each other; agents that stay away expire, entries didn't.

One that has left three calls and all of ten minutes unanswered counts as gone: not for the subset, nor for cancels and rows. It is still asked, and told of each cancel once, since it may only be cut off; its first answer brings it back. At most 2,048 are kept.

--- a/dispatcher/cancel.go
+++ b/dispatcher/cancel.go
@@ -49,6 +49,7 @@
 	} else {
 		found = d.cancelOnPeers(ctx, id)
 	}
+	go d.cancelOnGonePeers(id)
 	d.cfg.Log.Info("job cancelled", telemetry.JobID(string(id)), telemetry.OutcomeText(foundText(found)))
 	return found
 }
@@ -73,7 +74,7 @@
 	var mu sync.Mutex
 	found := false
 	addresses := d.links.peerAddresses()
-	d.links.callPeers(ctx, addresses, func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient) {
+	d.links.callPeers(ctx, addresses, func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient) error {
 		had, err := cancelOn(ctx, peer, id)
 		if err != nil {
 			d.cfg.Log.Warn("peer doesn't answer a cancel; telling it again", telemetry.JobID(string(id)), telemetry.ReasonText(address), telemetry.Err(err))
@@ -82,10 +83,19 @@
 		mu.Lock()
 		defer mu.Unlock()
 		found = found || had || err != nil
+		return err
 	})
 	return found
 }
 
+// cancelOnGonePeers tells the entries that count as gone once, in case one of them is back.
+func (d *Dispatcher) cancelOnGonePeers(id work.JobID) {
+	d.links.callPeers(d.base, d.links.gonePeers(), func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) error {
+		_, err := cancelOn(ctx, peer, id)
+		return err
+	})
+}
+
 func cancelOn(ctx context.Context, peer linkpbconnect.EntryPeerClient, id work.JobID) (had bool, err error) {
 	res, err := peer.Cancel(ctx, connect.NewRequest(&linkpb.CancelRequest{Job: string(id)}))
 	if err != nil {
@@ -120,9 +130,10 @@
 		}
 		done := clock.Now()-next.at > schedule.CancelKept
 		if !done {
-			d.links.callPeers(ctx, []string{address}, func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) {
+			d.links.callPeers(ctx, []string{address}, func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) error {
 				_, err := cancelOn(ctx, peer, next.id)
 				done = err == nil
+				return err
 			})
 		}
 		if done {
--- a/dispatcher/cancel_test.go
+++ b/dispatcher/cancel_test.go
@@ -53,17 +53,7 @@
 // A cancel that an entry didn't answer, since it was frozen, was answered 410 and forgotten: the
 // entry went on with the job when it was back (review/1).
 func TestACancelReachesAnEntryThatWasSilent(t *testing.T) {
-	peer := &silentPeer{silent: true}
-	mux := http.NewServeMux()
-	mux.Handle(linkpbconnect.NewEntryPeerHandler(peer, rpc.HandlerOptions()))
-	server := httptest.NewUnstartedServer(mux)
-	server.Config = rpc.NewServer(mux)
-	server.Start()
-	t.Cleanup(server.Close)
-	d := newOfflineEntry(t)
-	d.base = t.Context()
-	go d.run(d.base)
-	d.links.addMember(directory.Member{Role: directory.RoleEntry, Address: strings.TrimPrefix(server.URL, "http://"), Incarnation: "p"})
+	d, peer, _ := newEntryWithPeer(t)
 	for _, id := range []work.JobID{"a", "b"} {
 		if !d.Cancel(t.Context(), id) {
 			t.Fatalf("%s counts as unknown although an entry that doesn't answer may have it", id)
@@ -79,3 +69,49 @@
 		t.Error("a job that no entry has counts as found")
 	}
 }
+
+// Entries that were replaced counted for good: the subset of agents became too small, each cancel
+// waited for all of them, and all jobs counted as possibly theirs. One that is back gets cancels
+// all the same.
+func TestAnEntryThatIsGoneDoesNotCount(t *testing.T) {
+	d, peer, address := newEntryWithPeer(t)
+	d.links.peers.called(address, false, 0)
+	for range goneFailures {
+		d.links.peers.called(address, false, goneAfter)
+	}
+	if n := d.subsetState().Entries; n != 1 {
+		t.Errorf("%d entries count, want 1 without the one that is gone", n)
+	}
+	if d.Cancel(t.Context(), "a") {
+		t.Error("a job counts as found at an entry that is gone")
+	}
+	peer.set(false)
+	d.Cancel(t.Context(), "b")
+	for began := time.Now(); len(peer.toldOf()) == 0 || len(d.links.gonePeers()) > 0; time.Sleep(time.Millisecond) {
+		if time.Since(began) > 20*cancelRetry {
+			t.Fatalf("the entry that is back was told of %q, and counts as gone: %v", peer.toldOf(), d.links.gonePeers())
+		}
+	}
+	if n := d.subsetState().Entries; n != 2 {
+		t.Errorf("%d entries count, want 2 with the one that is back", n)
+	}
+}
+
+// newEntryWithPeer returns an entry that knows one other, which doesn't answer yet, and its
+// address.
+func newEntryWithPeer(t *testing.T) (*Dispatcher, *silentPeer, string) {
+	t.Helper()
+	peer := &silentPeer{silent: true}
+	mux := http.NewServeMux()
+	mux.Handle(linkpbconnect.NewEntryPeerHandler(peer, rpc.HandlerOptions()))
+	server := httptest.NewUnstartedServer(mux)
+	server.Config = rpc.NewServer(mux)
+	server.Start()
+	t.Cleanup(server.Close)
+	d := newOfflineEntry(t)
+	d.base = t.Context()
+	go d.run(d.base)
+	address := strings.TrimPrefix(server.URL, "http://")
+	d.links.addMember(directory.Member{Role: directory.RoleEntry, Address: address, Incarnation: "p"})
+	return d, peer, address
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -104,6 +104,7 @@
 	go d.run(ctx)
 	go d.watchOperator(ctx)
 	go d.watchMembers(ctx)
+	go d.watchPeers(ctx)
 }
 
 // run is the core goroutine.
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"foxtaildock.example/dock/clock"
-	"foxtaildock.example/dock/directory"
 	"foxtaildock.example/dock/ident"
 	"foxtaildock.example/dock/link"
 	"foxtaildock.example/dock/rpc"
@@ -28,10 +27,10 @@
 
 	mu sync.Mutex
 	// known holds all agents and chooses the subset; agents holds those that are used,
-	// and peers the other entries, by address.
+	// by address, and peers the other entries.
 	known  *subset.Chooser
 	agents map[string]*agentLink
-	peers  map[string]directory.Member
+	peers  peerSet
 	// changed has an element if the subset may have to be chosen anew.
 	changed chan struct{}
 	// sessions are the open sessions by the agent's incarnation, owned by the core
@@ -61,7 +60,7 @@
 		known:      subset.New(subset.Config{Self: d.cfg.Self.Address, Domain: d.cfg.Self.Domain, Max: d.cfg.MaxSessions}),
 		changed:    make(chan struct{}, 1),
 		agents:     map[string]*agentLink{},
-		peers:      map[string]directory.Member{},
+		peers:      peerSet{map[string]*peer{}},
 		sessions:   map[ident.Incarnation]*link.Session{},
 	}
 }
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -22,7 +22,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m.Role == directory.RoleEntry {
-		l.peers[m.Address] = m
+		if !l.peers.add(m, clock.Now()) {
+			l.dispatcher.cfg.Log.Warn("too many entries are known; one is ignored", telemetry.ReasonText(m.Address))
+		}
 		return
 	}
 	l.known.Add(subset.Agent{Address: m.Address, Domain: m.Domain})
@@ -90,10 +92,7 @@
 func (l *links) members() []directory.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := []directory.Member{l.dispatcher.cfg.Self}
-	for _, p := range l.peers {
-		list = append(list, p)
-	}
+	list := append([]directory.Member{l.dispatcher.cfg.Self}, l.peers.members()...)
 	agents := l.known.Agents()
 	for _, a := range agents[:min(len(agents), maxAnnounced)] {
 		list = append(list, directory.Member{Role: directory.RoleAgent, Address: a.Address, Domain: a.Domain})
--- a/dispatcher/peers.go
+++ b/dispatcher/peers.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
+	"math"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/directory"
 	"foxtaildock.example/dock/link"
+	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/rpc/linkpb/linkpbconnect"
@@ -23,28 +23,78 @@
 // memory.
 const peerTimeout = 400 * time.Millisecond
 
-// eachPeer calls all other entries at once and returns when all calls have ended.
-func (l *links) eachPeer(ctx context.Context, call func(context.Context, linkpbconnect.EntryPeerClient)) {
-	l.callPeers(ctx, l.peerAddresses(), func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) { call(ctx, peer) })
+// peerAddresses returns the addresses of the other entries, sorted, without those that count as
+// gone.
+func (l *links) peerAddresses() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peers.addresses(false)
 }
 
-// peerAddresses returns the addresses of the other entries, sorted.
-func (l *links) peerAddresses() []string {
+// gonePeers returns the addresses of the other entries that count as gone.
+func (l *links) gonePeers() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Sorted(maps.Keys(l.peers))
+	return l.peers.addresses(true)
 }
 
-func (l *links) callPeers(ctx context.Context, addresses []string, call func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient)) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+// peerCall is a call to another entry. It returns why there was no answer.
+type peerCall func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient) error
+
+// callPeers calls other entries at once and returns when all calls have ended.
+func (l *links) callPeers(ctx context.Context, addresses []string, call peerCall) {
+	limited, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var wait sync.WaitGroup
 	for _, address := range addresses {
-		wait.Go(func() { call(ctx, address, l.peer(address)) })
+		wait.Go(func() {
+			err := call(limited, address, l.peer(address))
+			if ctx.Err() == nil { // else the call may have been given up too early for an answer
+				l.peerCalled(address, err)
+			}
+		})
 	}
 	wait.Wait()
 }
 
+// peerCalled records the result of a call to another entry.
+func (l *links) peerCalled(address string, err error) {
+	l.mu.Lock()
+	gone, back := l.peers.called(address, err == nil, clock.Now())
+	l.mu.Unlock()
+	switch {
+	case gone:
+		l.dispatcher.cfg.Log.Info("entry unreachable for too long; it counts as gone", telemetry.ReasonText(address), telemetry.Err(err))
+	case back:
+		l.dispatcher.cfg.Log.Info("entry that counted as gone answers again", telemetry.ReasonText(address))
+	}
+}
+
+// checkPeersInterval is the pause between two rounds of calls to entries that weren't called
+// lately, and peersPerCheck how many are called in one.
+const (
+	checkPeersInterval = 10 * time.Second
+	peersPerCheck      = 100
+)
+
+// watchPeers finds out which other entries still exist.
+func (d *Dispatcher) watchPeers(ctx context.Context) {
+	for pause.For(ctx, checkPeersInterval) {
+		d.links.checkPeers(ctx, clock.Now())
+	}
+}
+
+// checkPeers calls the entries that weren't called lately.
+func (l *links) checkPeers(ctx context.Context, now time.Duration) {
+	l.mu.Lock()
+	due := l.peers.due(now, peersPerCheck)
+	l.mu.Unlock()
+	l.callPeers(ctx, due, func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) error {
+		_, err := peer.Operator(ctx, connect.NewRequest(&linkpb.OperatorRequest{Version: math.MaxUint64})) // for its answer, not for rows
+		return err
+	})
+}
+
 func (l *links) peer(address string) linkpbconnect.EntryPeerClient {
 	return linkpbconnect.NewEntryPeerClient(l.peerClient, "http://"+address, rpc.ClientOptions())
 }
@@ -72,22 +122,23 @@
 	d := l.dispatcher
 	rows, _, _ := d.view.current()
 	peers := nextPeers(l.peerAddresses(), attempt*rowsPeers, rowsPeers)
-	l.callPeers(ctx, peers, func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) {
+	l.callPeers(ctx, peers, func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) error {
 		requestedAt := clock.Now()
 		res, err := peer.Operator(ctx, connect.NewRequest(&linkpb.OperatorRequest{Version: rows.Version}))
 		if err != nil {
 			d.cfg.Log.Debug("peer doesn't answer", telemetry.Err(err))
-			return
+			return err
 		}
 		if res.Msg.GetRows().GetVersion() == 0 {
-			return
+			return nil
 		}
 		got, err := link.OperatorOf(res.Msg.GetRows())
 		if err != nil {
 			d.cfg.Log.Warn("invalid operators' rows from a peer", telemetry.Err(err))
-			return
+			return nil
 		}
 		d.setOperatorRows(got, requestedAt-link.Millis(res.Msg.GetAgeMs()), "peer")
+		return nil
 	})
 }
 
@@ -101,15 +152,18 @@
 	d := p.Dispatcher
 	member := link.MemberOf(req.Msg.GetMember())
 	d.links.addMember(member)
+	d.links.peerCalled(member.Address, nil) // as good as an answer, if it is an entry
 	if !req.Msg.GetRelayed() {
 		if member.Role == directory.RoleAgent {
 			d.links.pinAgent(member)
 		}
 		relayed := &linkpb.AnnounceRequest{Member: req.Msg.GetMember(), Relayed: true}
-		go d.links.eachPeer(d.base, func(ctx context.Context, peer linkpbconnect.EntryPeerClient) {
-			if _, err := peer.Announce(ctx, connect.NewRequest(relayed)); err != nil {
+		go d.links.callPeers(d.base, d.links.peerAddresses(), func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) error {
+			_, err := peer.Announce(ctx, connect.NewRequest(relayed))
+			if err != nil {
 				d.cfg.Log.Debug("peer doesn't answer", telemetry.Err(err))
 			}
+			return err
 		})
 	}
 	res := &linkpb.AnnounceResponse{}
--- a/dispatcher/subset.go
+++ b/dispatcher/subset.go
@@ -36,7 +36,7 @@
 
 // subsetState returns the state on which the choice is based. The caller holds links.mu.
 func (d *Dispatcher) subsetState() subset.State {
-	s := subset.State{Entries: len(d.links.peers) + 1, NoRoom: d.core.NoRoom()}
+	s := subset.State{Entries: len(d.links.peers.addresses(false)) + 1, NoRoom: d.core.NoRoom()}
 	for address, a := range d.links.agents {
 		status := d.core.AgentStatus(a.incarnation())
 		s.Links = append(s.Links, subset.Link{
