daemon: entries and agents log which build they are

What on-call engineers couldn't tell from an agent's log: whether the process was built from the code beside it. A daemon in target/ that is older than the code shows faults that are mended.

--- a/daemon/platform_agent.go
+++ b/daemon/platform_agent.go
@@ -47,7 +47,7 @@
 		},
 	}
 	go presence.Run(running)
-	p.log.Info("agent started", telemetry.Address(set.Internal), telemetry.Elapsed(time.Since(p.started)))
+	p.log.Info("agent started", buildField(), telemetry.Address(set.Internal), telemetry.Elapsed(time.Since(p.started)))
 	err = p.await(ctx)
 	r.Close()
 	p.finish(r.Idle)
--- a/daemon/platform_entry.go
+++ b/daemon/platform_entry.go
@@ -59,7 +59,7 @@
 		return err
 	}
 	go p.watchSettings(running)
-	p.log.Info("entry started", telemetry.Address(set.Callers), telemetry.Elapsed(time.Since(p.started)))
+	p.log.Info("entry started", buildField(), telemetry.Address(set.Callers), telemetry.Elapsed(time.Since(p.started)))
 	err = p.await(ctx)
 	stopEntry(d, callers, plan, p.log)
 	p.close()
--- a/telemetry/field.go
+++ b/telemetry/field.go
@@ -24,6 +24,7 @@
 	fieldEpoch       = "epoch"
 	fieldDocVersion  = "document_version"
 	fieldAddress     = "address"
+	fieldBuild       = "build"
 	fieldElapsed     = "elapsed_ms"
 	fieldCount       = "count"
 	fieldError       = "error"
@@ -95,6 +96,9 @@
 // Address is the address of a listener or peer.
 func Address(a netip.AddrPort) Field { return Field{fieldAddress, a.String()} }
 
+// Build says which build of the program runs.
+func Build(text string) Field { return Field{fieldBuild, text} }
+
 // Elapsed is how long something took. It is written in milliseconds.
 func Elapsed(d time.Duration) Field { return Field{fieldElapsed, d} }
 
