run: a report that makes the agent ask, or comes late, has a line in the log

What the agent's log couldn't tell: that a report of another incarnation had come, as long as the server didn't answer; and that reports were dropped as older than the newest one, which happens to all of a server's reports if the newest one wasn't its own. Now the first has "report names another incarnation; asking the backend server" with the one in use, and the second of several dropped reports in a row, and each further one, "report ignored: it is older than the newest one".

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -58,6 +58,9 @@
 
 // propose makes the agent ask the server whether its incarnation is still the one in use.
 func (c *Core) propose(e ServerReported) {
+	if p := c.proposed.report; p == nil || p.incarnation() != e.incarnation() {
+		c.emit(LogMessage{Text: "report names another incarnation; asking the backend server", Incarnation: e.Server.Incarnation, Reason: "started at " + strconv.FormatInt(e.StartUnixMs, 10) + ", in use " + c.server.report.incarnation().String()})
+	}
 	c.proposed = proposal{report: &e, decidedFrom: c.nextCall()}
 	c.holds.shortPollWanted = true
 }
--- a/run/report.go
+++ b/run/report.go
@@ -25,12 +25,14 @@
 func (c *Core) updateReport(e ServerReported) {
 	s := &c.server
 	if !e.after(&s.report) {
-		return // a delayed or duplicate report
+		c.reportDelayed(&e)
+		return
 	}
 	if s.confirmed && e.Clock > s.clockUpperBound(c.now)+reportSlack {
 		c.emit(LogMessage{ReportIgnored: true, Text: "report ignored: its clock is ahead of the backend server's", Incarnation: e.Server.Incarnation})
 		return
 	}
+	s.delayed = 0
 	former, last := s.report.Server, s.disputed
 	s.report, s.disputed = e, nil
 	s.report.Server = settle(&former, last, &e.Server)
@@ -42,6 +44,15 @@
 	c.noteServerEnd()
 }
 
+// reportDelayed handles a report that is a duplicate or older than the newest one. Several in a
+// row show that the newest one can't have been the server's.
+func (c *Core) reportDelayed(e *ServerReported) {
+	s := &c.server
+	if s.delayed++; s.delayed > 1 {
+		c.emit(LogMessage{ReportIgnored: true, Text: "report ignored: it is older than the newest one", Incarnation: e.Server.Incarnation, Age: s.report.Clock - e.Clock})
+	}
+}
+
 // after reports whether a report comes after another one of the same incarnation.
 func (e *ServerReported) after(o *ServerReported) bool {
 	return e.Clock > o.Clock || e.Clock == o.Clock && e.Sequence > o.Sequence
