usersite: a site waits for an address that a starting process still holds

Cause: a process that is being started has the listeners of the test binary between its fork and its exec, also those that are closed meanwhile. Ruled out: that Close returns before the socket is released (net.Listener.Close waits for that).

Change: listening is tried again for up to a second.

--- a/bench/usersite/site.go
+++ b/bench/usersite/site.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"foxtaildock.example/bench/cluster"
@@ -157,8 +159,22 @@
 	}
 }
 
+// listenPatience bounds how long an address may still be in use. A process that another site starts
+// holds the listeners of this process between its fork and its exec, also those that are closed
+// meanwhile.
+const listenPatience = time.Second
+
+func listen(address string) (net.Listener, error) {
+	for began := time.Now(); ; time.Sleep(time.Millisecond) {
+		l, err := net.Listen("tcp", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Since(began) > listenPatience {
+			return l, err
+		}
+	}
+}
+
 func (s *Site) serve(address string, h http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen(address)
 	if err != nil {
 		return err
 	}
