run: reports of another writer don't win by their number

Cause: a report that contradicted earlier ones counted once the next one repeated it, and between two reports of the server itself there were two of the other writer.

Change: it counts once the next one differs as well and no report has agreed with the earlier ones for 1.9 intervals (heartbeatMs of the settings file, 1.5 s if it is missing): a server that has really changed says nothing else any more, so its second such report counts as before. A report of another kind counts for nothing until then, since an incarnation doesn't change its kind; one with less room or that drains counts until the server's next.

--- a/bench/sitesim/vm.go
+++ b/bench/sitesim/vm.go
@@ -98,7 +98,7 @@
 	v.generation++
 	v.alive = true
 	v.self = v.site.incarnation("agent", v.index)
-	v.core = run.New(run.Config{Terms: v.site.terms, QueueLimit: 64, StallAfter: 400 * time.Millisecond, BackfillAfter: 100 * time.Millisecond})
+	v.core = run.New(run.Config{Terms: v.site.terms, QueueLimit: 64, StallAfter: 400 * time.Millisecond, ReportInterval: reportEvery, BackfillAfter: 100 * time.Millisecond})
 	v.sessions = map[ident.Incarnation]*agentSession{}
 	v.tick()
 }
--- a/daemon/platform_agent.go
+++ b/daemon/platform_agent.go
@@ -30,7 +30,7 @@
 		return fmt.Errorf("metrics: %w", err)
 	}
 	r := runner.New(runner.Config{
-		Self: p.self, Domain: set.Domain, Terms: p.terms,
+		Self: p.self, Domain: set.Domain, Terms: p.terms, ReportInterval: set.ReportInterval,
 		Backend: platform.NewBackend(set), Log: p.log, Metrics: counters, Ignored: p.ignored,
 	})
 	running, stop := context.WithCancel(context.Background())
--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -80,8 +80,8 @@
 	c.proposed = proposal{}
 	c.server = serverState{
 		phase: serverClearing, report: e, firstCall: c.nextCall(),
-		lastContact: c.now,
-		fence:       max(before+1, e.StartUnixMs+e.Clock.Milliseconds()),
+		lastContact: c.now, agreedAt: c.now,
+		fence: max(before+1, e.StartUnixMs+e.Clock.Milliseconds()),
 	}
 	c.holds.shortPollWanted = true
 	c.emit(LogMessage{Text: "backend server reported", Incarnation: e.Server.Incarnation})
--- a/run/report.go
+++ b/run/report.go
@@ -10,9 +10,12 @@
 )
 
 // A report of the incarnation in use may be another writer's: only its address, ID and start
-// tell whose it is. So a report that differs from earlier ones counts in full once the next one
-// says the same. Until then it counts where that starts less and promises nothing: a server that
-// may drain gets no task, and of two capacities the smaller one is used.
+// tell whose it is. So a report that differs from earlier ones counts in full only once the next
+// one differs as well and none has agreed with the earlier ones for a while: the server's own
+// come at an interval, however many another writer sends. Until then it counts where that starts
+// less and promises nothing: a server that may drain gets no task, and of two capacities the
+// smaller one is used. One of another kind doesn't count at all, since an incarnation doesn't
+// change its kind.
 
 // reportSlack is how far a report's clock may be ahead of what the server's answers allow:
 // both are rounded to milliseconds, and timers fire late.
@@ -35,13 +38,17 @@
 	s.delayed = 0
 	former, last := s.report.Server, s.disputed
 	s.report, s.disputed = e, nil
-	s.report.Server = settle(&former, last, &e.Server)
+	s.report.Server = settle(&former, last, &e.Server, c.now-s.agreedAt >= c.agreementAge())
 	if differs(&s.report.Server, &e.Server) {
 		s.disputed = &e.Server
+	} else {
+		s.agreedAt = c.now
 	}
 	c.logReport(&former, last)
-	s.left = s.left && e.Server.Draining
-	c.noteServerEnd()
+	if sameKind(&s.report.Server, &e.Server) {
+		s.left = s.left && (e.Server.Draining || s.disputed != nil)
+		c.noteServerEnd()
+	}
 }
 
 // reportDelayed handles a report that is a duplicate or older than the newest one. Several in a
@@ -58,21 +65,32 @@
 	return e.Clock > o.Clock || e.Clock == o.Clock && e.Sequence > o.Sequence
 }
 
-// settle returns what counts in full after a report e: what it says, except where it is the
-// first that differs from what counted before. last is the report before it if that differed,
-// else nil. Of a capacity that changes with each report, the smaller of the last two counts.
-func settle(before, last, e *work.Server) work.Server {
-	if last == nil {
-		last = before
+// agreementIntervals is for how many intervals between reports no report may have agreed with
+// the earlier ones before another one counts in full: less than two, so that the second report
+// of a server that has changed does, and enough that a late one of its own is waited for.
+const agreementIntervals = 1.9
+
+// agreementAge returns how long the last report that agreed with the earlier ones counts.
+func (c *Core) agreementAge() time.Duration {
+	return time.Duration(agreementIntervals * float64(c.cfg.ReportInterval))
+}
+
+// settle returns what counts in full after a report e. last is the report before it if that
+// differed from what counted before, else nil; alone is true if none has agreed with that for
+// agreementAge. Of a capacity that changes with each report, the smaller of the last two counts.
+func settle(before, last, e *work.Server, alone bool) work.Server {
+	settled := *before
+	if sameKind(before, e) {
+		settled.Remaining = e.Remaining
 	}
-	settled := *e
-	if !sameKind(last, e) {
-		settled.Service, settled.Domain, settled.Labels = before.Service, before.Domain, before.Labels
+	if last == nil || !alone || !sameKind(last, e) {
+		return settled
 	}
-	if last.Draining != e.Draining {
-		settled.Draining = before.Draining
+	settled.Service, settled.Domain, settled.Labels = e.Service, e.Domain, e.Labels
+	settled.Remaining = e.Remaining
+	if last.Draining == e.Draining {
+		settled.Draining = e.Draining
 	}
-	settled.Capacity = before.Capacity
 	if last.Capacity != before.Capacity && e.Capacity != before.Capacity {
 		settled.Capacity = last.Capacity.Least(e.Capacity)
 	}
@@ -95,9 +113,9 @@
 	m := LogMessage{Incarnation: now.Incarnation}
 	switch {
 	case disputed != nil && (!sameKind(now, disputed) || now.Draining && !disputed.Draining):
-		m.ReportIgnored, m.Text, m.Reason = true, "report ignored until it is repeated: it contradicts earlier ones", difference(now, disputed)
+		m.ReportIgnored, m.Text, m.Reason = true, "report ignored until only such ones come: it contradicts earlier ones", difference(now, disputed)
 	case disputed != nil:
-		m.Text, m.Reason = "report differs from earlier ones; it counts in full once it is repeated", difference(now, disputed)
+		m.Text, m.Reason = "report differs from earlier ones; it counts in full once only such ones come", difference(now, disputed)
 	case differs(former, now):
 		m.Text, m.Reason = "backend server has changed", difference(former, now)
 	case last != nil:
@@ -125,20 +143,29 @@
 		add("draining", old.Draining, e.Draining)
 	}
 	if old.Capacity != e.Capacity {
-		add("capacity", old.Capacity, e.Capacity)
+		add("capacity", amount(old.Capacity), amount(e.Capacity))
 	}
 	return strings.Join(list, ", ")
 }
 
+func amount(d work.Demand) string {
+	return fmt.Sprintf("%d thousandths of a core, %d MB, %d accelerators", d.CPUMilli, d.MemoryMB, d.GPUs)
+}
+
+// mayHaveChanged reports whether the newest report differs in what an incarnation changes.
+func (s *serverState) mayHaveChanged() bool {
+	return s.disputed != nil && sameKind(&s.report.Server, s.disputed)
+}
+
 // draining reports whether the server gets no new task since it drains, may drain, or is said
 // to have left.
 func (s *serverState) draining() bool {
-	return s.left || s.report.Server.Draining || s.disputed != nil && s.disputed.Draining
+	return s.left || s.report.Server.Draining || s.mayHaveChanged() && s.disputed.Draining
 }
 
 // capacity returns the capacity that tasks may use: the least that the server may have.
 func (s *serverState) capacity() work.Demand {
-	if s.disputed == nil {
+	if !s.mayHaveChanged() {
 		return s.report.Server.Capacity
 	}
 	return s.report.Server.Capacity.Least(s.disputed.Capacity)
--- a/run/run.go
+++ b/run/run.go
@@ -37,6 +37,8 @@
 	QueueLimit int
 	// StallAfter is how long a run may make no progress before its entry is notified.
 	StallAfter time.Duration
+	// ReportInterval is the interval between the reports of a backend server.
+	ReportInterval time.Duration
 	// BackfillAfter is how long a waiting task that doesn't fit lets smaller tasks
 	// start before it.
 	BackfillAfter time.Duration
--- a/run/server.go
+++ b/run/server.go
@@ -27,6 +27,8 @@
 	// disputed is what the newest report says of the server, if that doesn't count in full
 	// yet, else nil.
 	disputed *work.Server
+	// agreedAt is when the last report arrived that counts in full.
+	agreedAt time.Duration
 	// delayed is the number of reports since the newest one that were older or duplicates.
 	delayed int
 	// confirmed is true once the server has answered as the incarnation of the report.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -31,12 +31,14 @@
 
 // Config holds the identity, the lease terms and the dependencies of an agent.
 type Config struct {
-	Self    ident.Incarnation
-	Domain  ident.FailureDomain
-	Terms   lease.Terms
-	Backend Backend
-	Log     *telemetry.Logger
-	Metrics *Metrics
+	Self   ident.Incarnation
+	Domain ident.FailureDomain
+	Terms  lease.Terms
+	// ReportInterval is the interval between the reports of the backend server.
+	ReportInterval time.Duration
+	Backend        Backend
+	Log            *telemetry.Logger
+	Metrics        *Metrics
 	// Ignored counts messages from outside that can't be right.
 	Ignored *telemetry.Ignored
 }
@@ -98,7 +100,7 @@
 func New(cfg Config) *Runner {
 	r := &Runner{
 		cfg:      cfg,
-		core:     run.New(run.Config{Terms: cfg.Terms, QueueLimit: queueLimit, StallAfter: stallAfter, BackfillAfter: backfillAfter}),
+		core:     run.New(run.Config{Terms: cfg.Terms, QueueLimit: queueLimit, StallAfter: stallAfter, ReportInterval: cfg.ReportInterval, BackfillAfter: backfillAfter}),
 		events:   make(chan any, eventQueueSize),
 		sessions: map[ident.Incarnation]*entrySession{},
 
