run: reports of another kind don't hide that the server drains or has less room

Found by reading once more: a report of another kind, which can't be the server's, took the place of the server's own that says it drains or has less room, until the server's next. Tasks would start meanwhile; the users' rules DRAIN and LIMIT give a server 2 s and more, its next report comes after 1.5 s.

Change: what the newest report of the server's kind says and what one of another kind says are kept apart, each with the time at which it was last agreed with.

--- a/run/incarnation.go
+++ b/run/incarnation.go
@@ -80,7 +80,7 @@
 	c.proposed = proposal{}
 	c.server = serverState{
 		phase: serverClearing, report: e, firstCall: c.nextCall(),
-		lastContact: c.now, agreedAt: c.now,
+		lastContact: c.now, agreedAt: c.now, kindAt: c.now,
 		fence: max(before+1, e.StartUnixMs+e.Clock.Milliseconds()),
 	}
 	c.holds.shortPollWanted = true
--- a/run/report.go
+++ b/run/report.go
@@ -36,19 +36,41 @@
 		return
 	}
 	s.delayed = 0
+	s.report.Clock, s.report.Sequence = e.Clock, e.Sequence
+	if !c.acceptKind(&e.Server) {
+		return
+	}
 	former, last := s.report.Server, s.disputed
-	s.report, s.disputed = e, nil
-	s.report.Server = settle(&former, last, &e.Server, c.now-s.agreedAt >= c.agreementAge())
+	s.report.Server, s.disputed = settle(&former, last, &e.Server, c.now-s.agreedAt >= c.agreementAge()), nil
 	if differs(&s.report.Server, &e.Server) {
 		s.disputed = &e.Server
 	} else {
 		s.agreedAt = c.now
 	}
 	c.logReport(&former, last)
-	if sameKind(&s.report.Server, &e.Server) {
-		s.left = s.left && (e.Server.Draining || s.disputed != nil)
-		c.noteServerEnd()
-	}
+	s.left = s.left && (e.Server.Draining || s.disputed != nil)
+	c.noteServerEnd()
+}
+
+// acceptKind reports whether a report is of the server's kind. One of another kind counts once
+// the next one is of that kind too and none of the former kind has come for agreementAge. It
+// then begins anew what counts of the server.
+func (c *Core) acceptKind(e *work.Server) bool {
+	s := &c.server
+	last := s.otherKind
+	s.otherKind = nil
+	if sameKind(&s.report.Server, e) {
+		s.kindAt = c.now
+		return true
+	}
+	if last != nil && sameKind(last, e) && c.now-s.kindAt >= c.agreementAge() {
+		c.emit(LogMessage{Text: "backend server has changed", Incarnation: e.Incarnation, Reason: difference(&s.report.Server, e)})
+		s.report.Server, s.disputed, s.kindAt, s.agreedAt = *e, nil, c.now, c.now
+		return true
+	}
+	s.otherKind = e
+	c.emit(LogMessage{ReportIgnored: true, Text: "report ignored until only such ones come: it contradicts earlier ones", Incarnation: e.Incarnation, Reason: difference(&s.report.Server, e)})
+	return false
 }
 
 // reportDelayed handles a report that is a duplicate or older than the newest one. Several in a
@@ -75,19 +97,16 @@
 	return time.Duration(agreementIntervals * float64(c.cfg.ReportInterval))
 }
 
-// settle returns what counts in full after a report e. last is the report before it if that
-// differed from what counted before, else nil; alone is true if none has agreed with that for
-// agreementAge. Of a capacity that changes with each report, the smaller of the last two counts.
+// settle returns what counts in full after a report e of the same kind. last is the report before
+// it if that differed from what counted before, else nil; alone is true if none has agreed with
+// that for agreementAge. Of a capacity that changes with each report, the smaller of the last two
+// counts.
 func settle(before, last, e *work.Server, alone bool) work.Server {
 	settled := *before
-	if sameKind(before, e) {
-		settled.Remaining = e.Remaining
-	}
-	if last == nil || !alone || !sameKind(last, e) {
+	settled.Remaining = e.Remaining
+	if last == nil || !alone {
 		return settled
 	}
-	settled.Service, settled.Domain, settled.Labels = e.Service, e.Domain, e.Labels
-	settled.Remaining = e.Remaining
 	if last.Draining == e.Draining {
 		settled.Draining = e.Draining
 	}
@@ -102,8 +121,9 @@
 	return a.Service == b.Service && a.Domain == b.Domain && slices.Equal(a.Labels, b.Labels)
 }
 
+// differs reports whether two reports of one kind differ in what an incarnation changes.
 func differs(a, b *work.Server) bool {
-	return !sameKind(a, b) || a.Draining != b.Draining || a.Capacity != b.Capacity
+	return a.Draining != b.Draining || a.Capacity != b.Capacity
 }
 
 // logReport logs what the newest report changes, or doesn't change yet, in what counts of the
@@ -112,7 +132,7 @@
 	now, disputed := &c.server.report.Server, c.server.disputed
 	m := LogMessage{Incarnation: now.Incarnation}
 	switch {
-	case disputed != nil && (!sameKind(now, disputed) || now.Draining && !disputed.Draining):
+	case disputed != nil && now.Draining && !disputed.Draining:
 		m.ReportIgnored, m.Text, m.Reason = true, "report ignored until only such ones come: it contradicts earlier ones", difference(now, disputed)
 	case disputed != nil:
 		m.Text, m.Reason = "report differs from earlier ones; it counts in full once only such ones come", difference(now, disputed)
@@ -152,20 +172,15 @@
 	return fmt.Sprintf("%d thousandths of a core, %d MB, %d accelerators", d.CPUMilli, d.MemoryMB, d.GPUs)
 }
 
-// mayHaveChanged reports whether the newest report differs in what an incarnation changes.
-func (s *serverState) mayHaveChanged() bool {
-	return s.disputed != nil && sameKind(&s.report.Server, s.disputed)
-}
-
 // draining reports whether the server gets no new task since it drains, may drain, or is said
 // to have left.
 func (s *serverState) draining() bool {
-	return s.left || s.report.Server.Draining || s.mayHaveChanged() && s.disputed.Draining
+	return s.left || s.report.Server.Draining || s.disputed != nil && s.disputed.Draining
 }
 
 // capacity returns the capacity that tasks may use: the least that the server may have.
 func (s *serverState) capacity() work.Demand {
-	if !s.mayHaveChanged() {
+	if s.disputed == nil {
 		return s.report.Server.Capacity
 	}
 	return s.report.Server.Capacity.Least(s.disputed.Capacity)
--- a/run/report_test.go
+++ b/run/report_test.go
@@ -112,6 +112,25 @@
 	}
 }
 
+// Reports of another kind between those of a server that drains must not make it look ready.
+func TestReportsOfAnotherKindDoNotHideThatTheServerDrains(t *testing.T) {
+	s := newRealServer(t)
+	s.stepAnswered(s.nextReport())
+	for n := range 12 {
+		s.now += 500 * time.Millisecond
+		e := s.nextReport()
+		if n%3 == 0 {
+			e.Server.Draining, e.Server.Remaining = true, time.Second
+		} else {
+			e.Server.Service = "backup"
+		}
+		s.stepAnswered(e)
+		if room := s.core.Room(); !room.Server.Draining || !room.Closed || room.Server.Service != "s" {
+			t.Fatalf("room %+v after report %d, want that of a server that drains", room, n)
+		}
+	}
+}
+
 // A capacity that changes with every report never counted, since no report repeated the one
 // before it (found while the rule was written).
 func TestACapacityThatChangesWithEveryReportIsFollowed(t *testing.T) {
--- a/run/server.go
+++ b/run/server.go
@@ -24,11 +24,12 @@
 	phase serverPhase
 	// report is the newest report of the incarnation, with what counts in full of the server.
 	report ServerReported
-	// disputed is what the newest report says of the server, if that doesn't count in full
-	// yet, else nil.
-	disputed *work.Server
-	// agreedAt is when the last report arrived that counts in full.
-	agreedAt time.Duration
+	// disputed is what the newest report of the server's kind says of it, if that doesn't count in
+	// full yet, else nil; otherKind is the newest report if that is of another kind, else nil.
+	disputed, otherKind *work.Server
+	// agreedAt is when the last report arrived that counts in full, and kindAt when the last one of
+	// the server's kind did.
+	agreedAt, kindAt time.Duration
 	// delayed is the number of reports since the newest one that were older or duplicates.
 	delayed int
 	// confirmed is true once the server has answered as the incarnation of the report.
