--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -30,7 +30,7 @@
 		}
 		steps = append(steps, step)
 	}
-	text, _ := json.Marshal(map[string]any{"spec": fmt.Sprintf("work %d", j.work.Milliseconds()), "steps": steps, names["bestEffort"]: true})
+	text, _ := json.Marshal(map[string]any{"spec": fmt.Sprintf("work %d", j.work.Milliseconds()), "steps": steps, names["lossy"]: true})
 	return string(text)
 }
 
--- a/review/standins-2/executor.go
+++ b/review/standins-2/executor.go
@@ -18,7 +18,7 @@
 const (
 	heartbeat = 1500 * time.Millisecond
 	holdMax   = 1000 * time.Millisecond
-	stopTakes = 20 * time.Millisecond // at most graceStopMs
+	stopTakes = 20 * time.Millisecond // the bound is 50 ms
 	cancelMs  = 3000 * time.Millisecond
 	contact   = 3000 * time.Millisecond
 	retry     = 1300 * time.Millisecond
