--- a/review/standins-2/cancel.go
+++ b/review/standins-2/cancel.go
@@ -152,6 +152,7 @@
 	}
 	<-posted
 	<-ended
+	time.Sleep(300 * time.Millisecond)
 	return startsAfterCancel(s, j.id, acked.at), nil
 }
 
