--- a/review/standins-2/late.go
+++ b/review/standins-2/late.go
@@ -145,7 +145,7 @@
 	channel := &http.Client{Transport: &http.Transport{}}
 	defer channel.CloseIdleConnections()
 	opener := &job{id: newID(), tasks: []int{1}, work: 60 * time.Millisecond, limit: 1500 * time.Millisecond}
-	if status, err := s.sendOn(channel, address, far, opener); status != http.StatusOK {
+	if status, err := s.sendOn(context.Background(), channel, address, far, opener); status != http.StatusOK {
 		return nil, fmt.Errorf("the first job on the channel: status %d, %w", status, err)
 	}
 	j := &job{id: newID(), tasks: []int{4}, work: 1200 * time.Millisecond, limit: 1500 * time.Millisecond}
@@ -153,7 +153,7 @@
 	if trouble {
 		path.cut()
 	}
-	status, err := s.sendOn(channel, address, far, j)
+	status, err := s.sendOn(context.Background(), channel, address, far, j)
 	switch {
 	case trouble && err == nil:
 		return nil, fmt.Errorf("a job was answered %d during the cut", status)
@@ -171,9 +171,9 @@
 	return overlaps(s, j.id), nil
 }
 
-// sendOn sends a job on a channel that stays open.
-func (s *site) sendOn(channel *http.Client, address string, entry *process, j *job) (status int, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), j.limit)
+// sendOn sends a job on a channel that stays open until the context ends.
+func (s *site) sendOn(open context.Context, channel *http.Client, address string, entry *process, j *job) (status int, err error) {
+	ctx, cancel := context.WithTimeout(open, j.limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+prefix+j.id, strings.NewReader(j.body()))
 	if err != nil {
@@ -185,7 +185,7 @@
 	s.rec.add("client: POST of %s to %s on its open channel", j.id, entry.name)
 	res, err := channel.Do(req)
 	if err != nil {
-		s.rec.add("client: POST of %s: no answer until its deadline, channel closed", j.id)
+		s.rec.add("client: POST of %s: no answer, channel closed", j.id)
 		return 0, err
 	}
 	_, _ = io.Copy(io.Discard, res.Body)
