claim: an entry claims a job before it starts any of it, so that a late request and its copy run once

A POST is held up in the network, its caller closes the connection and submits the job at another entry; the POST arrives while that one runs the job.

Cause: nothing tells an old request from a new one, and no entry asks who runs a job. callerLeft looks at the connection once; the end of the connection arrives a round trip after the request at the earliest. The delay decides only how long both run: with an end that comes 4 ms, 24 ms, 300 ms after the request, or not within the test, each task ran twice.

Change: an entry claims a job at two arbiters, entries of two failure domains that a hash of its ID selects, before it starts any of it (package claim). An arbiter that knows of another holder names it. That one is asked, directly and by way of the arbiters; if it has the job, its answer is awaited, so that the work goes on and the copy is answered when it ends. A holder that is stopping the job's last runs is asked again until they have ended (schedule/presence.go). One that can't be reached counts as gone once its leases must have lapsed (784 ms). Claims at the same time are decided by incarnation.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"foxtaildock.example/dock/claim"
 	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/directory"
 	"foxtaildock.example/dock/lease"
@@ -82,6 +83,9 @@
 	closing       atomic.Bool  // the process closes the connections of its callers
 	stats         atomic.Pointer[schedule.Stats]
 	cancels       cancelRelay
+	claims        *claim.Claims
+	register      *claim.Register // of the jobs whose arbiter this entry is
+	createdAt     time.Duration   // by package clock
 }
 
 // New returns an entry. Start runs it.
@@ -91,6 +95,10 @@
 		core:    schedule.New(schedule.Config{Terms: cfg.Terms, RemoteFactor: cfg.RemoteFactor}),
 		events:  make(chan any, eventQueueSize),
 		waiters: map[work.JobID][]chan schedule.Answer{},
+
+		claims:    claim.NewClaims(cfg.Self.Incarnation, cfg.Self.Address),
+		register:  claim.NewRegister(maxRegistered),
+		createdAt: clock.Now(),
 	}
 	d.links = newLinks(d)
 	d.cancels.queues = map[string][]undelivered{}
@@ -144,9 +152,11 @@
 type (
 	submission struct {
 		job schedule.Job
-		// timeout counts from the time at which the core goroutine gets the job.
-		timeout time.Duration
-		answer  chan schedule.Answer
+		// claimedAt is when the calls began by which this entry has got the job.
+		claimedAt time.Duration
+		answer    chan schedule.Answer
+		// taken gets whether the core has taken the job.
+		taken chan bool
 	}
 	callerGone struct {
 		id     work.JobID
@@ -169,6 +179,8 @@
 		d.handleCallerGone(e)
 	case agentMessage:
 		d.handleAgentMessage(e)
+	case attachment:
+		d.handleAttachment(e)
 	case coreQuery:
 		e.run(d.core)
 	}
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -19,6 +19,7 @@
 	latency    metric.Float64Histogram
 	firstStart metric.Float64Histogram
 	refused    metric.Int64Counter
+	claims     metric.Float64Histogram
 	// fleet holds the figures of the fleet's load that the gauges read at each scrape.
 	fleet atomic.Pointer[[]schedule.FleetFigure]
 }
@@ -33,8 +34,11 @@
 		metric.WithUnit("s"), metric.WithDescription("Time from the arrival of a job to its first offer."),
 		metric.WithExplicitBucketBoundaries(telemetry.DurationBounds()...))
 	refused, errRefused := m.Int64Counter("foxtaildock.jobs.refused", metric.WithDescription("Jobs rejected, by reason and priority."))
-	metrics := &Metrics{jobs: jobs, latency: latency, firstStart: firstStart, refused: refused}
-	return metrics, errors.Join(errJobs, errLatency, errFirst, errRefused, metrics.observeFleet(m))
+	claims, errClaims := m.Float64Histogram("foxtaildock.claim.duration",
+		metric.WithUnit("s"), metric.WithDescription("Time that arbiters take to answer the claim of a job, by whether they name another holder."),
+		metric.WithExplicitBucketBoundaries(telemetry.DurationBounds()...))
+	metrics := &Metrics{jobs: jobs, latency: latency, firstStart: firstStart, refused: refused, claims: claims}
+	return metrics, errors.Join(errJobs, errLatency, errFirst, errRefused, errClaims, metrics.observeFleet(m))
 }
 
 // observeFleet creates the gauges of the fleet's load. They have no value while too few agents
@@ -89,6 +93,13 @@
 	}
 }
 
+// recordClaim records how long a claim took, and whether another entry holds the job.
+func (m *Metrics) recordClaim(took time.Duration, held bool) {
+	if m != nil {
+		m.claims.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.Bool("held", held)))
+	}
+}
+
 // Observed returns the gauges of the entry, which are read at each scrape.
 func (d *Dispatcher) Observed() []telemetry.Observed {
 	return []telemetry.Observed{
--- a/dispatcher/peers.go
+++ b/dispatcher/peers.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"foxtaildock.example/dock/claim"
 	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/directory"
 	"foxtaildock.example/dock/link"
@@ -38,18 +39,59 @@
 	return l.peers.addresses(true)
 }
 
+// arbiters returns the addresses of the other entries that are arbiters of a job, and whether
+// this one is an arbiter too. Of the silent ones it returns those that weren't called lately.
+func (l *links) arbiters(id work.JobID, now time.Duration) (answering, silent []string, isArbiter bool) {
+	self := l.dispatcher.cfg.Self
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range claim.Arbiters(id, append(l.peers.candidates(), claim.Candidate{Address: self.Address, Domain: self.Domain})) {
+		switch {
+		case a.Address == self.Address:
+			isArbiter = true
+		case !a.Silent:
+			answering = append(answering, a.Address)
+		case now-l.peers.byAddress[a.Address].askedAt >= claimTimeout:
+			silent = append(silent, a.Address)
+		}
+	}
+	return answering, silent, isArbiter
+}
+
+// failingSince returns when the first of the calls ended that an entry has left unanswered since
+// its last answer, or now if it has answered the last one or isn't known.
+func (l *links) failingSince(address string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.peers.byAddress[address]; p != nil && p.failures > 0 {
+		return p.failingSince
+	}
+	return clock.Now()
+}
+
 // peerCall is a call to another entry. It returns why there was no answer.
 type peerCall func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient) error
 
 // callPeers calls other entries at once and returns when all calls have ended.
 func (l *links) callPeers(ctx context.Context, addresses []string, call peerCall) {
-	limited, cancel := context.WithTimeout(ctx, peerTimeout)
+	l.callPeersWithin(ctx, peerTimeout, addresses, call)
+}
+
+// callPeersWithin is callPeers with another bound than peerTimeout.
+func (l *links) callPeersWithin(ctx context.Context, timeout time.Duration, addresses []string, call peerCall) {
+	if len(addresses) == 0 {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := clock.Now()
 	var wait sync.WaitGroup
 	for _, address := range addresses {
 		wait.Go(func() {
 			err := call(limited, address, l.peer(address))
-			if ctx.Err() == nil { // else the call may have been given up too early for an answer
+			gaveUp := ctx.Err() != nil
+			paused := clock.Now()-began > 2*timeout // this process, with an answer that wasn't read
+			if err == nil || !gaveUp && !paused {
 				l.peerCalled(address, err)
 			}
 		})
--- a/dispatcher/peerset.go
+++ b/dispatcher/peerset.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"foxtaildock.example/dock/claim"
 	"foxtaildock.example/dock/directory"
 )
 
@@ -102,6 +103,17 @@
 	return list
 }
 
+// candidates returns the entries that don't count as gone, as arbiters of jobs.
+func (s *peerSet) candidates() []claim.Candidate {
+	list := make([]claim.Candidate, 0, len(s.byAddress)+1)
+	for address, p := range s.byAddress {
+		if !p.gone() {
+			list = append(list, claim.Candidate{Address: address, Domain: p.member.Domain, Silent: p.failures > 0})
+		}
+	}
+	return list
+}
+
 // members returns the entries that don't count as gone.
 func (s *peerSet) members() []directory.Member {
 	var list []directory.Member
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -4,19 +4,26 @@
 	"context"
 	"time"
 
+	"foxtaildock.example/dock/claim"
 	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/overload"
+	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/schedule"
 	"foxtaildock.example/dock/telemetry"
 	"foxtaildock.example/dock/work"
 )
 
-// handleSubmission passes a job to the core and records that its caller waits for it.
+// handleSubmission passes a job to the core and records that its caller waits for it, unless it
+// was claimed too long ago.
 func (d *Dispatcher) handleSubmission(e submission) {
-	e.job.Deadline = clock.Now() + e.timeout
+	if d.tookTooLong(e.claimedAt) {
+		e.taken <- false
+		return
+	}
 	d.waiters[e.job.ID] = append(d.waiters[e.job.ID], e.answer)
-	d.cfg.Log.Info("job arrived", telemetry.JobID(string(e.job.ID)), telemetry.Route(e.job.Route.Name), telemetry.Count(e.job.Tasks()), telemetry.Elapsed(e.timeout))
+	d.cfg.Log.Info("job arrived", telemetry.JobID(string(e.job.ID)), telemetry.Route(e.job.Route.Name), telemetry.Count(e.job.Tasks()), telemetry.Elapsed(e.job.Deadline-clock.Now()))
 	d.step(schedule.JobArrived{Job: e.job})
+	e.taken <- true
 }
 
 // handleCallerGone removes a caller that no longer waits. The job is dropped when its
@@ -81,32 +88,107 @@
 }
 
 // Submit submits the job and waits for its answer. The job times out after the given
-// time, and is dropped if the context ends and no other caller waits for it.
+// time, and is dropped if the context ends and no other caller waits for it. If another entry has
+// the job already, its answer is that of the other one.
 func (d *Dispatcher) Submit(ctx context.Context, job schedule.Job, timeout time.Duration) schedule.Answer {
-	answer := make(chan schedule.Answer, 1)
+	job.Deadline = clock.Now() + timeout
+	waiting, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for {
+		mine, followed, err := d.claims.Begin(waiting, job.ID)
+		switch {
+		case err != nil:
+			return d.notStarted(ctx, &job)
+		case followed == (claim.Holder{}):
+			return d.submitClaiming(ctx, waiting, &job, mine)
+		}
+		if a, final := d.follow(waiting, &job, followed, followed.Address); final {
+			return a
+		}
+		if !pause.For(waiting, locatePause) {
+			return d.notStarted(ctx, &job)
+		}
+	}
+}
+
+// submitClaiming claims a job and submits it to the core, or follows the entry that has it. Without
+// a claim it waits for the answer of a job that the core has.
+func (d *Dispatcher) submitClaiming(ctx, waiting context.Context, job *schedule.Job, mine claim.Holder) schedule.Answer {
+	if answer, found := d.attach(job.ID); found {
+		d.claims.End(job.ID)
+		return d.awaitAnswer(ctx, job.ID, answer)
+	}
+	calls := &jobCalls{d: d, job: job.ID, until: job.Deadline}
+	for {
+		holder, err := d.claims.Acquire(waiting, calls, job.ID, mine)
+		if err != nil {
+			d.claims.End(job.ID)
+			return d.notStarted(ctx, job)
+		}
+		if holder != (claim.Holder{}) {
+			if a, final := d.follow(waiting, job, holder, calls.via); final {
+				d.claims.End(job.ID)
+				return a
+			}
+		} else if a, inTime := d.submitClaimed(ctx, job, calls.began); inTime {
+			return a
+		}
+		mine = d.claims.Resume(job.ID)
+	}
+}
+
+// submitClaimed passes a job to the core, which ends its claim, and waits for its answer. inTime is
+// false if the core has got the job so late after its claim that other entries may have given
+// this one up meanwhile: nothing was started then, and the claim goes on.
+func (d *Dispatcher) submitClaimed(ctx context.Context, job *schedule.Job, claimedAt time.Duration) (a schedule.Answer, inTime bool) {
+	s := submission{job: *job, claimedAt: claimedAt, answer: make(chan schedule.Answer, 1), taken: make(chan bool, 1)}
 	select {
-	case d.events <- submission{job: job, timeout: timeout, answer: answer}:
+	case d.events <- s:
 	default:
-		return d.turnAway(job.ID, job.Route.Priority, "entry busy")
+		d.claims.End(job.ID)
+		return d.turnAway(job.ID, job.Route.Priority, "entry busy"), true
 	}
+	select {
+	case taken := <-s.taken:
+		if !taken {
+			return schedule.Answer{}, false
+		}
+	case <-d.base.Done():
+	}
+	d.claims.End(job.ID)
+	return d.awaitAnswer(ctx, job.ID, s.answer), true
+}
+
+// awaitAnswer waits for the answer of a job that the core has. The core is told if the context ends
+// first.
+func (d *Dispatcher) awaitAnswer(ctx context.Context, id work.JobID, answer chan schedule.Answer) schedule.Answer {
 	select {
 	case a := <-answer:
 		return a
 	case <-ctx.Done():
 		reason := d.disconnectReason()
-		d.enqueue(callerGone{job.ID, answer, reason})
-		return schedule.Answer{ID: job.ID, Verdict: schedule.Dropped, Reason: reason}
+		d.enqueue(callerGone{id, answer, reason})
+		return schedule.Answer{ID: id, Verdict: schedule.Dropped, Reason: reason}
 	case <-d.base.Done():
-		return schedule.Answer{ID: job.ID, Verdict: schedule.Interrupted, Reason: "entry stopped", FirstStart: -1}
+		return schedule.Answer{ID: id, Verdict: schedule.Interrupted, Reason: "entry stopped", FirstStart: -1}
+	}
+}
+
+// notStarted returns the answer of a job of which this entry has started nothing until its
+// caller left, or stopped waiting.
+func (d *Dispatcher) notStarted(caller context.Context, job *schedule.Job) schedule.Answer {
+	a := schedule.Answer{ID: job.ID, Verdict: schedule.TimedOut, Reason: "deadline", FirstStart: -1, Priority: job.Route.Priority}
+	if caller.Err() != nil {
+		a.Verdict, a.Reason = schedule.Dropped, d.disconnectReason()
 	}
+	d.logAnswer(a)
+	return a
 }
 
 // CallerLeft records that a job wasn't submitted, since its caller had disconnected
 // before its request was read. The caller may have submitted it elsewhere meanwhile.
 func (d *Dispatcher) CallerLeft(id work.JobID) {
-	a := schedule.Answer{ID: id, Verdict: schedule.Dropped, Reason: "caller left before its request was read", FirstStart: -1}
-	d.cfg.Log.Info("job answered", telemetry.JobID(string(id)), telemetry.OutcomeText(a.Verdict.String()), telemetry.ReasonText(a.Reason))
-	d.cfg.Metrics.recordAnswer(a)
+	d.logAnswer(schedule.Answer{ID: id, Verdict: schedule.Dropped, Reason: "caller left before its request was read", FirstStart: -1})
 }
 
 // retryElsewhereAfter is the retry delay for callers rejected because this entry is
@@ -116,7 +198,12 @@
 // turnAway returns the rejection of a job that the core doesn't see.
 func (d *Dispatcher) turnAway(id work.JobID, priority work.Priority, reason string) schedule.Answer {
 	a := schedule.Answer{ID: id, Verdict: schedule.Rejected, Priority: priority, Reason: reason, RetryAfter: retryElsewhereAfter, FirstStart: -1}
-	d.cfg.Log.Info("job answered", telemetry.JobID(string(id)), telemetry.OutcomeText(a.Verdict.String()), telemetry.ReasonText(reason))
-	d.cfg.Metrics.recordAnswer(a)
+	d.logAnswer(a)
 	return a
 }
+
+// logAnswer logs and counts the answer of a job that the core doesn't see.
+func (d *Dispatcher) logAnswer(a schedule.Answer) {
+	d.cfg.Log.Info("job answered", telemetry.JobID(string(a.ID)), telemetry.OutcomeText(a.Verdict.String()), telemetry.ReasonText(a.Reason), telemetry.Elapsed(a.Waited))
+	d.cfg.Metrics.recordAnswer(a)
+}
--- a/rpc/linkpb/linkpbconnect/link.connect.go
+++ b/rpc/linkpb/linkpbconnect/link.connect.go
@@ -46,6 +46,12 @@
 	EntryPeerAnnounceProcedure = "/link.v1.EntryPeer/Announce"
 	// EntryPeerCancelProcedure is the fully-qualified name of the EntryPeer's Cancel RPC.
 	EntryPeerCancelProcedure = "/link.v1.EntryPeer/Cancel"
+	// EntryPeerClaimProcedure is the fully-qualified name of the EntryPeer's Claim RPC.
+	EntryPeerClaimProcedure = "/link.v1.EntryPeer/Claim"
+	// EntryPeerLocateProcedure is the fully-qualified name of the EntryPeer's Locate RPC.
+	EntryPeerLocateProcedure = "/link.v1.EntryPeer/Locate"
+	// EntryPeerAwaitProcedure is the fully-qualified name of the EntryPeer's Await RPC.
+	EntryPeerAwaitProcedure = "/link.v1.EntryPeer/Await"
 	// EntryPeerOperatorProcedure is the fully-qualified name of the EntryPeer's Operator RPC.
 	EntryPeerOperatorProcedure = "/link.v1.EntryPeer/Operator"
 )
@@ -133,6 +139,12 @@
 	Announce(context.Context, *connect.Request[linkpb.AnnounceRequest]) (*connect.Response[linkpb.AnnounceResponse], error)
 	// Cancel drops a job if the entry coordinates it.
 	Cancel(context.Context, *connect.Request[linkpb.CancelRequest]) (*connect.Response[linkpb.CancelResponse], error)
+	// Claim records at an arbiter of a job that an entry holds it.
+	Claim(context.Context, *connect.Request[linkpb.ClaimRequest]) (*connect.Response[linkpb.ClaimResponse], error)
+	// Locate asks an entry whether it has a job.
+	Locate(context.Context, *connect.Request[linkpb.LocateRequest]) (*connect.Response[linkpb.LocateResponse], error)
+	// Await waits for the answer of a job at the entry that runs it.
+	Await(context.Context, *connect.Request[linkpb.AwaitRequest]) (*connect.Response[linkpb.AwaitResponse], error)
 	// Operator returns the newest operators' rows that the entry has.
 	Operator(context.Context, *connect.Request[linkpb.OperatorRequest]) (*connect.Response[linkpb.OperatorResponse], error)
 }
@@ -160,6 +172,24 @@
 			connect.WithSchema(entryPeerMethods.ByName("Cancel")),
 			connect.WithClientOptions(opts...),
 		),
+		claim: connect.NewClient[linkpb.ClaimRequest, linkpb.ClaimResponse](
+			httpClient,
+			baseURL+EntryPeerClaimProcedure,
+			connect.WithSchema(entryPeerMethods.ByName("Claim")),
+			connect.WithClientOptions(opts...),
+		),
+		locate: connect.NewClient[linkpb.LocateRequest, linkpb.LocateResponse](
+			httpClient,
+			baseURL+EntryPeerLocateProcedure,
+			connect.WithSchema(entryPeerMethods.ByName("Locate")),
+			connect.WithClientOptions(opts...),
+		),
+		await: connect.NewClient[linkpb.AwaitRequest, linkpb.AwaitResponse](
+			httpClient,
+			baseURL+EntryPeerAwaitProcedure,
+			connect.WithSchema(entryPeerMethods.ByName("Await")),
+			connect.WithClientOptions(opts...),
+		),
 		operator: connect.NewClient[linkpb.OperatorRequest, linkpb.OperatorResponse](
 			httpClient,
 			baseURL+EntryPeerOperatorProcedure,
@@ -173,6 +203,9 @@
 type entryPeerClient struct {
 	announce *connect.Client[linkpb.AnnounceRequest, linkpb.AnnounceResponse]
 	cancel   *connect.Client[linkpb.CancelRequest, linkpb.CancelResponse]
+	claim    *connect.Client[linkpb.ClaimRequest, linkpb.ClaimResponse]
+	locate   *connect.Client[linkpb.LocateRequest, linkpb.LocateResponse]
+	await    *connect.Client[linkpb.AwaitRequest, linkpb.AwaitResponse]
 	operator *connect.Client[linkpb.OperatorRequest, linkpb.OperatorResponse]
 }
 
@@ -186,6 +219,21 @@
 	return c.cancel.CallUnary(ctx, req)
 }
 
+// Claim calls link.v1.EntryPeer.Claim.
+func (c *entryPeerClient) Claim(ctx context.Context, req *connect.Request[linkpb.ClaimRequest]) (*connect.Response[linkpb.ClaimResponse], error) {
+	return c.claim.CallUnary(ctx, req)
+}
+
+// Locate calls link.v1.EntryPeer.Locate.
+func (c *entryPeerClient) Locate(ctx context.Context, req *connect.Request[linkpb.LocateRequest]) (*connect.Response[linkpb.LocateResponse], error) {
+	return c.locate.CallUnary(ctx, req)
+}
+
+// Await calls link.v1.EntryPeer.Await.
+func (c *entryPeerClient) Await(ctx context.Context, req *connect.Request[linkpb.AwaitRequest]) (*connect.Response[linkpb.AwaitResponse], error) {
+	return c.await.CallUnary(ctx, req)
+}
+
 // Operator calls link.v1.EntryPeer.Operator.
 func (c *entryPeerClient) Operator(ctx context.Context, req *connect.Request[linkpb.OperatorRequest]) (*connect.Response[linkpb.OperatorResponse], error) {
 	return c.operator.CallUnary(ctx, req)
@@ -198,6 +246,12 @@
 	Announce(context.Context, *connect.Request[linkpb.AnnounceRequest]) (*connect.Response[linkpb.AnnounceResponse], error)
 	// Cancel drops a job if the entry coordinates it.
 	Cancel(context.Context, *connect.Request[linkpb.CancelRequest]) (*connect.Response[linkpb.CancelResponse], error)
+	// Claim records at an arbiter of a job that an entry holds it.
+	Claim(context.Context, *connect.Request[linkpb.ClaimRequest]) (*connect.Response[linkpb.ClaimResponse], error)
+	// Locate asks an entry whether it has a job.
+	Locate(context.Context, *connect.Request[linkpb.LocateRequest]) (*connect.Response[linkpb.LocateResponse], error)
+	// Await waits for the answer of a job at the entry that runs it.
+	Await(context.Context, *connect.Request[linkpb.AwaitRequest]) (*connect.Response[linkpb.AwaitResponse], error)
 	// Operator returns the newest operators' rows that the entry has.
 	Operator(context.Context, *connect.Request[linkpb.OperatorRequest]) (*connect.Response[linkpb.OperatorResponse], error)
 }
@@ -221,6 +275,24 @@
 		connect.WithSchema(entryPeerMethods.ByName("Cancel")),
 		connect.WithHandlerOptions(opts...),
 	)
+	entryPeerClaimHandler := connect.NewUnaryHandler(
+		EntryPeerClaimProcedure,
+		svc.Claim,
+		connect.WithSchema(entryPeerMethods.ByName("Claim")),
+		connect.WithHandlerOptions(opts...),
+	)
+	entryPeerLocateHandler := connect.NewUnaryHandler(
+		EntryPeerLocateProcedure,
+		svc.Locate,
+		connect.WithSchema(entryPeerMethods.ByName("Locate")),
+		connect.WithHandlerOptions(opts...),
+	)
+	entryPeerAwaitHandler := connect.NewUnaryHandler(
+		EntryPeerAwaitProcedure,
+		svc.Await,
+		connect.WithSchema(entryPeerMethods.ByName("Await")),
+		connect.WithHandlerOptions(opts...),
+	)
 	entryPeerOperatorHandler := connect.NewUnaryHandler(
 		EntryPeerOperatorProcedure,
 		svc.Operator,
@@ -233,6 +305,12 @@
 			entryPeerAnnounceHandler.ServeHTTP(w, r)
 		case EntryPeerCancelProcedure:
 			entryPeerCancelHandler.ServeHTTP(w, r)
+		case EntryPeerClaimProcedure:
+			entryPeerClaimHandler.ServeHTTP(w, r)
+		case EntryPeerLocateProcedure:
+			entryPeerLocateHandler.ServeHTTP(w, r)
+		case EntryPeerAwaitProcedure:
+			entryPeerAwaitHandler.ServeHTTP(w, r)
 		case EntryPeerOperatorProcedure:
 			entryPeerOperatorHandler.ServeHTTP(w, r)
 		default:
@@ -252,6 +330,18 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("link.v1.EntryPeer.Cancel is not implemented"))
 }
 
+func (UnimplementedEntryPeerHandler) Claim(context.Context, *connect.Request[linkpb.ClaimRequest]) (*connect.Response[linkpb.ClaimResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("link.v1.EntryPeer.Claim is not implemented"))
+}
+
+func (UnimplementedEntryPeerHandler) Locate(context.Context, *connect.Request[linkpb.LocateRequest]) (*connect.Response[linkpb.LocateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("link.v1.EntryPeer.Locate is not implemented"))
+}
+
+func (UnimplementedEntryPeerHandler) Await(context.Context, *connect.Request[linkpb.AwaitRequest]) (*connect.Response[linkpb.AwaitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("link.v1.EntryPeer.Await is not implemented"))
+}
+
 func (UnimplementedEntryPeerHandler) Operator(context.Context, *connect.Request[linkpb.OperatorRequest]) (*connect.Response[linkpb.OperatorResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("link.v1.EntryPeer.Operator is not implemented"))
 }
--- a/run/run_test.go
+++ b/run/run_test.go
@@ -395,3 +395,27 @@
 		t.Fatal("the run goes on under a lease that begins in the future")
 	}
 }
+
+// An offer that the network held up, with the heartbeats before it, starts nothing: neither when it
+// arrives nor once its entry has a lease again.
+func TestAnOfferThatWasHeldUpStartsNothing(t *testing.T) {
+	h := newHarness(t)
+	h.useServer()
+	sent := h.now
+	for range 20 {
+		h.now += 100 * time.Millisecond
+		h.step(Tick{})
+		h.answerHold(nil, nil)
+	}
+	h.step(EntryHeartbeat{Entry: entryA, AsOf: sent})
+	h.step(offer(0))
+	h.step(EntryHeartbeat{Entry: entryA, AsOf: h.now})
+	h.step(Tick{})
+	actions := h.take()
+	if n := len(of[CallStart](actions)); n != 0 {
+		t.Errorf("%d starts by an offer that is two seconds old", n)
+	}
+	if reports := of[Report](actions); len(reports) != 1 || reports[0].Outcome != work.NotStarted {
+		t.Errorf("reports %+v, want that the offer wasn't started", reports)
+	}
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -72,6 +72,7 @@
 	noFree                  []noFreeCapacity
 	crashes                 crashHistory
 	cancelled               cancelledJobs
+	ending                  endingJobs
 	reserve                 reservations
 	plans                   queuePlans
 	fit                     fitCheck
@@ -92,6 +93,7 @@
 		racks:     map[string]bool{},
 		crashes:   crashHistory{counts: map[work.Task]int{}},
 		cancelled: cancelledJobs{at: map[work.JobID]time.Duration{}},
+		ending:    endingJobs{jobs: map[work.JobID]*endingJob{}},
 		plans:     queuePlans{sizes: map[string]*overload.Sizes{}, rates: map[queueKey]*plannedRate{}},
 		reserve:   reservations{services: map[ident.Service]*serviceNeeds{}},
 	}
@@ -102,6 +104,7 @@
 func (c *Core) Step(now time.Duration, e Event) []Action {
 	c.out = nil
 	c.advance(now)
+	c.ending.forget(c.now)
 	c.noteFitChange(e)
 	switch e := e.(type) {
 	case JobArrived:
@@ -266,6 +269,7 @@
 				run := work.Run{Task: work.Task{Job: j.ID, Step: s, Index: i}, ID: t.run}
 				stops[t.agent] = append(stops[t.agent], run)
 				delete(t.agent.runs, run.Task)
+				c.ending.add(run, c.now+c.cfg.Terms.MaxRunAfterEntryLoss())
 			}
 		}
 	}
@@ -313,6 +317,7 @@
 const runSkip = 1000
 
 func (c *Core) runEnded(e RunEnded) {
+	c.ending.ended(e.Run)
 	a := c.agents[e.Agent]
 	if a != nil {
 		delete(a.runs, e.Run.Task)
