dispatcher: an entry that was frozen asks for its jobs again before it goes on with them

What callers saw: an entry with a job freezes, its caller gives up and submits the job at another entry, which runs it. The first entry is back, learns that its runs have lapsed, and starts the tasks again beside the other one's, until the end of the caller's connection arrives.

Cause: an entry that wakes goes on with whatever its core has.

Change: the core names its jobs when it notices a pause (over 312 ms without a step), and the entry claims each of them once more. If another entry has a job now, it ends here with "another entry has taken the job over", a 502 to a caller that may still wait. Offers follow two heartbeats after a wake, the claim a round trip.

Test: TestAFrozenEntryDoesNotGoOnWithAJobThatAnotherHasTakenOver, with real processes; it fails on (each of the four tasks twice at once) and holds with this commit.

--- a/bench/usersite/copies_test.go
+++ b/bench/usersite/copies_test.go
@@ -185,6 +185,34 @@
 	time.Sleep(copyTime / 2)
 }
 
+// An entry that was frozen went on with its jobs when it was back, although another one had taken
+// them over.
+func TestAFrozenEntryDoesNotGoOnWithAJobThatAnotherHasTakenOver(t *testing.T) {
+	t.Parallel()
+	s := startHeldSite(t, time.Minute, 2*time.Second)
+	starts := s.Checks.Starts()
+	const id = "0000000000000003"
+	lost, cancel := context.WithCancel(t.Context())
+	go func() {
+		awaitStarts(t, s.Site, starts+4)
+		if err := s.Entries[0].Pause(); err != nil {
+			t.Error(err)
+		}
+		cancel()
+	}()
+	var c Caller
+	c.Submit(lost, s.path.Address(), id, 4, s.runTime, 10*time.Second)
+	time.Sleep(resendDelay)
+	go func() {
+		time.Sleep(1500 * time.Millisecond)
+		if err := s.Entries[0].Resume(); err != nil {
+			t.Error(err)
+		}
+	}()
+	s.submitCopy(t, id, 4)
+	time.Sleep(copyTime / 2)
+}
+
 // Copies that arrive after the answer, at all entries at once, run one at a time.
 func TestLateCopiesAfterTheAnswerRunOneAtATime(t *testing.T) {
 	t.Parallel()
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -74,6 +74,13 @@
 	return c.next(), nil
 }
 
+// Another returns a further claim, of a job that the entry's core has already.
+func (c *Claims) Another() Holder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next()
+}
+
 // next returns a claim with the next number.
 func (c *Claims) next() Holder {
 	c.last++
--- a/dispatcher/claims.go
+++ b/dispatcher/claims.go
@@ -16,6 +16,7 @@
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/rpc/linkpb/linkpbconnect"
+	"foxtaildock.example/dock/schedule"
 	"foxtaildock.example/dock/telemetry"
 	"foxtaildock.example/dock/work"
 )
@@ -64,6 +65,22 @@
 	}
 }
 
+// claimAgain claims a job that the core has, after a pause of this process in which other entries
+// may have given it up. The job is ended here if another one has it now.
+func (d *Dispatcher) claimAgain(ctx context.Context, id work.JobID) {
+	mine := d.claims.Another()
+	calls := &jobCalls{d: d, job: id, until: clock.Now()}
+	named, err := calls.Claim(ctx, mine, nil)
+	if err != nil {
+		return // the entry ends
+	}
+	holder, _, err := claim.Find(ctx, calls, mine, named)
+	if err == nil && holder != (claim.Holder{}) {
+		d.cfg.Log.Info("another entry has taken over a job while this process was paused", telemetry.JobID(string(id)), telemetry.Peer(holder.Incarnation))
+		d.enqueue(schedule.JobMoved{ID: id})
+	}
+}
+
 // tookTooLong reports whether a claim that began at a time has taken so long that this process must
 // have been paused. Other entries take over its jobs after twice as long at the earliest.
 func (d *Dispatcher) tookTooLong(began time.Duration) bool {
--- a/dispatcher/claims_test.go
+++ b/dispatcher/claims_test.go
@@ -162,7 +162,7 @@
 	a.await(t, "job")
 	second := b.submit(t.Context(), "job")
 	time.Sleep(20 * time.Millisecond)
-	a.enqueue(schedule.EntryDraining{AnswerBy: clock.Now()})
+	a.enqueue(schedule.JobMoved{ID: "job"})
 	if got := <-first; got.Verdict != schedule.Interrupted {
 		t.Errorf("the first caller is answered %+v, want interrupted", got)
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -200,6 +200,10 @@
 		d.links.sendStops(a)
 	case schedule.Answer:
 		d.answer(a)
+	case schedule.Resumed:
+		for _, id := range a.Jobs {
+			go d.claimAgain(d.base, id)
+		}
 	case schedule.AdmittedLate:
 		d.cfg.Log.Info("job admitted as late", append(basisFields(&a.Basis), telemetry.JobID(string(a.ID)))...)
 	case schedule.LogMessage:
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -56,6 +56,9 @@
 	Reason string
 }
 
+// JobMoved ends a job that another entry has taken over, while this one was paused.
+type JobMoved struct{ ID work.JobID }
+
 // AgentAttached is the start of a session with an agent. Results of earlier sessions
 // are delivered before it.
 type AgentAttached struct {
@@ -141,6 +144,7 @@
 
 func (JobArrived) event()           {}
 func (JobDropped) event()           {}
+func (JobMoved) event()             {}
 func (AgentAttached) event()        {}
 func (AgentDetached) event()        {}
 func (AgentRoomReported) event()    {}
@@ -273,6 +277,11 @@
 	Speed float64
 }
 
+// Resumed says that the entry process was paused for long enough that other entries may have
+// taken over its jobs meanwhile.
+type Resumed struct{ Jobs []work.JobID }
+
+func (Resumed) action()      {}
 func (SendOffers) action()   {}
 func (SendStops) action()    {}
 func (Answer) action()       {}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -153,6 +153,15 @@
 	return list
 }
 
+// jobIDs returns the IDs of all jobs, in the order of their arrival.
+func (c *Core) jobIDs() []work.JobID {
+	var list []work.JobID
+	for _, j := range c.sortedJobs() {
+		list = append(list, j.ID)
+	}
+	return list
+}
+
 func (j *jobState) task(t work.Task) *taskState {
 	if t.Step < 0 || t.Step >= len(j.steps) || t.Index < 0 || t.Index >= len(j.steps[t.Step].tasks) {
 		return nil
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -111,6 +111,8 @@
 		c.jobArrived(e.Job)
 	case JobDropped:
 		c.jobDropped(e)
+	case JobMoved:
+		c.jobMoved(e)
 	case JobCancelled:
 		c.jobCancelled(e)
 	case AgentAttached:
@@ -164,6 +166,7 @@
 	case c.now-last > maxUnansweredHeartbeats*c.cfg.Terms.HeartbeatInterval:
 		c.resumedAt = c.now
 		c.emit(LogMessage{Text: "entry process was paused", Age: c.now - last})
+		c.emit(Resumed{Jobs: c.jobIDs()})
 	}
 }
 
@@ -240,6 +243,12 @@
 	}
 }
 
+func (c *Core) jobMoved(e JobMoved) {
+	if j := c.jobs[e.ID]; j != nil {
+		c.finish(j, Interrupted, "another entry has taken the job over")
+	}
+}
+
 // finish answers a job and stops its remaining runs.
 func (c *Core) finish(j *jobState, v Verdict, reason string) {
 	c.recordService(j, v, reason)
