claim: an entry whose core has a job says so while it claims it for a further submission

Between the start of a claim and the core's answer that it has the job already, an entry that is asked gave way to one of a lower incarnation, and said that it doesn't have the job: both would have run it. It now asks its core also then.

Also: an entry that waits for another one's answer decides itself when that one refuses the job (as one that stops does), where it passed the refusal on; and a submission is turned away while the queue of events is full, where it waited for the core.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -115,7 +115,7 @@
 	h := all.at(holder.Address)
 	stand, followed := h.claims.Asked(c.job, mine)
 	switch {
-	case stand == GoesFirst, stand == NoClaim && h.ended(c.job) != nil:
+	case stand == GoesFirst, (stand == NoClaim || stand == Yields) && h.ended(c.job) != nil:
 		return Here, Holder{}, ctx.Err()
 	case stand == Follows:
 		return Elsewhere, followed, ctx.Err()
@@ -150,7 +150,9 @@
 }
 
 func (s *simEntry) claim(id work.JobID, mine Holder, runTime time.Duration) {
-	if ended := s.ended(id); ended != nil {
+	ended := s.ended(id)
+	s.all.sleep(maxDelay) // as the core answers
+	if ended != nil {
 		s.claims.End(id)
 		<-ended
 		return
--- a/dispatcher/claims.go
+++ b/dispatcher/claims.go
@@ -268,9 +268,8 @@
 		res.Location = linkpb.Location_LOCATION_HERE
 	case claim.Follows:
 		res.Location, res.Followed = linkpb.Location_LOCATION_ELSEWHERE, link.HolderMessage(followed)
-	case claim.NoClaim:
+	case claim.NoClaim, claim.Yields: // a job that the core has may be claimed for a further submission
 		res.Location = d.locationInCore(id)
-	case claim.Yields:
 	}
 	return connect.NewResponse(res), nil
 }
--- a/dispatcher/follow.go
+++ b/dispatcher/follow.go
@@ -18,7 +18,7 @@
 )
 
 // follow waits for the answer of a job at the entry that runs it, which is reached at the address
-// via. final is false if that entry has given the job up, so that this one may run it.
+// via. final is false if that entry has given the job up or refused it, so that this one decides.
 func (d *Dispatcher) follow(ctx context.Context, job *schedule.Job, holder claim.Holder, via string) (a schedule.Answer, final bool) {
 	began := clock.Now()
 	d.cfg.Log.Info("job is at another entry; waiting for its answer", telemetry.JobID(string(job.ID)), telemetry.Peer(holder.Incarnation), telemetry.ReasonText(via))
@@ -26,7 +26,8 @@
 	if err == nil && res.Msg.GetFound() {
 		a, err = answerOf(res.Msg)
 	}
-	if err != nil || !res.Msg.GetFound() || a.Verdict == schedule.TimedOut || a.Verdict == schedule.Interrupted {
+	final = a.Verdict == schedule.Completed || a.Verdict == schedule.FailedJob || a.Verdict == schedule.Dropped
+	if err != nil || !final {
 		d.cfg.Log.Info("no answer of a job from the entry that had it", telemetry.JobID(string(job.ID)), telemetry.Peer(holder.Incarnation), telemetry.OutcomeText(a.Verdict.String()), telemetry.Elapsed(clock.Now()-began), telemetry.Err(err))
 		return schedule.Answer{}, false
 	}
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -114,6 +114,10 @@
 // submitClaiming claims a job and submits it to the core, or follows the entry that has it. Without
 // a claim it waits for the answer of a job that the core has.
 func (d *Dispatcher) submitClaiming(ctx, waiting context.Context, job *schedule.Job, mine claim.Holder) schedule.Answer {
+	if len(d.events) == cap(d.events) {
+		d.claims.End(job.ID)
+		return d.turnAway(job.ID, job.Route.Priority, reasonBusy)
+	}
 	if answer, found := d.attach(job.ID); found {
 		d.claims.End(job.ID)
 		return d.awaitAnswer(ctx, job.ID, answer)
@@ -146,7 +150,7 @@
 	case d.events <- s:
 	default:
 		d.claims.End(job.ID)
-		return d.turnAway(job.ID, job.Route.Priority, "entry busy"), true
+		return d.turnAway(job.ID, job.Route.Priority, reasonBusy), true
 	}
 	select {
 	case taken := <-s.taken:
@@ -195,6 +199,9 @@
 // busy or stopping. It is short, since other entries admit the job at once.
 const retryElsewhereAfter = time.Second
 
+// reasonBusy is why a job is turned away while the queue of events is full.
+const reasonBusy = "entry busy"
+
 // turnAway returns the rejection of a job that the core doesn't see.
 func (d *Dispatcher) turnAway(id work.JobID, priority work.Priority, reason string) schedule.Answer {
 	a := schedule.Answer{ID: id, Verdict: schedule.Rejected, Priority: priority, Reason: reason, RetryAfter: retryElsewhereAfter, FirstStart: -1}
