dispatcher: an entry learns which jobs were cancelled before it takes any

Cause: cancels are remembered only by processes that were told of them. One that starts later asked nobody. An entry that had the job itself acknowledged its cancel before it told the others, so that the cancel could end with it.

Change: an entry that starts asks three others for the cancels of the last minute. It isn't ready and starts nothing until it has read who the others are and asked them once, for a second at most. Arbiters reply to a claim that its job was cancelled.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -95,11 +95,11 @@
 		}
 		wait.Go(func() {
 			all.sleep(maxDelay)
-			other, held := all.at(a.Address).register.Claim(0, Request{Job: c.job, By: mine, Absent: absent, Until: time.Hour})
+			other := all.at(a.Address).register.Claim(0, Request{Job: c.job, By: mine, Absent: absent, Until: time.Hour}).Other
 			all.sleep(maxDelay)
 			mu.Lock()
 			defer mu.Unlock()
-			if held && !slices.Contains(named, other) {
+			if other != (Holder{}) && !slices.Contains(named, other) {
 				named = append(named, other)
 			}
 		})
@@ -252,12 +252,16 @@
 		{by: b, absent: []Holder{again}},
 		{by: again, absent: []Holder{a}, want: b},
 	} {
-		if got, held := r.Claim(0, Request{Job: "j", By: step.by, Absent: step.absent, Until: 10}); got != step.want || held != (step.want != Holder{}) {
+		if got := r.Claim(0, Request{Job: "j", By: step.by, Absent: step.absent, Until: 10}).Other; got != step.want {
 			t.Errorf("step %d: %+v holds the job, want %+v", i, got, step.want)
 		}
 	}
-	if _, held := r.Claim(11, Request{Job: "j", By: a, Until: 20}); held {
-		t.Error("a record is kept longer than the caller waits")
+	if got := r.Claim(11, Request{Job: "j", By: a, Until: 20}); got != (Reply{}) {
+		t.Errorf("a record is kept longer than the caller waits: %+v", got)
+	}
+	r.Cancel(12, "j", 30)
+	if got := r.Claim(13, Request{Job: "j", By: a, Until: 20}); !got.Cancelled {
+		t.Errorf("a cancelled job is claimed: %+v", got)
 	}
 }
 
--- a/claim/register.go
+++ b/claim/register.go
@@ -52,8 +52,17 @@
 }
 
 type record struct {
-	holder Holder
-	until  time.Duration
+	holder    Holder
+	cancelled bool
+	until     time.Duration
+}
+
+// Reply is an arbiter's reply to a claim.
+type Reply struct {
+	// Other is the entry that holds the job. It is empty if the claim was recorded.
+	Other Holder
+	// Cancelled is true if the job was cancelled. Nobody may start it.
+	Cancelled bool
 }
 
 // NewRegister returns an empty register of at most limit records; the oldest is dropped first.
@@ -61,21 +70,35 @@
 	return &Register{limit: limit, records: map[work.JobID]record{}}
 }
 
-// Claim records that an entry holds a job, unless another one does already, which it returns
-// then.
-func (r *Register) Claim(now time.Duration, q Request) (other Holder, held bool) {
+// Claim records that an entry holds a job, unless another one does already or it was cancelled.
+func (r *Register) Claim(now time.Duration, q Request) Reply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forget(now)
 	old, known := r.records[q.Job]
-	if known && old.holder.Incarnation != q.By.Incarnation && !slices.Contains(q.Absent, old.holder) {
-		return old.holder, true
+	switch {
+	case old.cancelled:
+		return Reply{Cancelled: true}
+	case known && old.holder.Incarnation != q.By.Incarnation && !slices.Contains(q.Absent, old.holder):
+		return Reply{Other: old.holder}
 	}
-	r.records[q.Job] = record{holder: q.By, until: max(q.Until, old.until)}
-	if !known {
-		r.order = append(r.order, q.Job)
+	r.put(q.Job, record{holder: q.By, until: max(q.Until, old.until)})
+	return Reply{}
+}
+
+// Cancel records that a job was cancelled, which is remembered until the given time.
+func (r *Register) Cancel(now time.Duration, job work.JobID, until time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	r.put(job, record{cancelled: true, until: until})
+}
+
+func (r *Register) put(job work.JobID, n record) {
+	if _, known := r.records[job]; !known {
+		r.order = append(r.order, job)
 	}
-	return Holder{}, false
+	r.records[job] = n
 }
 
 // forget drops the oldest records while they are out of date or too many.
--- a/dispatcher/cancel.go
+++ b/dispatcher/cancel.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"foxtaildock.example/dock/clock"
+	"foxtaildock.example/dock/link"
 	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/rpc/linkpb/linkpbconnect"
@@ -39,16 +41,11 @@
 }
 
 // Cancel cancels a job at all entries. It reports whether one of them had it, or may have it
-// since it hasn't answered yet.
+// since it hasn't answered yet. It returns after the others were told, so that the cancel that
+// the caller sees acknowledged outlives this entry.
 func (d *Dispatcher) Cancel(ctx context.Context, id work.JobID) bool {
 	found := d.cancelLocal(id)
-	if found {
-		for _, address := range d.links.peerAddresses() {
-			d.tellLater(address, id)
-		}
-	} else {
-		found = d.cancelOnPeers(ctx, id)
-	}
+	found = d.cancelOnPeers(ctx, id) || found
 	go d.cancelOnGonePeers(id)
 	d.cfg.Log.Info("job cancelled", telemetry.JobID(string(id)), telemetry.OutcomeText(foundText(found)))
 	return found
@@ -64,10 +61,100 @@
 // cancelLocal cancels a job at this entry, and reports whether the entry has it.
 func (d *Dispatcher) cancelLocal(id work.JobID) bool {
 	found := d.HasJob(id)
-	d.enqueue(schedule.JobCancelled{ID: id})
+	d.rememberCancel(schedule.JobCancelled{ID: id})
 	return found
 }
 
+// rememberCancel cancels a job here and, as its arbiter, at entries that claim it.
+func (d *Dispatcher) rememberCancel(e schedule.JobCancelled) {
+	now := clock.Now()
+	d.register.Cancel(now, e.ID, now+schedule.CancelKept-e.Age)
+	d.enqueue(e)
+}
+
+const (
+	// cancelSources is the number of other entries that are asked for the cancels that they
+	// remember. Each has been told of all, unless it was away itself.
+	cancelSources = 3
+	// minLearnInterval is the first pause before an entry that knows too few others, or got no
+	// answer, tries again; it doubles up to maxLearnInterval.
+	minLearnInterval = 20 * time.Millisecond
+	maxLearnInterval = 1 * time.Second
+	// settleLimit is how long an entry that starts waits for the others: while the store is
+	// away it learns of them by its seeds.
+	settleLimit = 1 * time.Second
+)
+
+// learnCancels asks other entries for the cancels that this one may have missed, since it has just
+// started or was away, until cancelSources have answered or no cancel of before is remembered any
+// more.
+func (d *Dispatcher) learnCancels(ctx context.Context) {
+	if !d.learning.CompareAndSwap(false, true) {
+		return // it is under way
+	}
+	defer d.learning.Store(false)
+	var mu sync.Mutex
+	answered := map[string]bool{}
+	interval := minLearnInterval
+	for began := clock.Now(); clock.Now()-began < schedule.CancelKept; interval = min(2*interval, maxLearnInterval) {
+		sources := slices.DeleteFunc(d.links.peerAddresses(), func(address string) bool { return answered[address] })
+		d.links.callPeers(ctx, sources[:min(len(sources), cancelSources-len(answered))], func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient) error {
+			err := d.learnCancelsFrom(ctx, peer)
+			mu.Lock()
+			defer mu.Unlock()
+			if unlessAnswered(err) == nil {
+				answered[address] = true
+			}
+			return unlessAnswered(err)
+		})
+		if d.listedMembers.Load() || clock.Now()-began > settleLimit {
+			d.settle()
+		}
+		if len(answered) >= cancelSources || !pause.For(ctx, interval) {
+			return
+		}
+	}
+}
+
+// settle ends the time after its start in which the entry starts no jobs, since it doesn't know yet
+// who else there is and which jobs were cancelled.
+func (d *Dispatcher) settle() { d.settledOnce.Do(func() { close(d.settled) }) }
+
+func (d *Dispatcher) isSettled() bool {
+	select {
+	case <-d.settled:
+		return true
+	default:
+		return false
+	}
+}
+
+// learnCancelsFrom asks one entry for the cancels that it remembers.
+func (d *Dispatcher) learnCancelsFrom(ctx context.Context, peer linkpbconnect.EntryPeerClient) error {
+	res, err := peer.Cancelled(ctx, connect.NewRequest(&linkpb.CancelledRequest{}))
+	if err != nil {
+		return err
+	}
+	for _, j := range res.Msg.GetJobs() {
+		d.rememberCancel(schedule.JobCancelled{ID: work.JobID(j.GetJob()), Age: max(0, link.Millis(j.GetAgeMs()))})
+	}
+	if n := len(res.Msg.GetJobs()); n > 0 {
+		d.cfg.Log.Info("cancels of before learned from another entry", telemetry.Count(n))
+	}
+	return nil
+}
+
+// Cancelled returns the cancels that this entry remembers.
+func (p Peer) Cancelled(context.Context, *connect.Request[linkpb.CancelledRequest]) (*connect.Response[linkpb.CancelledResponse], error) {
+	var list []schedule.JobCancelled
+	p.Dispatcher.queryCore(func(c *schedule.Core) { list = c.Cancelled() })
+	res := &linkpb.CancelledResponse{}
+	for _, e := range list {
+		res.Jobs = append(res.Jobs, &linkpb.CancelledJob{Job: string(e.ID), AgeMs: e.Age.Milliseconds()})
+	}
+	return connect.NewResponse(res), nil
+}
+
 // cancelOnPeers tells all other entries at once. It reports whether one of them had the job or
 // didn't answer; the latter are told again later.
 func (d *Dispatcher) cancelOnPeers(ctx context.Context, id work.JobID) bool {
--- a/dispatcher/claims.go
+++ b/dispatcher/claims.go
@@ -94,9 +94,7 @@
 	named := &holders{}
 	answering, silent, self := d.links.arbiters(j.job, j.began)
 	if self {
-		if other, held := d.register.Claim(j.began, claim.Request{Job: j.job, By: mine, Absent: absent, Until: j.until}); held {
-			named.add(other)
-		}
+		named.add(d.register.Claim(j.began, claim.Request{Job: j.job, By: mine, Absent: absent, Until: j.until}))
 	}
 	req := &linkpb.ClaimRequest{
 		Job: string(j.job), By: link.HolderMessage(mine), Absent: link.HolderMessages(absent), WaitMs: (j.until - j.began).Milliseconds(),
@@ -111,20 +109,27 @@
 		answering, _, _ = d.links.arbiters(j.job, j.began)
 		answering = slices.DeleteFunc(answering, func(address string) bool { return slices.Contains(j.asked, address) })
 	}
+	if named.cancelled {
+		d.rememberCancel(schedule.JobCancelled{ID: j.job}) // the core answers it so
+		return nil
+	}
 	return named.list
 }
 
-// holders are the holders of a job that arbiters name. They are safe for concurrent use.
+// holders are the holders of a job that arbiters name, and whether one knows that it was cancelled.
+// They are safe for concurrent use.
 type holders struct {
-	mu   sync.Mutex
-	list []claim.Holder
+	mu        sync.Mutex
+	list      []claim.Holder
+	cancelled bool
 }
 
-func (h *holders) add(holder claim.Holder) {
+func (h *holders) add(r claim.Reply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !slices.Contains(h.list, holder) {
-		h.list = append(h.list, holder)
+	h.cancelled = h.cancelled || r.Cancelled
+	if r.Other != (claim.Holder{}) && !slices.Contains(h.list, r.Other) {
+		h.list = append(h.list, r.Other)
 	}
 }
 
@@ -134,8 +139,8 @@
 		res, err := peer.Claim(ctx, connect.NewRequest(req))
 		if err != nil {
 			j.d.cfg.Log.Info("arbiter doesn't answer a claim", telemetry.JobID(string(j.job)), telemetry.ReasonText(address), telemetry.Err(err))
-		} else if res.Msg.GetHolder() != nil {
-			named.add(link.HolderOf(res.Msg.GetHolder()))
+		} else {
+			named.add(claim.Reply{Other: link.HolderOf(res.Msg.GetHolder()), Cancelled: res.Msg.GetCancelled()})
 		}
 		return unlessAnswered(err)
 	}
@@ -240,13 +245,13 @@
 // Claim records, as an arbiter of the job, which entry holds it.
 func (p Peer) Claim(_ context.Context, req *connect.Request[linkpb.ClaimRequest]) (*connect.Response[linkpb.ClaimResponse], error) {
 	now := clock.Now()
-	other, held := p.Dispatcher.register.Claim(now, claim.Request{
+	reply := p.Dispatcher.register.Claim(now, claim.Request{
 		Job: work.JobID(req.Msg.GetJob()), By: link.HolderOf(req.Msg.GetBy()), Absent: link.HoldersOf(req.Msg.GetAbsent()),
 		Until: now + link.Millis(req.Msg.GetWaitMs()),
 	})
-	res := &linkpb.ClaimResponse{}
-	if held {
-		res.Holder = link.HolderMessage(other)
+	res := &linkpb.ClaimResponse{Cancelled: reply.Cancelled}
+	if reply.Other != (claim.Holder{}) {
+		res.Holder = link.HolderMessage(reply.Other)
 	}
 	return connect.NewResponse(res), nil
 }
--- a/dispatcher/claims_test.go
+++ b/dispatcher/claims_test.go
@@ -75,6 +75,7 @@
 		d.links.peerClient.Transport = network
 		d.base = t.Context()
 		go d.run(d.base)
+		d.settle()
 		entries = append(entries, &testEntry{d, network})
 	}
 	for _, e := range entries {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -83,9 +84,13 @@
 	closing       atomic.Bool  // the process closes the connections of its callers
 	stats         atomic.Pointer[schedule.Stats]
 	cancels       cancelRelay
-	claims        *claim.Claims
-	register      *claim.Register // of the jobs whose arbiter this entry is
-	createdAt     time.Duration   // by package clock
+	learning      atomic.Bool // other entries are being asked for cancels
+	// settled is closed once the entry knows the others, and the cancels that they remember.
+	settled     chan struct{}
+	settledOnce sync.Once
+	claims      *claim.Claims
+	register    *claim.Register // of the jobs whose arbiter this entry is
+	createdAt   time.Duration   // by package clock
 }
 
 // New returns an entry. Start runs it.
@@ -96,6 +101,7 @@
 		events:  make(chan any, eventQueueSize),
 		waiters: map[work.JobID][]chan schedule.Answer{},
 
+		settled:   make(chan struct{}),
 		claims:    claim.NewClaims(cfg.Self.Incarnation, cfg.Self.Address),
 		register:  claim.NewRegister(maxRegistered),
 		createdAt: clock.Now(),
@@ -113,6 +119,7 @@
 	go d.watchOperator(ctx)
 	go d.watchMembers(ctx)
 	go d.watchPeers(ctx)
+	go d.learnCancels(ctx)
 }
 
 // run is the core goroutine.
@@ -268,6 +275,7 @@
 	errStopping   = errors.New("the process stops")
 	errNoManifest = errors.New("no manifest is known")
 	errNoAgents   = errors.New("no agent can be reached")
+	errNotSettled = errors.New("the other entries aren't known yet")
 )
 
 // Ready returns why the entry is not ready for jobs, nil if it is ready.
@@ -279,6 +287,8 @@
 		return errNoManifest
 	case d.stats.Load().Agents == 0:
 		return errNoAgents
+	case !d.isSettled():
+		return errNotSettled
 	}
 	return nil
 }
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -114,8 +114,8 @@
 			pause.For(ctx, storeRetryDelay)
 			continue
 		}
-		d.listedMembers.Store(true)
 		d.addMembers(page)
+		d.listedMembers.Store(true)
 		for err == nil && ctx.Err() == nil {
 			var next directory.Page
 			next, err = d.cfg.Members.Changes(ctx, page.Version)
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -94,6 +94,11 @@
 	job.Deadline = clock.Now() + timeout
 	waiting, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	select {
+	case <-d.settled:
+	case <-waiting.Done():
+		return d.notStarted(ctx, &job)
+	}
 	for {
 		mine, followed, err := d.claims.Begin(waiting, job.ID)
 		switch {
--- a/rpc/linkpb/linkpbconnect/link.connect.go
+++ b/rpc/linkpb/linkpbconnect/link.connect.go
@@ -46,6 +46,8 @@
 	EntryPeerAnnounceProcedure = "/link.v1.EntryPeer/Announce"
 	// EntryPeerCancelProcedure is the fully-qualified name of the EntryPeer's Cancel RPC.
 	EntryPeerCancelProcedure = "/link.v1.EntryPeer/Cancel"
+	// EntryPeerCancelledProcedure is the fully-qualified name of the EntryPeer's Cancelled RPC.
+	EntryPeerCancelledProcedure = "/link.v1.EntryPeer/Cancelled"
 	// EntryPeerClaimProcedure is the fully-qualified name of the EntryPeer's Claim RPC.
 	EntryPeerClaimProcedure = "/link.v1.EntryPeer/Claim"
 	// EntryPeerLocateProcedure is the fully-qualified name of the EntryPeer's Locate RPC.
@@ -139,6 +141,8 @@
 	Announce(context.Context, *connect.Request[linkpb.AnnounceRequest]) (*connect.Response[linkpb.AnnounceResponse], error)
 	// Cancel drops a job if the entry coordinates it.
 	Cancel(context.Context, *connect.Request[linkpb.CancelRequest]) (*connect.Response[linkpb.CancelResponse], error)
+	// Cancelled returns the jobs that were cancelled within the last minute.
+	Cancelled(context.Context, *connect.Request[linkpb.CancelledRequest]) (*connect.Response[linkpb.CancelledResponse], error)
 	// Claim records at an arbiter of a job that an entry holds it.
 	Claim(context.Context, *connect.Request[linkpb.ClaimRequest]) (*connect.Response[linkpb.ClaimResponse], error)
 	// Locate asks an entry whether it has a job.
@@ -172,6 +176,12 @@
 			connect.WithSchema(entryPeerMethods.ByName("Cancel")),
 			connect.WithClientOptions(opts...),
 		),
+		cancelled: connect.NewClient[linkpb.CancelledRequest, linkpb.CancelledResponse](
+			httpClient,
+			baseURL+EntryPeerCancelledProcedure,
+			connect.WithSchema(entryPeerMethods.ByName("Cancelled")),
+			connect.WithClientOptions(opts...),
+		),
 		claim: connect.NewClient[linkpb.ClaimRequest, linkpb.ClaimResponse](
 			httpClient,
 			baseURL+EntryPeerClaimProcedure,
@@ -201,12 +211,13 @@
 
 // entryPeerClient implements EntryPeerClient.
 type entryPeerClient struct {
-	announce *connect.Client[linkpb.AnnounceRequest, linkpb.AnnounceResponse]
-	cancel   *connect.Client[linkpb.CancelRequest, linkpb.CancelResponse]
-	claim    *connect.Client[linkpb.ClaimRequest, linkpb.ClaimResponse]
-	locate   *connect.Client[linkpb.LocateRequest, linkpb.LocateResponse]
-	await    *connect.Client[linkpb.AwaitRequest, linkpb.AwaitResponse]
-	operator *connect.Client[linkpb.OperatorRequest, linkpb.OperatorResponse]
+	announce  *connect.Client[linkpb.AnnounceRequest, linkpb.AnnounceResponse]
+	cancel    *connect.Client[linkpb.CancelRequest, linkpb.CancelResponse]
+	cancelled *connect.Client[linkpb.CancelledRequest, linkpb.CancelledResponse]
+	claim     *connect.Client[linkpb.ClaimRequest, linkpb.ClaimResponse]
+	locate    *connect.Client[linkpb.LocateRequest, linkpb.LocateResponse]
+	await     *connect.Client[linkpb.AwaitRequest, linkpb.AwaitResponse]
+	operator  *connect.Client[linkpb.OperatorRequest, linkpb.OperatorResponse]
 }
 
 // Announce calls link.v1.EntryPeer.Announce.
@@ -219,6 +230,11 @@
 	return c.cancel.CallUnary(ctx, req)
 }
 
+// Cancelled calls link.v1.EntryPeer.Cancelled.
+func (c *entryPeerClient) Cancelled(ctx context.Context, req *connect.Request[linkpb.CancelledRequest]) (*connect.Response[linkpb.CancelledResponse], error) {
+	return c.cancelled.CallUnary(ctx, req)
+}
+
 // Claim calls link.v1.EntryPeer.Claim.
 func (c *entryPeerClient) Claim(ctx context.Context, req *connect.Request[linkpb.ClaimRequest]) (*connect.Response[linkpb.ClaimResponse], error) {
 	return c.claim.CallUnary(ctx, req)
@@ -246,6 +262,8 @@
 	Announce(context.Context, *connect.Request[linkpb.AnnounceRequest]) (*connect.Response[linkpb.AnnounceResponse], error)
 	// Cancel drops a job if the entry coordinates it.
 	Cancel(context.Context, *connect.Request[linkpb.CancelRequest]) (*connect.Response[linkpb.CancelResponse], error)
+	// Cancelled returns the jobs that were cancelled within the last minute.
+	Cancelled(context.Context, *connect.Request[linkpb.CancelledRequest]) (*connect.Response[linkpb.CancelledResponse], error)
 	// Claim records at an arbiter of a job that an entry holds it.
 	Claim(context.Context, *connect.Request[linkpb.ClaimRequest]) (*connect.Response[linkpb.ClaimResponse], error)
 	// Locate asks an entry whether it has a job.
@@ -275,6 +293,12 @@
 		connect.WithSchema(entryPeerMethods.ByName("Cancel")),
 		connect.WithHandlerOptions(opts...),
 	)
+	entryPeerCancelledHandler := connect.NewUnaryHandler(
+		EntryPeerCancelledProcedure,
+		svc.Cancelled,
+		connect.WithSchema(entryPeerMethods.ByName("Cancelled")),
+		connect.WithHandlerOptions(opts...),
+	)
 	entryPeerClaimHandler := connect.NewUnaryHandler(
 		EntryPeerClaimProcedure,
 		svc.Claim,
@@ -305,6 +329,8 @@
 			entryPeerAnnounceHandler.ServeHTTP(w, r)
 		case EntryPeerCancelProcedure:
 			entryPeerCancelHandler.ServeHTTP(w, r)
+		case EntryPeerCancelledProcedure:
+			entryPeerCancelledHandler.ServeHTTP(w, r)
 		case EntryPeerClaimProcedure:
 			entryPeerClaimHandler.ServeHTTP(w, r)
 		case EntryPeerLocateProcedure:
@@ -330,6 +356,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("link.v1.EntryPeer.Cancel is not implemented"))
 }
 
+func (UnimplementedEntryPeerHandler) Cancelled(context.Context, *connect.Request[linkpb.CancelledRequest]) (*connect.Response[linkpb.CancelledResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("link.v1.EntryPeer.Cancelled is not implemented"))
+}
+
 func (UnimplementedEntryPeerHandler) Claim(context.Context, *connect.Request[linkpb.ClaimRequest]) (*connect.Response[linkpb.ClaimResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("link.v1.EntryPeer.Claim is not implemented"))
 }
--- a/schedule/cancelled.go
+++ b/schedule/cancelled.go
@@ -8,7 +8,11 @@
 
 // JobCancelled says that a caller has cancelled a job. The entry may have it, may get it later,
 // since messages overtake each other and submissions are repeated, or may never see it.
-type JobCancelled struct{ ID work.JobID }
+type JobCancelled struct {
+	ID work.JobID
+	// Age is the time since the cancel.
+	Age time.Duration
+}
 
 func (JobCancelled) event() {}
 
@@ -25,24 +29,34 @@
 // cancelledJobs are the jobs that were cancelled within CancelKept.
 type cancelledJobs struct {
 	at    map[work.JobID]time.Duration
-	order []work.JobID // by time
+	order []work.JobID // in the order in which this entry was told
+}
+
+// Cancelled returns the cancels that the entry remembers.
+func (c *Core) Cancelled() []JobCancelled {
+	c.cancelled.forget(c.now)
+	list := make([]JobCancelled, 0, len(c.cancelled.order))
+	for _, id := range c.cancelled.order {
+		list = append(list, JobCancelled{ID: id, Age: c.now - c.cancelled.at[id]})
+	}
+	return list
 }
 
 func (c *Core) jobCancelled(e JobCancelled) {
-	c.cancelled.add(c.now, e.ID)
+	c.cancelled.add(c.now, e)
 	if j := c.jobs[e.ID]; j != nil {
 		c.finish(j, Dropped, reasonCancelled)
 	}
 }
 
 // add records a cancel. A repeated one counts from the first.
-func (l *cancelledJobs) add(now time.Duration, id work.JobID) {
+func (l *cancelledJobs) add(now time.Duration, e JobCancelled) {
 	l.forget(now)
-	if _, known := l.at[id]; known {
+	if _, known := l.at[e.ID]; known {
 		return
 	}
-	l.at[id] = now
-	l.order = append(l.order, id)
+	l.at[e.ID] = now - e.Age
+	l.order = append(l.order, e.ID)
 }
 
 // forget drops the cancels that are too old, and the oldest if there are too many.
