dispatcher: an entry that was away asks for the cancels that it missed

Cause: only the entry that took the cancel tells the silent one of it again. The third entry knew it too, and wasn't asked.

After a pause the arbiters also tell, when it claims its jobs again.

TestAnEntryThatWasCutOffLearnsOfCancels fails without this commit's question after a silence. TestEntriesThatLeaveAllCallsUnansweredCountAsGone reads the same result from a struct.

--- a/bench/usersite/cancel_test.go
+++ b/bench/usersite/cancel_test.go
@@ -53,6 +53,31 @@
 	}
 }
 
+// A cancel ended with the entry that had acknowledged it, while the job's entry was frozen: that one
+// went on with the job when it was back (review/9).
+func TestACancelHoldsAlthoughTheEntryThatTookItHasEnded(t *testing.T) {
+	t.Parallel()
+	s := startSiteOfThree(t)
+	_, answer := cancelledJob(t, s, 1, func() {
+		if err := s.Entries[0].Pause(); err != nil {
+			t.Fatal(err)
+		}
+	})
+	restartEntry(t, s, 1)
+	time.Sleep(time.Second)
+	starts := s.Checks.Starts()
+	if err := s.Entries[0].Resume(); err != nil {
+		t.Fatal(err)
+	}
+	if r := <-answer; r.State != "cancelled" {
+		t.Errorf("the cancelled job is answered %+v", r)
+	}
+	time.Sleep(time.Second)
+	if n := s.Checks.Starts() - starts; n != 0 {
+		t.Errorf("%d tasks of the cancelled job start after its entry is back", n)
+	}
+}
+
 // A cancel was forgotten with the entries' processes: a late copy of the job's POST ran at an entry
 // that had been restarted (review/7). Here all entries are restarted in turn.
 func TestACancelHoldsAtEntriesThatWereRestarted(t *testing.T) {
--- a/dispatcher/cancel.go
+++ b/dispatcher/cancel.go
@@ -80,6 +80,9 @@
 	// answer, tries again; it doubles up to maxLearnInterval.
 	minLearnInterval = 20 * time.Millisecond
 	maxLearnInterval = 1 * time.Second
+	// missedCancelAfter is how long another entry has to be silent until this one asks for cancels
+	// that it may have missed: longer than one call.
+	missedCancelAfter = 2 * peerTimeout
 	// settleLimit is how long an entry that starts waits for the others: while the store is
 	// away it learns of them by its seeds.
 	settleLimit = 1 * time.Second
--- a/dispatcher/claims_test.go
+++ b/dispatcher/claims_test.go
@@ -198,6 +198,28 @@
 	}
 }
 
+// An entry that was cut off while a job of its was cancelled learns of it from any other one when it is
+// back, also if the entry that took the cancel isn't there to tell it any more (review/9).
+func TestAnEntryThatWasCutOffLearnsOfCancels(t *testing.T) {
+	entries := newEntries(t, 3)
+	a, b, c := entries[0], entries[1], entries[2]
+	answer := a.submit(t.Context(), "job")
+	a.await(t, "job")
+	a.network.cut.Store(&[]string{b.cfg.Self.Address, c.cfg.Self.Address})
+	b.network.cut.Store(&[]string{a.cfg.Self.Address})
+	call := func() { a.submit(t.Context(), "another job") }
+	call()
+	time.Sleep(missedCancelAfter + 2*claimTimeout)
+	if !b.Cancel(t.Context(), "job") {
+		t.Error("the cancel is answered as of an unknown job")
+	}
+	a.network.cut.Store(&[]string{b.cfg.Self.Address})
+	a.links.checkPeers(t.Context(), clock.Now()+peerCheckInterval)
+	if got := <-answer; got.Verdict != schedule.Dropped || got.Reason != "cancelled" {
+		t.Errorf("the job is answered %+v, want cancelled", got)
+	}
+}
+
 // A job whose entry is gone for good starts elsewhere once its runs must have ended.
 func TestAJobOfAnEntryThatIsGoneStartsElsewhere(t *testing.T) {
 	entries := newEntries(t, 3)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -208,6 +208,7 @@
 	case schedule.Answer:
 		d.answer(a)
 	case schedule.Resumed:
+		go d.learnCancels(d.base)
 		for _, id := range a.Jobs {
 			go d.claimAgain(d.base, id)
 		}
--- a/dispatcher/peers.go
+++ b/dispatcher/peers.go
@@ -102,12 +102,15 @@
 // peerCalled records the result of a call to another entry.
 func (l *links) peerCalled(address string, err error) {
 	l.mu.Lock()
-	gone, back := l.peers.called(address, err == nil, clock.Now())
+	change := l.peers.called(address, err == nil, clock.Now())
 	l.mu.Unlock()
+	if change.silentFor > missedCancelAfter {
+		go l.dispatcher.learnCancels(l.dispatcher.base) // this entry may be the one that was cut off
+	}
 	switch {
-	case gone:
+	case change.gone:
 		l.dispatcher.cfg.Log.Info("entry unreachable for too long; it counts as gone", telemetry.ReasonText(address), telemetry.Err(err))
-	case back:
+	case change.back:
 		l.dispatcher.cfg.Log.Info("entry that counted as gone answers again", telemetry.ReasonText(address))
 	}
 }
--- a/dispatcher/peerset.go
+++ b/dispatcher/peerset.go
@@ -67,24 +67,36 @@
 	return true
 }
 
-// called records the result of a call. It returns whether the entry counts as gone by it, or is
-// back by it.
-func (s *peerSet) called(address string, answered bool, now time.Duration) (gone, back bool) {
+// peerChange is what a call to an entry has changed.
+type peerChange struct {
+	// gone and back are true if the entry counts as gone by the call, or no longer does.
+	gone, back bool
+	// silentFor is for how long the entry had left calls unanswered that has answered this one.
+	silentFor time.Duration
+}
+
+// called records the result of a call.
+func (s *peerSet) called(address string, answered bool, now time.Duration) (change peerChange) {
 	p := s.byAddress[address]
 	if p == nil {
-		return false, false
+		return change
 	}
 	before := p.gone()
 	p.askedAt = now
 	if answered {
+		if p.failures > 0 {
+			change.silentFor = now - p.failingSince
+		}
 		p.failures, p.failingSince = 0, 0
-		return false, before
+		change.back = before
+		return change
 	}
 	if p.failures == 0 {
 		p.failingSince = now
 	}
 	p.failures++
-	return p.gone() && !before, false
+	change.gone = p.gone() && !before
+	return change
 }
 
 // gone reports whether the entry counts as gone.
--- a/dispatcher/peerset_test.go
+++ b/dispatcher/peerset_test.go
@@ -36,7 +36,7 @@
 		if due := s.due(2*time.Hour, 1); len(due) != 1 {
 			t.Errorf("%s: %v are asked later, want the entry", c.name, due)
 		}
-		if _, back := s.called("a", true, 2*time.Hour); back != c.gone || len(s.addresses(true)) > 0 {
+		if back := s.called("a", true, 2*time.Hour).back; back != c.gone || len(s.addresses(true)) > 0 {
 			t.Errorf("%s: back %v after an answer, want %v", c.name, back, c.gone)
 		}
 		m.Incarnation = "successor"
