platform: a job whose route was removed can be cancelled

Cause: every request had to match a route of the manifest in force, also a DELETE of a job that was accepted before.

Ruled out: remembering removed routes (an entry that starts later doesn't know them).

--- a/bench/usersite/cancel_test.go
+++ b/bench/usersite/cancel_test.go
@@ -53,6 +53,35 @@
 	}
 }
 
+// A job whose route had been removed couldn't be cancelled by anybody: each DELETE was answered 404
+// (review/8).
+func TestAJobOfARemovedRouteCanBeCancelled(t *testing.T) {
+	t.Parallel()
+	s := startSiteOfThree(t)
+	id, answer := cancelledJob(t, s, 1, func() {
+		empty := map[string]any{"version": 2, "routes": []any{}, "services": []any{}, "limits": map[string]any{}}
+		if err := s.Store.Put("op", "config", empty); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+	})
+	if r := <-answer; r.State != "cancelled" {
+		t.Errorf("the cancelled job is answered %+v", r)
+	}
+	starts := s.Checks.Starts()
+	time.Sleep(500 * time.Millisecond)
+	if n := s.Checks.Starts() - starts; n != 0 {
+		t.Errorf("%d tasks of the cancelled job start", n)
+	}
+	var c Caller
+	if r := c.Cancel(t.Context(), s.CallerAddress(0), "0000000000000abc"); r.Status != http.StatusNotFound {
+		t.Errorf("a cancel of a job that nobody has, without a route, is answered %+v, want 404", r)
+	}
+	if r := c.Submit(t.Context(), s.CallerAddress(0), id, 1, time.Millisecond, time.Second); r.Status != http.StatusNotFound {
+		t.Errorf("a job of a removed route is answered %+v, want 404", r)
+	}
+}
+
 // A cancel ended with the entry that had acknowledged it, while the job's entry was frozen: that one
 // went on with the job when it was back (review/9).
 func TestACancelHoldsAlthoughTheEntryThatTookItHasEnded(t *testing.T) {
