dispatcher: a second pause within a minute is asked about too

With fewer than three other entries, the question for missed cancels went on for a minute after an entry's start or pause, and what happened meanwhile (another pause, another silence) started no new one. One goroutine now asks, ends when all known entries have answered, and begins anew when something more may have been missed.

--- a/dispatcher/cancel.go
+++ b/dispatcher/cancel.go
@@ -88,37 +88,67 @@
 	settleLimit = 1 * time.Second
 )
 
-// learnCancels asks other entries for the cancels that this one may have missed, since it has just
-// started or was away, until cancelSources have answered or no cancel of before is remembered any
-// more.
-func (d *Dispatcher) learnCancels(ctx context.Context) {
-	if !d.learning.CompareAndSwap(false, true) {
-		return // it is under way
+// askForCancels makes the entry ask others for the cancels that it may have missed.
+func (d *Dispatcher) askForCancels() {
+	select {
+	case d.cancelsMissed <- struct{}{}:
+	default: // it is about to
+	}
+}
+
+// watchCancels asks other entries for the cancels of before when this entry has started, and each
+// time that it may have missed some.
+func (d *Dispatcher) watchCancels(ctx context.Context) {
+	for {
+		d.learnCancels(ctx)
+		select {
+		case <-d.cancelsMissed:
+		case <-ctx.Done():
+			return
+		}
 	}
-	defer d.learning.Store(false)
+}
+
+// learnCancels asks other entries for the cancels that they remember, until cancelSources or all have
+// answered, this entry may have missed more, or no cancel of before is remembered any longer.
+func (d *Dispatcher) learnCancels(ctx context.Context) {
 	var mu sync.Mutex
 	answered := map[string]bool{}
 	interval := minLearnInterval
 	for began := clock.Now(); clock.Now()-began < schedule.CancelKept; interval = min(2*interval, maxLearnInterval) {
-		sources := slices.DeleteFunc(d.links.peerAddresses(), func(address string) bool { return answered[address] })
+		sources := d.peersExcept(answered)
 		d.links.callPeers(ctx, sources[:min(len(sources), cancelSources-len(answered))], func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient) error {
-			err := d.learnCancelsFrom(ctx, peer)
+			err := unlessAnswered(d.learnCancelsFrom(ctx, peer))
 			mu.Lock()
 			defer mu.Unlock()
-			if unlessAnswered(err) == nil {
+			if err == nil {
 				answered[address] = true
 			}
-			return unlessAnswered(err)
+			return err
 		})
-		if d.listedMembers.Load() || clock.Now()-began > settleLimit {
+		known := d.listedMembers.Load() || clock.Now()-began > settleLimit
+		if known {
 			d.settle()
 		}
-		if len(answered) >= cancelSources || !pause.For(ctx, interval) {
+		if len(answered) >= cancelSources || known && len(d.peersExcept(answered)) == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.cancelsMissed:
+			d.askForCancels()
 			return
+		case <-time.After(interval):
 		}
 	}
 }
 
+// peersExcept returns the addresses of the other entries without those that have answered.
+func (d *Dispatcher) peersExcept(answered map[string]bool) []string {
+	return slices.DeleteFunc(d.links.peerAddresses(), func(address string) bool { return answered[address] })
+}
+
 // settle ends the time after its start in which the entry starts no jobs, since it doesn't know yet
 // who else there is and which jobs were cancelled.
 func (d *Dispatcher) settle() { d.settledOnce.Do(func() { close(d.settled) }) }
--- a/dispatcher/claims_test.go
+++ b/dispatcher/claims_test.go
@@ -75,7 +75,8 @@
 		d.links.peerClient.Transport = network
 		d.base = t.Context()
 		go d.run(d.base)
-		d.settle()
+		d.listedMembers.Store(true)
+		go d.watchCancels(d.base)
 		entries = append(entries, &testEntry{d, network})
 	}
 	for _, e := range entries {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -84,7 +84,8 @@
 	closing       atomic.Bool  // the process closes the connections of its callers
 	stats         atomic.Pointer[schedule.Stats]
 	cancels       cancelRelay
-	learning      atomic.Bool // other entries are being asked for cancels
+	// cancelsMissed has an element if others have to be asked for cancels.
+	cancelsMissed chan struct{}
 	// settled is closed once the entry knows the others, and the cancels that they remember.
 	settled     chan struct{}
 	settledOnce sync.Once
@@ -101,10 +102,12 @@
 		events:  make(chan any, eventQueueSize),
 		waiters: map[work.JobID][]chan schedule.Answer{},
 
-		settled:   make(chan struct{}),
-		claims:    claim.NewClaims(cfg.Self.Incarnation, cfg.Self.Address),
-		register:  claim.NewRegister(maxRegistered),
-		createdAt: clock.Now(),
+		settled: make(chan struct{}),
+
+		cancelsMissed: make(chan struct{}, 1),
+		claims:        claim.NewClaims(cfg.Self.Incarnation, cfg.Self.Address),
+		register:      claim.NewRegister(maxRegistered),
+		createdAt:     clock.Now(),
 	}
 	d.links = newLinks(d)
 	d.cancels.queues = map[string][]undelivered{}
@@ -119,7 +122,7 @@
 	go d.watchOperator(ctx)
 	go d.watchMembers(ctx)
 	go d.watchPeers(ctx)
-	go d.learnCancels(ctx)
+	go d.watchCancels(ctx)
 }
 
 // run is the core goroutine.
@@ -208,7 +211,7 @@
 	case schedule.Answer:
 		d.answer(a)
 	case schedule.Resumed:
-		go d.learnCancels(d.base)
+		d.askForCancels()
 		for _, id := range a.Jobs {
 			go d.claimAgain(d.base, id)
 		}
--- a/dispatcher/peers.go
+++ b/dispatcher/peers.go
@@ -105,7 +105,7 @@
 	change := l.peers.called(address, err == nil, clock.Now())
 	l.mu.Unlock()
 	if change.silentFor > missedCancelAfter {
-		go l.dispatcher.learnCancels(l.dispatcher.base) // this entry may be the one that was cut off
+		l.dispatcher.askForCancels() // this entry may be the one that was cut off
 	}
 	switch {
 	case change.gone:
