claim: one arbiter is asked while all entries answer, over short HTTP/1.1 calls

Cause: with 20 entries and more each job had two claims at other entries, each an HTTP/2 call.

Change: an entry asks the first arbiter besides itself, and records the claim in its own register. It asks two while any entry is silent, so that entries which lost each other still share one, and for 5 s after an entry became known also the one that entries ask which don't know it yet. When an entry is replaced, the others claim their jobs again, since it has forgotten them.

Weaker than before: an entry that alone finds the arbiter silent asks two others, not the one that the rest ask.

--- a/claim/arbiters.go
+++ b/claim/arbiters.go
@@ -18,38 +18,39 @@
 	Silent bool
 }
 
-// answeringArbiters is the number of arbiters of a job that answer.
-const answeringArbiters = 2
-
-// Arbiters returns the arbiters of a job: the failure domains are ordered by a hash, and the first
-// two with an entry that isn't silent have one each, that with the highest hash (rendezvous
-// hashing). Silent entries that would go before these are listed too, as they may be back. If only
-// one failure domain answers, it has both.
+// Arbiters returns the arbiters that an entry, at the address self, asks about a job. The failure
+// domains are ordered by a hash, and in each the entries (rendezvous hashing). The list has the
+// first entry of each domain that isn't silent, up to the given number of them besides the entry
+// itself, and the silent ones that would go before these, as they may be back. If fewer domains
+// answer, the next entries follow. The order of the candidates doesn't matter.
 //
-// Two entries that don't quite agree on who is there, since one has just come, gone or fallen
-// silent, have an arbiter in common; also entries of two failure domains that can't reach each
-// other, if there is a third that reaches both. The order of the candidates doesn't matter.
-func Arbiters(job work.JobID, candidates []Candidate) []Candidate {
+// Entries that agree on who is there all ask the first. If both ask two, entries of two failure
+// domains that can't reach each other have one in common, provided that a third reaches both.
+func Arbiters(job work.JobID, self string, candidates []Candidate, others int) []Candidate {
 	domains := rankDomains(job, candidates)
 	var list []Candidate
-	answering := 0
+	found := 0
+	add := func(c Candidate) {
+		list = append(list, c)
+		if !c.Silent && c.Address != self {
+			found++
+		}
+	}
 	for _, d := range domains {
-		if answering == answeringArbiters {
+		if found == others {
 			return list
 		}
 		for _, e := range d.sorted() {
-			list = append(list, e.Candidate)
+			add(e.Candidate)
 			if !e.Silent {
-				answering++
 				break
 			}
 		}
 	}
 	for _, d := range domains { // too few of them answer
 		for _, e := range d.sorted() {
-			if answering < answeringArbiters && !e.Silent && !slices.Contains(list, e.Candidate) {
-				list = append(list, e.Candidate)
-				answering++
+			if found < others && !slices.Contains(list, e.Candidate) {
+				add(e.Candidate)
 			}
 		}
 	}
--- a/claim/register.go
+++ b/claim/register.go
@@ -3,9 +3,9 @@
 //
 // A caller that gets no answer submits its job again, at any entry. Its first request may be at
 // an entry that doesn't know that its caller has left, or still be held up in the network. So an
-// entry claims a job before it starts any of it. Arbiters, two entries that a hash of the job's
-// ID selects, record who holds the job (Register). An entry that is told of another holder asks
-// that one, since only the holder knows whether the job is still there, and waits for its
+// entry claims a job before it starts any of it. An arbiter, an entry that a hash of the job's ID
+// selects, records who holds the job (Register); there are more of them while entries may disagree
+// on who is there (Arbiters). An entry that is told of another holder asks that one, since only the holder knows whether the job is still there, and waits for its
 // answer if so. Claims that are made at the same time are decided between their entries (Claims).
 //
 // Invariant: of two entries that claim a job at an arbiter that both reach, at most one runs it
--- a/dispatcher/claims.go
+++ b/dispatcher/claims.go
@@ -66,36 +66,45 @@
 }
 
 // claimAgain claims a job that the core has, after a pause of this process in which other entries
-// may have given it up. The job is ended here if another one has it now.
+// may have given it up, or after an arbiter was replaced. The job is ended here if another one has
+// it now.
 func (d *Dispatcher) claimAgain(ctx context.Context, id work.JobID) {
 	mine := d.claims.Another()
-	calls := &jobCalls{d: d, job: id, until: clock.Now()}
+	calls := &jobCalls{d: d, job: id, until: clock.Now() + schedule.CancelKept}
 	named, err := calls.Claim(ctx, mine, nil)
 	if err != nil {
 		return // the entry ends
 	}
 	holder, _, err := claim.Find(ctx, calls, mine, named)
 	if err == nil && holder != (claim.Holder{}) {
-		d.cfg.Log.Info("another entry has taken over a job while this process was paused", telemetry.JobID(string(id)), telemetry.Peer(holder.Incarnation))
+		d.cfg.Log.Info("another entry has taken over a job", telemetry.JobID(string(id)), telemetry.Peer(holder.Incarnation))
 		d.enqueue(schedule.JobMoved{ID: id})
 	}
 }
 
+// claimAllAgain claims all jobs that the core has once more, since an arbiter has forgotten them.
+func (d *Dispatcher) claimAllAgain() {
+	var ids []work.JobID
+	d.queryCore(func(c *schedule.Core) { ids = c.JobIDs() })
+	for _, id := range ids {
+		go d.claimAgain(d.base, id)
+	}
+}
+
 // tookTooLong reports whether a claim that began at a time has taken so long that this process must
 // have been paused. Other entries take over its jobs after twice as long at the earliest.
 func (d *Dispatcher) tookTooLong(began time.Duration) bool {
 	return clock.Now()-began > d.cfg.Terms.MaxRunAfterEntryLoss()/2
 }
 
-// claimOnce claims the job at its arbiters and returns the other holders that they name. An arbiter
-// that doesn't answer counts as silent from then on, and the next one is asked in its place.
+// claimOnce claims the job at its arbiters and in this entry's own register, and returns the other
+// holders that they name. An arbiter that doesn't answer counts as silent from then on, and the
+// next ones are asked in its place.
 func (j *jobCalls) claimOnce(ctx context.Context, mine claim.Holder, absent []claim.Holder) []claim.Holder {
 	d := j.d
 	named := &holders{}
-	answering, silent, self := d.links.arbiters(j.job, j.began)
-	if self {
-		named.add(d.register.Claim(j.began, claim.Request{Job: j.job, By: mine, Absent: absent, Until: j.until}))
-	}
+	named.add(d.register.Claim(j.began, claim.Request{Job: j.job, By: mine, Absent: absent, Until: j.until}))
+	answering, silent := d.links.arbiters(j.job, j.began)
 	req := &linkpb.ClaimRequest{
 		Job: string(j.job), By: link.HolderMessage(mine), Absent: link.HolderMessages(absent), WaitMs: (j.until - j.began).Milliseconds(),
 	}
@@ -106,7 +115,7 @@
 	for len(answering) > 0 && ctx.Err() == nil {
 		d.links.callPeersWithin(ctx, claimTimeout, answering, j.claimCall(req, named))
 		j.asked = append(j.asked, answering...)
-		answering, _, _ = d.links.arbiters(j.job, j.began)
+		answering, _ = d.links.arbiters(j.job, clock.Now())
 		answering = slices.DeleteFunc(answering, func(address string) bool { return slices.Contains(j.asked, address) })
 	}
 	if named.cancelled {
@@ -135,8 +144,8 @@
 
 // claimCall returns the call that claims the job at an arbiter and adds the holder that it names.
 func (j *jobCalls) claimCall(req *linkpb.ClaimRequest, named *holders) peerCall {
-	return func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient) error {
-		res, err := peer.Claim(ctx, connect.NewRequest(req))
+	return func(ctx context.Context, address string, _ linkpbconnect.EntryPeerClient) error {
+		res, err := j.d.links.claimPeer(address).Claim(ctx, connect.NewRequest(req))
 		if err != nil {
 			j.d.cfg.Log.Info("arbiter doesn't answer a claim", telemetry.JobID(string(j.job)), telemetry.ReasonText(address), telemetry.Err(err))
 		} else {
--- a/dispatcher/peers.go
+++ b/dispatcher/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,23 +41,34 @@
 	return l.peers.addresses(true)
 }
 
-// arbiters returns the addresses of the other entries that are arbiters of a job, and whether
-// this one is an arbiter too. Of the silent ones it returns those that weren't called lately.
-func (l *links) arbiters(id work.JobID, now time.Duration) (answering, silent []string, isArbiter bool) {
+// arbiters returns the addresses of the other entries that are arbiters of a job. Of the silent ones
+// it returns those that weren't called lately. Usually that is one entry. While one is silent, two
+// are asked, since others may see it otherwise; and after one has become known, also those that
+// entries ask which don't know it yet.
+func (l *links) arbiters(id work.JobID, now time.Duration) (answering, silent []string) {
 	self := l.dispatcher.cfg.Self
+	own := claim.Candidate{Address: self.Address, Domain: self.Domain}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, a := range claim.Arbiters(id, append(l.peers.candidates(), claim.Candidate{Address: self.Address, Domain: self.Domain})) {
+	all, established, anySilent := l.peers.candidates(now)
+	others := 1
+	if anySilent {
+		others = 2
+	}
+	list := claim.Arbiters(id, self.Address, append(all, own), others)
+	if len(established) < len(all) {
+		list = append(list, claim.Arbiters(id, self.Address, append(established, own), others)...)
+	}
+	for _, a := range list {
 		switch {
-		case a.Address == self.Address:
-			isArbiter = true
+		case a.Address == self.Address, slices.Contains(answering, a.Address), slices.Contains(silent, a.Address):
 		case !a.Silent:
 			answering = append(answering, a.Address)
 		case now-l.peers.byAddress[a.Address].askedAt >= claimTimeout:
 			silent = append(silent, a.Address)
 		}
 	}
-	return answering, silent, isArbiter
+	return answering, silent
 }
 
 // failingSince returns when the first of the calls ended that an entry has left unanswered since
@@ -140,15 +153,25 @@
 	})
 }
 
-// peer returns the client of the entry at an address. Making one takes as long as a call, so they
-// are kept.
+// peer returns the client of the entry at an address.
 func (l *links) peer(address string) linkpbconnect.EntryPeerClient {
-	if client, ok := l.peerClients.Load(address); ok {
-		return client.(linkpbconnect.EntryPeerClient)
+	return keptClient(&l.peerClients, l.peerClient, address)
+}
+
+// claimPeer returns the client for claims at the entry at an address.
+func (l *links) claimPeer(address string) linkpbconnect.EntryPeerClient {
+	return keptClient(&l.claimPeers, l.claimCalls, address)
+}
+
+// keptClient returns the client of an address from kept, where it puts a new one. Making one takes
+// as long as a call.
+func keptClient(kept *sync.Map, client *http.Client, address string) linkpbconnect.EntryPeerClient {
+	if peer, ok := kept.Load(address); ok {
+		return peer.(linkpbconnect.EntryPeerClient)
 	}
-	client := linkpbconnect.NewEntryPeerClient(l.peerClient, "http://"+address, rpc.ClientOptions())
-	l.peerClients.Store(address, client)
-	return client
+	peer := linkpbconnect.NewEntryPeerClient(client, "http://"+address, rpc.ClientOptions())
+	kept.Store(address, peer)
+	return peer
 }
 
 // rowsPeers is the number of entries that are asked for their operators' rows at a time.
--- a/dispatcher/peerset.go
+++ b/dispatcher/peerset.go
@@ -13,12 +13,15 @@
 // peerSet holds the other entries that an entry knows of. Nobody tells when an entry is gone for
 // good, and its row stays in the store, so that each is asked now and then. One that doesn't
 // answer any more is kept apart: it may be cut off, and nobody would tell of its return.
-type peerSet struct{ byAddress map[string]*peer }
+type peerSet struct {
+	byAddress map[string]*peer
+}
 
 // peer is another entry.
 type peer struct {
 	member  directory.Member
 	askedAt time.Duration // when it was called last, or became known
+	addedAt time.Duration // when this incarnation became known
 	// failures is the number of calls without an answer since the last answer, and failingSince
 	// when the first of them ended.
 	failures     int
@@ -35,6 +38,9 @@
 	// partition.
 	goneAfter    = 10 * time.Minute
 	goneFailures = 3
+	// knownToAllAfter is how long after it became known here an entry is known to all others: more
+	// than their longest poll of the table of members.
+	knownToAllAfter = 5 * time.Second
 	// maxPeers bounds the entries that are kept: several times as many as there are at the
 	// target's size.
 	maxPeers = 2048
@@ -50,7 +56,7 @@
 	if known == nil && len(s.byAddress) >= maxPeers && !s.dropGone() {
 		return false
 	}
-	s.byAddress[m.Address] = &peer{member: m, askedAt: now}
+	s.byAddress[m.Address] = &peer{member: m, askedAt: now, addedAt: now}
 	return true
 }
 
@@ -115,15 +121,21 @@
 	return list
 }
 
-// candidates returns the entries that don't count as gone, as arbiters of jobs.
-func (s *peerSet) candidates() []claim.Candidate {
-	list := make([]claim.Candidate, 0, len(s.byAddress)+1)
+// candidates returns the entries that don't count as gone, as arbiters of jobs, and those of them
+// that all others know for sure. anySilent is true if one of them left the last call unanswered.
+func (s *peerSet) candidates(now time.Duration) (all, established []claim.Candidate, anySilent bool) {
 	for address, p := range s.byAddress {
-		if !p.gone() {
-			list = append(list, claim.Candidate{Address: address, Domain: p.member.Domain, Silent: p.failures > 0})
+		if p.gone() {
+			continue
+		}
+		c := claim.Candidate{Address: address, Domain: p.member.Domain, Silent: p.failures > 0}
+		anySilent = anySilent || c.Silent
+		all = append(all, c)
+		if now-p.addedAt >= knownToAllAfter {
+			established = append(established, c)
 		}
 	}
-	return list
+	return all, established, anySilent
 }
 
 // members returns the entries that don't count as gone.
