dispatcher: claims go over HTTP/2 again, and nothing is claimed in bursts or without end

Change: jobs aren't claimed again when an entry is replaced (its records are lost: docs/design/copies.md), claims share one HTTP/2 connection to each entry, and a job is claimed once more at most because it took long.

--- a/dispatcher/claims.go
+++ b/dispatcher/claims.go
@@ -49,16 +49,16 @@
 	via string
 }
 
-// Claim implements claim.Calls. It claims again if this process was paused meanwhile, since calls
+// Claim implements claim.Calls. It claims once more if this process was paused meanwhile, since calls
 // that got no answer say nothing then.
 func (j *jobCalls) Claim(ctx context.Context, mine claim.Holder, absent []claim.Holder) ([]claim.Holder, error) {
-	for {
+	for try := 1; ; try++ {
 		j.began = clock.Now()
 		holders := j.claimOnce(ctx, mine, absent)
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
-		if !j.d.tookTooLong(j.began) {
+		if try > 1 || !j.d.tookTooLong(j.began) { // an entry that is always slow doesn't try for ever
 			j.d.cfg.Metrics.recordClaim(clock.Now()-j.began, len(holders) > 0)
 			return holders, nil
 		}
@@ -66,8 +66,7 @@
 }
 
 // claimAgain claims a job that the core has, after a pause of this process in which other entries
-// may have given it up, or after an arbiter was replaced. The job is ended here if another one has
-// it now.
+// may have given it up. The job is ended here if another one has it now.
 func (d *Dispatcher) claimAgain(ctx context.Context, id work.JobID) {
 	mine := d.claims.Another()
 	calls := &jobCalls{d: d, job: id, until: clock.Now() + schedule.CancelKept}
@@ -82,15 +81,6 @@
 	}
 }
 
-// claimAllAgain claims all jobs that the core has once more, since an arbiter has forgotten them.
-func (d *Dispatcher) claimAllAgain() {
-	var ids []work.JobID
-	d.queryCore(func(c *schedule.Core) { ids = c.JobIDs() })
-	for _, id := range ids {
-		go d.claimAgain(d.base, id)
-	}
-}
-
 // tookTooLong reports whether a claim that began at a time has taken so long that this process must
 // have been paused. Other entries take over its jobs after twice as long at the earliest.
 func (d *Dispatcher) tookTooLong(began time.Duration) bool {
@@ -144,8 +134,8 @@
 
 // claimCall returns the call that claims the job at an arbiter and adds the holder that it names.
 func (j *jobCalls) claimCall(req *linkpb.ClaimRequest, named *holders) peerCall {
-	return func(ctx context.Context, address string, _ linkpbconnect.EntryPeerClient) error {
-		res, err := j.d.links.claimPeer(address).Claim(ctx, connect.NewRequest(req))
+	return func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient) error {
+		res, err := peer.Claim(ctx, connect.NewRequest(req))
 		if err != nil {
 			j.d.cfg.Log.Info("arbiter doesn't answer a claim", telemetry.JobID(string(j.job)), telemetry.ReasonText(address), telemetry.Err(err))
 		} else {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -166,6 +166,8 @@
 		job schedule.Job
 		// claimedAt is when the calls began by which this entry has got the job.
 		claimedAt time.Duration
+		// mayBeLate is true if the core takes the job also long after that.
+		mayBeLate bool
 		answer    chan schedule.Answer
 		// taken gets whether the core has taken the job.
 		taken chan bool
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -24,10 +24,8 @@
 type links struct {
 	dispatcher *Dispatcher
 	peerClient *http.Client
-	// claimCalls is the client for claims.
-	claimCalls *http.Client
-	// peerClients and claimPeers hold a linkpbconnect.EntryPeerClient for each address.
-	peerClients, claimPeers sync.Map
+	// peerClients holds a linkpbconnect.EntryPeerClient for each address that was called.
+	peerClients sync.Map
 
 	mu sync.Mutex
 	// known holds all agents and chooses the subset; agents holds those that are used,
@@ -61,7 +59,6 @@
 	return &links{
 		dispatcher: d,
 		peerClient: rpc.NewClient(),
-		claimCalls: rpc.NewShortCallClient(),
 		known:      subset.New(subset.Config{Self: d.cfg.Self.Address, Domain: d.cfg.Self.Domain, Max: d.cfg.MaxSessions}),
 		changed:    make(chan struct{}, 1),
 		agents:     map[string]*agentLink{},
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -22,9 +22,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m.Role == directory.RoleEntry {
-		if old := l.peers.byAddress[m.Address]; old != nil && old.member.Incarnation != m.Incarnation {
-			go l.dispatcher.claimAllAgain() // as an arbiter it has forgotten them
-		}
 		if !l.peers.add(m, clock.Now()) {
 			l.dispatcher.cfg.Log.Warn("too many entries are known; one is ignored", telemetry.ReasonText(m.Address))
 		}
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -16,7 +16,7 @@
 // handleSubmission passes a job to the core and records that its caller waits for it, unless it
 // was claimed too long ago.
 func (d *Dispatcher) handleSubmission(e submission) {
-	if d.tookTooLong(e.claimedAt) {
+	if !e.mayBeLate && d.tookTooLong(e.claimedAt) {
 		e.taken <- false
 		return
 	}
@@ -128,7 +128,7 @@
 		}
 	}
 	calls := &jobCalls{d: d, job: job.ID, until: job.Deadline}
-	for {
+	for late := false; ; {
 		holder, err := d.claims.Acquire(waiting, calls, job.ID, mine)
 		if err != nil {
 			d.claims.End(job.ID)
@@ -139,8 +139,10 @@
 				d.claims.End(job.ID)
 				return a
 			}
-		} else if a, inTime := d.submitClaimed(ctx, job, calls.began); inTime {
+		} else if a, inTime := d.submitClaimed(ctx, job, calls.began, late); inTime {
 			return a
+		} else {
+			late = true // an entry that is always slow doesn't try for ever
 		}
 		mine = d.claims.Resume(job.ID)
 	}
@@ -148,9 +150,9 @@
 
 // submitClaimed passes a job to the core, which ends its claim, and waits for its answer. inTime is
 // false if the core has got the job so late after its claim that other entries may have given
-// this one up meanwhile: nothing was started then, and the claim goes on.
-func (d *Dispatcher) submitClaimed(ctx context.Context, job *schedule.Job, claimedAt time.Duration) (a schedule.Answer, inTime bool) {
-	s := submission{job: *job, claimedAt: claimedAt, answer: make(chan schedule.Answer, 1), taken: make(chan bool, 1)}
+// this one up meanwhile, unless that is allowed: nothing was started then, and the claim goes on.
+func (d *Dispatcher) submitClaimed(ctx context.Context, job *schedule.Job, claimedAt time.Duration, mayBeLate bool) (a schedule.Answer, inTime bool) {
+	s := submission{job: *job, claimedAt: claimedAt, mayBeLate: mayBeLate, answer: make(chan schedule.Answer, 1), taken: make(chan bool, 1)}
 	select {
 	case d.events <- s:
 	default:
--- a/rpc/transport.go
+++ b/rpc/transport.go
@@ -49,23 +49,6 @@
 	}}
 }
 
-// callsPerPeer is the number of idle connections that a client for short calls keeps to each
-// address.
-const callsPerPeer = 4
-
-// NewShortCallClient returns an HTTP client for calls between processes that are answered at once.
-// It uses HTTP/1.1, which takes half the system calls and wake-ups of HTTP/2 for such a call. A
-// call that is given up closes its connection, so that none is used that has gone silent.
-func NewShortCallClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: callsPerPeer,
-		IdleConnTimeout:     time.Minute,
-	}}
-}
-
 // Conns holds the connections that one client has opened.
 type Conns struct {
 	mu     sync.Mutex
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -153,8 +153,8 @@
 	return list
 }
 
-// JobIDs returns the IDs of all jobs, in the order of their arrival.
-func (c *Core) JobIDs() []work.JobID {
+// jobIDs returns the IDs of all jobs, in the order of their arrival.
+func (c *Core) jobIDs() []work.JobID {
 	var list []work.JobID
 	for _, j := range c.sortedJobs() {
 		list = append(list, j.ID)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -166,7 +166,7 @@
 	case c.now-last > maxUnansweredHeartbeats*c.cfg.Terms.HeartbeatInterval:
 		c.resumedAt = c.now
 		c.emit(LogMessage{Text: "entry process was paused", Age: c.now - last})
-		c.emit(Resumed{Jobs: c.JobIDs()})
+		c.emit(Resumed{Jobs: c.jobIDs()})
 	}
 }
 
