platform: recent requests are claimed in their entry's own register only

Change: a request whose connection carried an answer less than 650 ms before (half of ResendDelay) was sent since, so that no copy of it is under way; it is claimed in its entry's own register only. With three entries or fewer the others ask all.

Weaker than before: a copy that comes as a recent request isn't recorded at an arbiter (docs/design/copies.md); a copy hardly is one, as its caller has waited 1.3 s at least.

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"foxtaildock.example/dock/clock"
@@ -44,6 +45,9 @@
 			cs.received(c)
 		}
 		next.ServeHTTP(w, r)
+		if c, ok := platform.ConnectionOf(r.Context()).(*callerConn); ok {
+			c.answeredAt.Store(int64(clock.Now()))
+		}
 	})
 }
 
@@ -90,6 +94,14 @@
 	// expired is true if closeIdle has let the read of the next request time out. The
 	// server closes the connection then, unless a part of a request was read before.
 	expired bool
+	// answeredAt is when the last answer was ready to be sent, by package clock, 0 if none was.
+	answeredAt atomic.Int64
+}
+
+// AnsweredAt implements platform.AnsweredConn.
+func (c *callerConn) AnsweredAt() (at time.Duration, answered bool) {
+	at = time.Duration(c.answeredAt.Load())
+	return at, at != 0
 }
 
 // Read reads from the connection, and marks it as busy if anything was read.
--- a/dispatcher/claims.go
+++ b/dispatcher/claims.go
@@ -40,6 +40,9 @@
 	job work.JobID
 	// until is when the job's caller stops waiting.
 	until time.Duration
+	// recent is true if the request was sent shortly before. It is claimed in this entry's own
+	// register only.
+	recent bool
 	// began is when the last calls to the arbiters began, and asked are the other entries that
 	// were asked then.
 	began time.Duration
@@ -94,6 +97,9 @@
 	d := j.d
 	named := &holders{}
 	named.add(d.register.Claim(j.began, claim.Request{Job: j.job, By: mine, Absent: absent, Until: j.until}))
+	if j.recent {
+		return named.result(j)
+	}
 	answering, silent := d.links.arbiters(j.job, j.began)
 	req := &linkpb.ClaimRequest{
 		Job: string(j.job), By: link.HolderMessage(mine), Absent: link.HolderMessages(absent), WaitMs: (j.until - j.began).Milliseconds(),
@@ -108,11 +114,7 @@
 		answering, _ = d.links.arbiters(j.job, clock.Now())
 		answering = slices.DeleteFunc(answering, func(address string) bool { return slices.Contains(j.asked, address) })
 	}
-	if named.cancelled {
-		d.rememberCancel(schedule.JobCancelled{ID: j.job}) // the core answers it so
-		return nil
-	}
-	return named.list
+	return named.result(j)
 }
 
 // holders are the holders of a job that arbiters name, and whether one knows that it was cancelled.
@@ -123,6 +125,15 @@
 	cancelled bool
 }
 
+// result returns the holders, none if the job was cancelled: the core answers it so.
+func (h *holders) result(j *jobCalls) []claim.Holder {
+	if h.cancelled {
+		j.d.rememberCancel(schedule.JobCancelled{ID: j.job})
+		return nil
+	}
+	return h.list
+}
+
 func (h *holders) add(r claim.Reply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -134,8 +145,8 @@
 
 // claimCall returns the call that claims the job at an arbiter and adds the holder that it names.
 func (j *jobCalls) claimCall(req *linkpb.ClaimRequest, named *holders) peerCall {
-	return func(ctx context.Context, address string, peer linkpbconnect.EntryPeerClient) error {
-		res, err := peer.Claim(ctx, connect.NewRequest(req))
+	return func(ctx context.Context, address string, _ linkpbconnect.EntryPeerClient) error {
+		res, err := j.d.links.claimPeer(address).Claim(ctx, connect.NewRequest(req))
 		if err != nil {
 			j.d.cfg.Log.Info("arbiter doesn't answer a claim", telemetry.JobID(string(j.job)), telemetry.ReasonText(address), telemetry.Err(err))
 		} else {
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -24,8 +24,10 @@
 type links struct {
 	dispatcher *Dispatcher
 	peerClient *http.Client
-	// peerClients holds a linkpbconnect.EntryPeerClient for each address that was called.
-	peerClients sync.Map
+	// claimCalls is the client for claims.
+	claimCalls *http.Client
+	// peerClients and claimPeers hold a linkpbconnect.EntryPeerClient for each address.
+	peerClients, claimPeers sync.Map
 
 	mu sync.Mutex
 	// known holds all agents and chooses the subset; agents holds those that are used,
@@ -59,6 +61,7 @@
 	return &links{
 		dispatcher: d,
 		peerClient: rpc.NewClient(),
+		claimCalls: rpc.NewShortCallClient(),
 		known:      subset.New(subset.Config{Self: d.cfg.Self.Address, Domain: d.cfg.Self.Domain, Max: d.cfg.MaxSessions}),
 		changed:    make(chan struct{}, 1),
 		agents:     map[string]*agentLink{},
--- a/dispatcher/peers.go
+++ b/dispatcher/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -51,7 +52,7 @@
 	defer l.mu.Unlock()
 	all, established, anySilent := l.peers.candidates(now)
 	others := 1
-	if anySilent {
+	if anySilent || len(all) <= 2 { // with two others all are asked
 		others = 2
 	}
 	list := claim.Arbiters(id, self.Address, append(all, own), others)
@@ -152,15 +153,25 @@
 	})
 }
 
-// peer returns the client of the entry at an address. Making one takes as long as a call, so they
-// are kept.
+// peer returns the client of the entry at an address.
 func (l *links) peer(address string) linkpbconnect.EntryPeerClient {
-	if client, ok := l.peerClients.Load(address); ok {
-		return client.(linkpbconnect.EntryPeerClient)
+	return keptClient(&l.peerClients, l.peerClient, address)
+}
+
+// claimPeer returns the client for claims at the entry at an address.
+func (l *links) claimPeer(address string) linkpbconnect.EntryPeerClient {
+	return keptClient(&l.claimPeers, l.claimCalls, address)
+}
+
+// keptClient returns the client of an address from kept, where it puts a new one. Making one takes
+// as long as a call.
+func keptClient(kept *sync.Map, client *http.Client, address string) linkpbconnect.EntryPeerClient {
+	if peer, ok := kept.Load(address); ok {
+		return peer.(linkpbconnect.EntryPeerClient)
 	}
-	client := linkpbconnect.NewEntryPeerClient(l.peerClient, "http://"+address, rpc.ClientOptions())
-	l.peerClients.Store(address, client)
-	return client
+	peer := linkpbconnect.NewEntryPeerClient(client, "http://"+address, rpc.ClientOptions())
+	kept.Store(address, peer)
+	return peer
 }
 
 // rowsPeers is the number of entries that are asked for their operators' rows at a time.
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -127,7 +127,7 @@
 			return d.awaitAnswer(ctx, job.ID, answer)
 		}
 	}
-	calls := &jobCalls{d: d, job: job.ID, until: job.Deadline}
+	calls := &jobCalls{d: d, job: job.ID, until: job.Deadline, recent: job.Recent}
 	for late := false; ; {
 		holder, err := d.claims.Acquire(waiting, calls, job.ID, mine)
 		if err != nil {
--- a/rpc/transport.go
+++ b/rpc/transport.go
@@ -49,6 +49,23 @@
 	}}
 }
 
+// idlePerPeer is the number of idle connections that a client for short calls keeps to each
+// address: more than it usually makes calls there at a time.
+const idlePerPeer = 16
+
+// NewShortCallClient returns an HTTP client for calls between processes that are answered at once.
+// It uses HTTP/1.1, which takes fewer system calls and wake-ups than HTTP/2 for such a call. A call
+// that is given up closes its connection, so that none is used that has gone silent.
+func NewShortCallClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerPeer,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
 // Conns holds the connections that one client has opened.
 type Conns struct {
 	mu     sync.Mutex
--- a/schedule/events.go
+++ b/schedule/events.go
@@ -20,6 +20,9 @@
 	Steps []Step
 	// Deadline is when the caller stops waiting.
 	Deadline time.Duration
+	// Recent is true if the caller got an answer on the same connection shortly before, so that
+	// the request has been sent since.
+	Recent bool
 }
 
 // Tasks returns the number of tasks of all steps.
