daemon, platform: what callers send is bounded in memory, time and connections

What callers saw: clients that sent large bodies, chunks or headers and stopped short of their end ended an entry, which ran out of memory. Cause: each body was read whole (io.ReadAll, growing) before anything was decided; nothing bounded how long a body may take, how many are read at once or their bytes together; maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the manifest were parsed and never applied; connections were bounded by descriptors only. A GET with a body that never came kept its connection for ever, in net/http's own discarding.

Change: the connections of an entry ask package intake before each read and for each piece of a body, and carry out what it decides. A refused request is answered 503 with Retry-After, and its caller may go on sending for a second, so that it sees the answer. Large headers are dropped before their handlers run, large bodies decoded one at a time, jobs charged until their answer. maxFds is read. The listeners for readiness, reports and metrics are bounded in the same way, with fixed limits; that between processes in its connections (golang.org/x/net/netutil), headers and messages. Reasons are logged (callers shed) and counted (foxtaildock_callers_shed_total).

An ordinary job was answered beside each crowd and after it. The tasks of their jobs ask for what their steps say, which the stand-in now does too.

--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -66,8 +66,8 @@
 	t.Helper()
 	s, err := usersite.Start(usersite.Config{
 		Daemon: daemonPath, Dir: t.TempDir(), Entries: 1, Agents: 2, MemoryMB: memoryMB, Descriptors: descriptors,
-		Plan: func(work.Run, string) runserver.Plan {
-			return runserver.Plan{Demand: usersite.Demand, Length: 20 * time.Millisecond}
+		Plan: func(_ work.Run, spec string) runserver.Plan {
+			return runserver.Plan{Demand: demandOf(spec), Length: 20 * time.Millisecond}
 		},
 	})
 	if err != nil {
@@ -89,6 +89,18 @@
 	return c
 }
 
+// demandOf returns the demand of a task with the spec, which is what its job says.
+func demandOf(spec string) work.Demand {
+	switch spec {
+	case lightSpec:
+		return work.Demand{CPUMilli: 100}
+	case freeSpec:
+		return work.Demand{}
+	default:
+		return usersite.Demand
+	}
+}
+
 func (s *crowdSite) address() string { return s.CallerAddress(0) }
 
 // ordinaryTries is how often a caller submits an ordinary job that is rejected or not answered, a
@@ -314,6 +326,30 @@
 	})
 }
 
+// The other listeners of an entry and an agent aren't for callers, and have to bear as much.
+func TestCrowdsAtOtherListeners(t *testing.T) {
+	s := startCrowdSite(t)
+	fields := shortFields(1_000_000)
+	for _, address := range s.SideAddresses()[:6] { // those of the entry and of one agent
+		for _, c := range []struct {
+			n    int
+			send func(caller int, conn net.Conn) error
+		}{
+			{connections, func(int, net.Conn) error { return nil }},
+			{headers / 4, func(_ int, conn net.Conn) error {
+				_, err := fmt.Fprintf(conn, "PUT /instances/x HTTP/1.1\r\nHost: x\r\n%s", fields)
+				return err
+			}},
+		} {
+			crowd := Open(address, c.n, c.send)
+			time.Sleep(holdTime)
+			s.serveOrdinary("beside a crowd at " + address)
+			crowd.Close()
+		}
+	}
+	s.check()
+}
+
 // What our pages allow is served while nothing else goes on: a body and a header of the largest
 // size, a body that comes slowly and steadily, and a job of many tasks that is answered.
 func TestASingleRequestInsideTheLimitsIsServed(t *testing.T) {
--- a/bench/crowd/request.go
+++ b/bench/crowd/request.go
@@ -38,15 +38,21 @@
 	return append(bytes.Repeat([]byte(" "), n-len(job)), job...)
 }
 
-// manySteps returns a job of n steps of one task each.
+// lightSpec and freeSpec are the specs of tasks that need a tenth of a core, and nothing.
+const (
+	lightSpec = "light"
+	freeSpec  = "free"
+)
+
+// manySteps returns a job of n steps of one light task each.
 func manySteps(n int) []byte {
 	step := `{"count":1,"cpu":100}`
-	return []byte(`{"spec":"work","bestEffort":true,"steps":[` + strings.Repeat(step+",", n-1) + step + `]}`)
+	return []byte(`{"spec":"` + lightSpec + `","bestEffort":true,"steps":[` + strings.Repeat(step+",", n-1) + step + `]}`)
 }
 
 // manyTasks returns a job of one step of n tasks that need nothing.
 func manyTasks(n int) []byte {
-	return fmt.Appendf(nil, `{"spec":"work","bestEffort":true,"steps":[{"count":%d}]}`, n)
+	return fmt.Appendf(nil, `{"spec":%q,"bestEffort":true,"steps":[{"count":%d}]}`, freeSpec, n)
 }
 
 // longSpec returns a job of n tasks whose spec has the given length.
--- a/bench/usersite/site.go
+++ b/bench/usersite/site.go
@@ -16,6 +16,7 @@
 
 	"foxtaildock.example/bench/cluster"
 	"foxtaildock.example/bench/runserver"
+	"foxtaildock.example/dock/daemon"
 	"foxtaildock.example/dock/run"
 	"foxtaildock.example/dock/work"
 )
@@ -274,6 +275,25 @@
 	return netip.Addr{}
 }
 
+// SideAddresses returns the addresses at which the processes of the site serve others than callers.
+func (s *Site) SideAddresses() []string {
+	var list []string
+	for _, kind := range []struct {
+		kind, count int
+		ports       []int
+	}{
+		{kindEntry, len(s.Entries), []int{portReadiness, portInternal, daemon.MetricsPort}},
+		{kindAgent, len(s.Agents), []int{portControl, portInternal, daemon.MetricsPort}},
+	} {
+		for i := range kind.count {
+			for _, port := range kind.ports {
+				list = append(list, fmt.Sprintf("%s:%d", s.address(kind.kind, i), port))
+			}
+		}
+	}
+	return list
+}
+
 // CallerAddress returns the address at which an entry accepts jobs.
 func (s *Site) CallerAddress(entry int) string {
 	return fmt.Sprintf("%s:%d", s.address(kindEntry, entry), portCallers)
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -9,27 +9,39 @@
 	"time"
 
 	"foxtaildock.example/dock/clock"
+	"foxtaildock.example/dock/intake"
 	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/telemetry"
 )
 
-// connections tracks the connections of the callers' server, so that a stopping entry
-// knows which ones have a request in progress and can close the others. It is safe for
-// concurrent use.
+// connections tracks the connections of a server, so that a stopping entry knows which ones have
+// a request in progress and can close the others, and carries out what package intake decides
+// about them. It is safe for concurrent use.
 type connections struct {
-	mu   sync.Mutex
-	open map[*callerConn]struct{}
+	report shedReport
+	mu     sync.Mutex
+	core   *intake.Core
+	// rules returns the limits of a request.
+	rules func() intake.Rules
+	open  map[intake.ID]*callerConn
 	// lastArrival is when the last connection was accepted or the last request began to
 	// arrive, by package clock.
 	lastArrival time.Duration
 }
 
-func newConnections() *connections {
-	return &connections{open: map[*callerConn]struct{}{}, lastArrival: clock.Now()}
+// newConnections returns the connections of a server, of which there are none yet. report is told
+// about those that are refused or closed.
+func newConnections(limits intake.Limits, rules func() intake.Rules, report shedReport) *connections {
+	return &connections{
+		report: report, core: intake.New(limits), rules: rules,
+		open: map[intake.ID]*callerConn{}, lastArrival: clock.Now(),
+	}
 }
 
 // track makes the server's connections tracked. It returns the listener that the server
-// must serve.
+// must serve. The deadlines of reads are those of package intake, not of the server.
 func (cs *connections) track(server *http.Server, l net.Listener) net.Listener {
+	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0
 	server.ConnState = cs.stateChanged
 	server.ConnContext = platform.WithConnection
 	server.Handler = cs.trackRequests(server.Handler)
@@ -41,16 +53,37 @@
 // last.
 func (cs *connections) trackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := platform.ConnectionOf(r.Context()).(*callerConn); ok {
-			cs.received(c)
+		c, ok := platform.ConnectionOf(r.Context()).(*callerConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
 		}
+		platform.TrimHeader(r)
+		cs.began(c, r.ContentLength == 0)
 		next.ServeHTTP(w, r)
-		if c, ok := platform.ConnectionOf(r.Context()).(*callerConn); ok {
-			c.answeredAt.Store(int64(clock.Now()))
-		}
+		c.answeredAt.Store(int64(clock.Now()))
+		cs.ended(c)
 	})
 }
 
+// began records that the handler of a request begins.
+func (cs *connections) began(c *callerConn, noBody bool) {
+	cs.received(c)
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.core.HeaderReleased(c.id)
+	if noBody {
+		cs.core.BodyWhole(clock.Now(), c.id)
+	}
+}
+
+// ended records that the handler of a request has ended, so that its job takes no memory.
+func (cs *connections) ended(c *callerConn) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.core.Hold(clock.Now(), c.id, 0) // less memory is never refused
+}
+
 // trackedListener accepts connections that are tracked.
 type trackedListener struct {
 	net.Listener
@@ -59,31 +92,92 @@
 
 var errNotTCP = errors.New("connection isn't a TCP connection")
 
-// Accept waits for the next connection.
+// Accept waits for the next connection that isn't refused.
 func (l trackedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return nil, errors.Join(errNotTCP, c.Close())
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return nil, errors.Join(errNotTCP, c.Close())
+		}
+		if tracked := l.connections.add(tcp); tracked != nil {
+			return tracked, nil
+		}
+		_ = tcp.Close() // the caller may have left
 	}
-	return l.connections.add(tcp), nil
 }
 
+// add tracks a new connection. It returns nil if the connection is refused.
 func (cs *connections) add(tcp *net.TCPConn) *callerConn {
 	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	cs.lastArrival = clock.Now()
-	c := &callerConn{TCPConn: tcp, connections: cs, acceptedAt: cs.lastArrival}
-	cs.open[c] = struct{}{}
+	now := clock.Now()
+	id, actions := cs.core.Open(now)
+	victims := cs.victims(actions)
+	var c *callerConn
+	if id != 0 {
+		cs.lastArrival = now
+		c = &callerConn{TCPConn: tcp, id: id, connections: cs, acceptedAt: now}
+		cs.open[id] = c
+	}
+	cs.mu.Unlock()
+	cs.carryOut(victims)
+	if c == nil {
+		cs.report.shed(intake.TooManyConns, 1)
+	}
 	return c
 }
 
+// victim is a connection that gives way.
+type victim struct {
+	conn   *callerConn
+	action intake.Action
+}
+
+func (cs *connections) victims(actions []intake.Action) []victim {
+	var list []victim
+	for _, a := range actions {
+		if c := cs.open[a.ID]; c != nil {
+			list = append(list, victim{c, a})
+		}
+	}
+	return list
+}
+
+// carryOut closes the connections that give way, or lets the reads of their requests time out so
+// that their handlers answer. It must be called without the mutex, since closing waits for reads
+// to end.
+func (cs *connections) carryOut(victims []victim) {
+	for _, v := range victims {
+		cs.report.shed(v.action.Reason, 1)
+		if v.action.Close {
+			_ = v.conn.Close() // the caller may have left
+		} else {
+			_ = v.conn.TCPConn.SetReadDeadline(past) // it fails only on a closed connection
+		}
+	}
+}
+
+// setLimits changes what all connections may occupy together.
+func (cs *connections) setLimits(l intake.Limits) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.core.SetLimits(l)
+}
+
+// stats returns what the connections occupy.
+func (cs *connections) stats() intake.Stats {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.core.Stats()
+}
+
 // callerConn is the connection of a caller. The mutex of connections guards its fields.
 type callerConn struct {
 	*net.TCPConn
+	id          intake.ID
 	connections *connections
 	// busy is true from the first byte of a request that is read to the end of its answer.
 	busy bool
@@ -94,6 +188,10 @@
 	// expired is true if closeIdle has let the read of the next request time out. The
 	// server closes the connection then, unless a part of a request was read before.
 	expired bool
+	// interrupted is true while the server interrupts a read by a deadline of its own.
+	interrupted bool
+	// linesRead is the number of ends of lines in what was read last.
+	linesRead int
 	// answeredAt is when the last answer was ready to be sent, by package clock, 0 if none was.
 	answeredAt atomic.Int64
 }
@@ -104,15 +202,6 @@
 	return at, at != 0
 }
 
-// Read reads from the connection, and marks it as busy if anything was read.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.connections.received(c)
-	}
-	return n, err
-}
-
 // received records that a part of a request was read. A connection that has been expired
 // meanwhile stays open for the request.
 func (cs *connections) received(c *callerConn) {
@@ -125,7 +214,7 @@
 	cs.lastArrival = clock.Now()
 	if c.expired {
 		c.expired = false
-		_ = c.SetReadDeadline(time.Time{}) // it fails only on a closed connection
+		_ = c.TCPConn.SetReadDeadline(time.Time{}) // it fails only on a closed connection
 	}
 }
 
@@ -136,13 +225,13 @@
 func (cs *connections) closeIdle(newFor time.Duration) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	for c := range cs.open {
+	for _, c := range cs.open {
 		isNew := !c.answered && clock.Now()-c.acceptedAt < newFor
 		if c.busy || isNew || platform.HasUnread(c.TCPConn) {
 			continue
 		}
 		c.expired = true
-		_ = c.SetReadDeadline(past) // it fails only on a closed connection
+		_ = c.TCPConn.SetReadDeadline(past) // it fails only on a closed connection
 	}
 }
 
@@ -158,10 +247,14 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	switch state {
+	case http.StateActive:
+		cs.core.HeaderWhole(clock.Now(), c.id)
 	case http.StateIdle:
 		c.busy, c.answered = false, true
+		cs.core.Answered(clock.Now(), c.id, c.linesRead)
 	case http.StateClosed, http.StateHijacked:
-		delete(cs.open, c)
+		delete(cs.open, c.id)
+		cs.core.Close(c.id)
 	}
 }
 
@@ -173,7 +266,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	n := connectionCounts{open: len(cs.open)}
-	for c := range cs.open {
+	for _, c := range cs.open {
 		if c.busy {
 			n.busy++
 		}
@@ -188,3 +281,11 @@
 	defer cs.mu.Unlock()
 	return clock.Now() - cs.lastArrival
 }
+
+// observed returns the metrics of the connections.
+func (cs *connections) observed() []telemetry.Observed {
+	return []telemetry.Observed{
+		{Name: "foxtaildock.callers.connections", Help: "Open connections of callers.", Read: func() int64 { return int64(cs.stats().Connections) }},
+		{Name: "foxtaildock.callers.bytes", Help: "Bytes of memory that the requests of callers are charged with.", Read: func() int64 { return cs.stats().Bytes }},
+	}
+}
--- a/daemon/connections_test.go
+++ b/daemon/connections_test.go
@@ -2,13 +2,21 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
 	"testing"
 	"time"
+
+	"foxtaildock.example/dock/intake"
+	"foxtaildock.example/dock/operator"
+	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/schedule"
+	"foxtaildock.example/dock/work"
 )
 
 // trackedServer is a server on loopback whose connections are tracked.
@@ -18,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tracked := newConnections()
+	tracked := newConnections(intake.LimitsFor(0, 0), func() intake.Rules { return intake.DefaultRules }, noReport{})
 	l.socket = tracked.track(l.server, l.socket)
 	failed := make(chan error, 1)
 	go l.serve(failed)
@@ -195,7 +203,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = peer.Close() }()
-	tracked := newConnections()
+	tracked := newConnections(intake.LimitsFor(0, 0), func() intake.Rules { return intake.DefaultRules }, noReport{})
 	accepted, err := trackedListener{l, tracked}.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -210,3 +218,124 @@
 		t.Errorf("read %d bytes, error %v; want the rest of the request", n, err)
 	}
 }
+
+// boundedServer is a tracked server that reads bodies as the callers' one does.
+func boundedServer(t *testing.T, limits intake.Limits) (*listener, *connections) {
+	t.Helper()
+	l, err := listenBuffered("callers", netip.MustParseAddrPort("127.0.0.1:0"), plainServer(platform.NewCallerHandler(refusing{})), limits.ReceiveBuffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tracked := newConnections(limits, func() intake.Rules { return intake.DefaultRules }, noReport{})
+	l.socket = tracked.track(l.server, l.socket)
+	go l.serve(make(chan error, 1))
+	t.Cleanup(func() { _ = l.server.Close() })
+	return l, tracked
+}
+
+// refusing is a dispatcher that takes no job.
+type refusing struct{ platform.Dispatcher }
+
+func (refusing) Manifest() *operator.Manifest {
+	return &operator.Manifest{Routes: []operator.Route{{Name: "jobs", Host: "h.example", PathPrefix: "/", Timeout: time.Second}}}
+}
+func (refusing) ShuttingDown() bool { return false }
+func (refusing) TurnAway(id work.JobID, _ work.Priority, reason string) schedule.Answer {
+	return schedule.Answer{ID: id, Verdict: schedule.Rejected, Reason: reason, RetryAfter: time.Second}
+}
+func (refusing) Submit(_ context.Context, job schedule.Job, _ time.Duration) schedule.Answer {
+	return schedule.Answer{ID: job.ID, Verdict: schedule.Rejected, RetryAfter: time.Second}
+}
+func (refusing) CallerLeft(work.JobID) {}
+
+// beginBody sends the header of a request with a body of the given length, and a part of the body.
+func beginBody(t *testing.T, c net.Conn, length, part int) {
+	t.Helper()
+	if _, err := fmt.Fprintf(c, "POST /0000000000000001 HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n\r\n%*s", length, part, ""); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readRefusal reads an answer, which must be that of a refused request.
+func readRefusal(t *testing.T, c net.Conn) {
+	t.Helper()
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("the caller sees no answer: %v", err)
+	}
+	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" || !res.Close {
+		t.Errorf("answered %d with %v, want 503 with Retry-After on a connection that ends", res.StatusCode, res.Header)
+	}
+}
+
+// A caller whose body gave way while it still sent got a reset in place of the answer.
+func TestARefusedCallerThatStillSendsSeesTheAnswer(t *testing.T) {
+	const half = 256 << 10
+	l, tracked := boundedServer(t, intake.Limits{Connections: 8, Bytes: 400 << 10, ReceiveBuffer: 16 << 10})
+	first, second := dial(t, l), dial(t, l)
+	beginBody(t, first, 2*half, half)
+	await(t, "the first body", func() bool { return tracked.stats().Bytes >= half })
+	time.Sleep(300 * time.Millisecond) // without progress, so that it gives way
+	beginBody(t, second, 2*half, half)
+	go func() {
+		for range half {
+			if _, err := first.Write([]byte(" ")); err != nil {
+				return // the server has waited long enough
+			}
+		}
+	}()
+	readRefusal(t, first)
+}
+
+// A crowd of idle connections locked other callers out, or took all descriptors.
+func TestIdleConnectionsGiveWayToNewOnes(t *testing.T) {
+	l, tracked := boundedServer(t, intake.Limits{Connections: 4, Bytes: 1 << 20, ReceiveBuffer: 16 << 10})
+	oldest := dial(t, l)
+	await(t, "the oldest connection", func() bool { return tracked.counts().open == 1 })
+	for range 7 {
+		dial(t, l)
+	}
+	if _, err := oldest.Read(make([]byte, 1)); err == nil {
+		t.Error("the oldest connection is open, want it closed")
+	}
+	caller := dial(t, l)
+	beginBody(t, caller, 2, 2)
+	res, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil || res.StatusCode != http.StatusBadRequest {
+		t.Errorf("answer %v, error %v; want 400 for an empty job", res, err)
+	}
+	if n := tracked.stats().Connections; n > 4 {
+		t.Errorf("%d connections are open, want at most 4", n)
+	}
+}
+
+// A header that is too large got no answer, or the server read a megabyte of it.
+func TestALargeHeaderIsAnswered(t *testing.T) {
+	l, _ := boundedServer(t, intake.LimitsFor(0, 0))
+	c := dial(t, l)
+	if _, err := fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h.example\r\nX: %*s", 80<<10, ""); err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || res.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("answer %v, error %v; want 431", res, err)
+	}
+}
+
+// Requests on one connection are served one after the other, also those that were sent together.
+func TestRequestsThatAreSentTogetherAreServed(t *testing.T) {
+	l, _ := boundedServer(t, intake.LimitsFor(0, 0))
+	c := dial(t, l)
+	beginBody(t, c, 2, 2)
+	beginBody(t, c, 3, 3)
+	reader := bufio.NewReader(c)
+	for range 2 {
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil || res.StatusCode != http.StatusBadRequest {
+			t.Fatalf("answer %v, error %v; want 400 for an empty job", res, err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -11,11 +11,16 @@
 	"syscall"
 	"time"
 
+	"go.opentelemetry.io/otel/metric"
+	"golang.org/x/net/netutil"
+
 	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/ident"
+	"foxtaildock.example/dock/intake"
 	"foxtaildock.example/dock/lease"
 	"foxtaildock.example/dock/pause"
 	"foxtaildock.example/dock/platform"
+	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/shutdown"
 	"foxtaildock.example/dock/telemetry"
 )
@@ -39,15 +44,18 @@
 // platformProcess contains what the entry and the agent process on the users' platform
 // have in common.
 type platformProcess struct {
-	set       *platform.Settings
-	path      string
-	log       *telemetry.Logger
-	self      ident.Incarnation
-	terms     lease.Terms
-	store     *platform.Store
-	metrics   *telemetry.Metrics
-	ignored   *telemetry.Ignored
-	started   time.Time
+	set     *platform.Settings
+	path    string
+	log     *telemetry.Logger
+	self    ident.Incarnation
+	terms   lease.Terms
+	store   *platform.Store
+	metrics *telemetry.Metrics
+	ignored *telemetry.Ignored
+	shed    metric.Int64Counter
+	started time.Time
+	// callers are the connections of callers; nil in an agent.
+	callers   *connections
 	listeners []*listener
 	failed    chan error
 }
@@ -69,9 +77,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
+	shed, err := newShedCounter(metrics.Meter())
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
 	log = log.With(telemetry.Incarnation(self), telemetry.Domain(set.Domain))
 	return &platformProcess{
-		set: set, path: path, self: self, terms: terms, metrics: metrics, ignored: ignored, log: log,
+		set: set, path: path, self: self, terms: terms, metrics: metrics, ignored: ignored, shed: shed, log: log,
 		store: platform.NewStore(set, reportOddRows(log, ignored)), started: time.Now(), failed: make(chan error, 8),
 	}, nil
 }
@@ -85,23 +97,48 @@
 	}
 }
 
-// listen opens a listener and serves it in a goroutine. It does nothing if the
-// address isn't valid, which means that the role has no such listener.
-func (p *platformProcess) listen(name string, address netip.AddrPort, server *http.Server) error {
-	if !address.IsValid() {
-		return nil
-	}
-	l, err := listenWith(name, address, server)
+func (p *platformProcess) serve(l *listener) {
+	p.listeners = append(p.listeners, l)
+	go l.serve(p.failed)
+}
+
+// sideLimits are what the clients of a listener may occupy that isn't for callers: one backend
+// server, the platform's balancer and a few who read metrics.
+var sideLimits = intake.Limits{Connections: 64, Bytes: 4 << 20, ReceiveBuffer: 64 << 10}
+
+// listenInternal opens the listener for other processes of the system, whose number of connections
+// is bounded, and serves it in a goroutine.
+func (p *platformProcess) listenInternal(h http.Handler) error {
+	l, err := listenWith("internal", p.set.Internal, rpc.NewServer(h))
 	if err != nil {
 		return err
 	}
+	l.socket = netutil.LimitListener(l.socket, intake.OwnSockets(p.set.Limits.Descriptors))
 	p.serve(l)
 	return nil
 }
 
-func (p *platformProcess) serve(l *listener) {
-	p.listeners = append(p.listeners, l)
-	go l.serve(p.failed)
+// listenSide opens a listener for few clients, whose connections and requests are bounded, and
+// serves it in a goroutine. It does nothing if the address isn't valid, which means that the role
+// has no such listener.
+func (p *platformProcess) listenSide(name string, address netip.AddrPort, h http.Handler) error {
+	if !address.IsValid() {
+		return nil
+	}
+	_, _, err := p.listenTracked(name, address, h, sideLimits, func() intake.Rules { return intake.DefaultRules })
+	return err
+}
+
+// listenTracked opens a listener whose connections are tracked, and serves it in a goroutine.
+func (p *platformProcess) listenTracked(name string, address netip.AddrPort, h http.Handler, limits intake.Limits, rules func() intake.Rules) (*listener, *connections, error) {
+	l, err := listenBuffered(name, address, plainServer(h), limits.ReceiveBuffer)
+	if err != nil {
+		return nil, nil, err
+	}
+	tracked := newConnections(limits, rules, newShedLog(name, p.log, p.shed))
+	l.socket = tracked.track(l.server, l.socket)
+	p.serve(l)
+	return l, tracked, nil
 }
 
 // listenMetrics registers the metrics of the role and serves /metrics and the
@@ -111,15 +148,11 @@
 		return err
 	}
 	address := netip.AddrPortFrom(p.set.Address, MetricsPort)
-	return p.listen("metrics", address, plainServer(telemetry.NewHandler(p.metrics, ready)))
+	return p.listenSide("metrics", address, telemetry.NewHandler(p.metrics, ready))
 }
 
-// idleTimeout is how long a connection of a caller or a backend server may be idle.
-const idleTimeout = 75 * time.Second
-
-func plainServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-}
+// plainServer returns a server without timeouts, whose connections have to be tracked.
+func plainServer(h http.Handler) *http.Server { return &http.Server{Handler: h} }
 
 // close closes all listeners.
 func (p *platformProcess) close() {
@@ -155,6 +188,9 @@
 		return
 	}
 	limitMemory(set.Limits)
+	if p.callers != nil {
+		p.callers.setLimits(callerLimits(set.Limits))
+	}
 	p.log.Info("settings reloaded", telemetry.Count(len(set.Seeds)))
 }
 
--- a/daemon/platform_agent.go
+++ b/daemon/platform_agent.go
@@ -59,10 +59,10 @@
 func (p *platformProcess) serveAgent(r *runner.Runner) error {
 	internal := http.NewServeMux()
 	internal.Handle(linkpbconnect.NewAgentLinkHandler(r, rpc.HandlerOptions()))
-	if err := p.listen("internal", p.set.Internal, rpc.NewServer(internal)); err != nil {
+	if err := p.listenInternal(internal); err != nil {
 		return err
 	}
-	if err := p.listen("reports", p.set.Control, plainServer(platform.NewHeartbeatHandler(p.set.Backend, r))); err != nil {
+	if err := p.listenSide("reports", p.set.Control, platform.NewHeartbeatHandler(p.set.Backend, r)); err != nil {
 		return err
 	}
 	return p.listenMetrics(r.Observed(), func() error {
--- a/daemon/platform_entry.go
+++ b/daemon/platform_entry.go
@@ -9,6 +9,8 @@
 
 	"foxtaildock.example/dock/directory"
 	"foxtaildock.example/dock/dispatcher"
+	"foxtaildock.example/dock/intake"
+	"foxtaildock.example/dock/operator"
 	"foxtaildock.example/dock/platform"
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/linkpb/linkpbconnect"
@@ -71,32 +73,50 @@
 func (p *platformProcess) serveEntry(d *dispatcher.Dispatcher) (*callerListener, error) {
 	internal := http.NewServeMux()
 	internal.Handle(linkpbconnect.NewEntryPeerHandler(dispatcher.Peer{Dispatcher: d}, rpc.HandlerOptions()))
-	if err := p.listen("internal", p.set.Internal, rpc.NewServer(internal)); err != nil {
+	if err := p.listenInternal(internal); err != nil {
 		return nil, err
 	}
 	callers, err := p.listenCallers(d)
 	if err != nil {
 		return nil, err
 	}
-	if err := p.listen("readiness", p.set.Readiness, plainServer(platform.NewReadinessHandler(d))); err != nil {
+	if err := p.listenSide("readiness", p.set.Readiness, platform.NewReadinessHandler(d)); err != nil {
 		return nil, err
 	}
-	return callers, p.listenMetrics(d.Observed(), d.Ready)
+	return callers, p.listenMetrics(append(d.Observed(), callers.connections.observed()...), d.Ready)
 }
 
 func (p *platformProcess) listenCallers(d *dispatcher.Dispatcher) (*callerListener, error) {
 	if !p.set.Callers.IsValid() {
 		return nil, errNoCallersAddress
 	}
-	server := plainServer(platform.NewCallerHandler(d))
-	l, err := listenWith("callers", p.set.Callers, server)
+	limits := callerLimits(p.set.Limits)
+	rules := func() intake.Rules { return requestRules(d.Manifest()) }
+	l, tracked, err := p.listenTracked("callers", p.set.Callers, platform.NewCallerHandler(d), limits, rules)
 	if err != nil {
 		return nil, err
 	}
-	callers := &callerListener{listener: l, connections: newConnections()}
-	l.socket = callers.connections.track(server, l.socket)
-	p.serve(l)
-	return callers, nil
+	p.callers = tracked
+	p.log.Info("callers are bounded", telemetry.OpenConnections(limits.Connections), telemetry.Bytes(limits.Bytes))
+	return &callerListener{listener: l, connections: tracked}, nil
+}
+
+// callerLimits returns what callers may occupy in a process with the limits of its settings.
+func callerLimits(l platform.Limits) intake.Limits {
+	return intake.LimitsFor(l.MemoryBytes, l.Descriptors)
+}
+
+// requestRules returns the limits of a request in the manifest, which is nil as long as none is
+// known.
+func requestRules(m *operator.Manifest) intake.Rules {
+	if m == nil {
+		return intake.DefaultRules
+	}
+	return intake.Rules{
+		MaxHeaderBytes: int64(m.Limits.MaxHeaderBytes),
+		HeaderTimeout:  m.Limits.HeaderTimeout,
+		IdleTimeout:    m.Limits.IdleTimeout,
+	}
 }
 
 var errNoCallersAddress = errors.New("settings: found no listen address for callers; an entry needs one")
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -9,7 +9,10 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // readHeaderTimeout is how long a client may take to send the header of a request.
@@ -31,13 +34,31 @@
 
 // listenWith opens a listener for a server.
 func listenWith(name string, address netip.AddrPort, server *http.Server) (*listener, error) {
-	socket, err := net.Listen("tcp", address.String())
+	return listenBuffered(name, address, server, 0)
+}
+
+// listenBuffered opens a listener for a server whose connections have receive buffers of the given
+// size, in bytes; 0 for those of the operating system.
+func listenBuffered(name string, address netip.AddrPort, server *http.Server, receiveBuffer int) (*listener, error) {
+	config := net.ListenConfig{}
+	if receiveBuffer > 0 {
+		config.Control = func(_, _ string, c syscall.RawConn) error { return setReceiveBuffer(c, receiveBuffer) }
+	}
+	socket, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("listener %s: %w", name, err)
 	}
 	return &listener{name: name, socket: socket, server: server}, nil
 }
 
+// setReceiveBuffer sets the size of the receive buffer of a listening socket, which its connections
+// get as well. An operating system that can't set it keeps its own.
+func setReceiveBuffer(c syscall.RawConn, size int) error {
+	return c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+	})
+}
+
 // serve serves until the listener is shut down or stops accepting. Any other end is sent to
 // failed.
 func (l *listener) serve(failed chan<- error) {
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -157,7 +157,7 @@
 	case d.events <- s:
 	default:
 		d.claims.End(job.ID)
-		return d.turnAway(job.ID, job.Route.Priority, reasonBusy), true
+		return d.TurnAway(job.ID, job.Route.Priority, reasonBusy), true
 	}
 	select {
 	case taken := <-s.taken:
@@ -209,8 +209,8 @@
 // reasonBusy is why a job is turned away while the queue of events is full.
 const reasonBusy = "entry busy"
 
-// turnAway returns the rejection of a job that the core doesn't see.
-func (d *Dispatcher) turnAway(id work.JobID, priority work.Priority, reason string) schedule.Answer {
+// TurnAway records the rejection of a job that the core doesn't see, and returns it.
+func (d *Dispatcher) TurnAway(id work.JobID, priority work.Priority, reason string) schedule.Answer {
 	a := schedule.Answer{ID: id, Verdict: schedule.Rejected, Priority: priority, Reason: reason, RetryAfter: retryElsewhereAfter, FirstStart: -1}
 	d.logAnswer(a)
 	return a
--- a/rpc/transport.go
+++ b/rpc/transport.go
@@ -118,6 +118,14 @@
 	return client, conns
 }
 
+const (
+	// maxHeaderBytes is the largest header of a call between processes, which have a few hundred
+	// bytes. A header takes many times its size while it arrives.
+	maxHeaderBytes = 2 << 10
+	// maxMessageBytes is the largest message between processes: far more than a manifest.
+	maxMessageBytes = 16 << 20
+)
+
 // NewServer returns an HTTP server for calls between processes. It accepts
 // HTTP/1.1 and HTTP/2 without TLS.
 func NewServer(h http.Handler) *http.Server {
@@ -133,6 +141,7 @@
 			PingTimeout:          pingTimeout,
 		},
 		ReadHeaderTimeout: 5 * time.Second,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
@@ -205,5 +214,5 @@
 
 // HandlerOptions returns the options of every handler between processes.
 func HandlerOptions() connect.HandlerOption {
-	return connect.WithCompression("gzip", nil, nil)
+	return connect.WithHandlerOptions(connect.WithCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessageBytes))
 }
--- a/telemetry/field.go
+++ b/telemetry/field.go
@@ -27,6 +27,8 @@
 	fieldBuild       = "build"
 	fieldElapsed     = "elapsed_ms"
 	fieldCount       = "count"
+	fieldListener    = "listener"
+	fieldBytes       = "bytes"
 	fieldError       = "error"
 )
 
@@ -102,6 +104,12 @@
 // Elapsed is how long something took. It is written in milliseconds.
 func Elapsed(d time.Duration) Field { return Field{fieldElapsed, d} }
 
+// Listener names the listener of a process that the message is about.
+func Listener(name string) Field { return Field{fieldListener, name} }
+
+// Bytes is an amount of memory in bytes.
+func Bytes(n int64) Field { return Field{fieldBytes, n} }
+
 // Count is the number of the things that the message is about.
 func Count(n int) Field { return Field{fieldCount, n} }
 
