schedule: a job of many tasks that need nothing is placed in parts

What callers saw: after one job of 100,000 tasks without a demand, 80 bytes long, an entry answered nobody for a minute. Cause: capacity allows any number of such tasks, so all were offered in one step, and the search for an agent sums up the offers in flight, so that the step took time in proportion to the square of the tasks (a stack dump showed agentState.free under dispatchJob). Change: at most 1,000 tasks of a job are placed at a time, the size of the largest job that is expected, and at most 512 offers are in flight to an agent. Other jobs are placed meanwhile. Jobs inside the users' sheets have up to 8 tasks and stay far below both bounds.

--- a/schedule/job.go
+++ b/schedule/job.go
@@ -18,6 +18,7 @@
 	firstOffer   time.Duration // time of the first offer
 	offered      bool
 	runs         int
+	placed       int // number of tasks that are placed
 	steps        []stepState
 	expected     time.Duration // run time of the longest chain of dependent steps
 	targetEnd    time.Duration // when the job has to end to meet its latency objective
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -60,6 +60,19 @@
 	tooSlow
 	// notAlone: the task has to run alone, and no backend server may be emptied for it now.
 	notAlone
+	// enoughPlaced: so many tasks of the job are placed that the others wait for their ends.
+	enoughPlaced
+)
+
+// Bounds for tasks that need little or nothing, of which capacity allows any number. The search
+// for an agent takes time in proportion to the offers in flight.
+const (
+	// maxPlaced is how many tasks of a job may be placed at the same time: those of the largest
+	// job that is expected.
+	maxPlaced = 1000
+	// maxInFlight is how many offers may be in flight to an agent: many more than fit a backend
+	// server within a round trip.
+	maxInFlight = 512
 )
 
 // dispatchJob offers the waiting tasks of a job until one finds no agent.
@@ -76,6 +89,10 @@
 		for st.next < len(st.tasks) && result == agentFound {
 			t := &st.tasks[st.next]
 			if t.phase == taskWaiting {
+				if j.placed >= maxPlaced {
+					result = enoughPlaced
+					break
+				}
 				var a *agentState
 				if a, result = c.chooseWithReserve(j, s, t); result != agentFound {
 					break
@@ -110,6 +127,7 @@
 	t.run++
 	t.agent = a
 	t.placedAt = c.now
+	j.placed++
 	task := work.Task{Job: j.ID, Step: step, Index: index}
 	demand := j.Steps[step].Demand
 	if t.runsAlone() {
@@ -333,6 +351,9 @@
 // cost returns the expected time from now until the task ends at the agent. ok is
 // false if the agent has no room for it.
 func (c *Core) cost(a *agentState, p work.Priority, s *Step, expected time.Duration) (cost time.Duration, ok bool) {
+	if len(a.inFlight) >= maxInFlight {
+		return 0, false
+	}
 	free := a.free(p)
 	room := free
 	if c.mayQueueAtAgent(a.server.Service, p) {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -375,6 +375,7 @@
 func (c *Core) taskDone(j *jobState, id work.Task, t *taskState) {
 	t.phase = taskDone
 	t.agent = nil
+	j.placed--
 	s := &j.steps[id.Step]
 	s.done++
 	if s.done < len(s.tasks) {
@@ -394,6 +395,7 @@
 	}
 	t.phase = taskWaiting
 	t.agent = nil
+	j.placed--
 	t.stopping = false
 	s := &j.steps[id.Step]
 	s.next = min(s.next, id.Index)
