dispatcher: a recent request that is claimed again is claimed at an arbiter

A request counts as recent when it was read, and is claimed in its entry's own register only. It stayed so when it was claimed again, after a pause of the entry before its core had the job, or when the entry that it followed gave the job up: a copy elsewhere ran beside it then. Now only the first claim is made so. TestARecentRequestIsClaimedElsewhereTheSecondTime fails without the change: the second claim names nobody. The first claim of a request, and so its cost, is as before.

--- a/dispatcher/claims.go
+++ b/dispatcher/claims.go
@@ -40,8 +40,8 @@
 	job work.JobID
 	// until is when the job's caller stops waiting.
 	until time.Duration
-	// recent is true if the request was sent shortly before. It is claimed in this entry's own
-	// register only.
+	// recent is true if the request was sent shortly before its first claim. That is made in this
+	// entry's own register only.
 	recent bool
 	// began is when the last calls to the arbiters began, and asked are the other entries that
 	// were asked then.
@@ -58,6 +58,7 @@
 	for try := 1; ; try++ {
 		j.began = clock.Now()
 		holders := j.claimOnce(ctx, mine, absent)
+		j.recent = false // what is claimed again may have been held up meanwhile
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
--- a/dispatcher/claims_test.go
+++ b/dispatcher/claims_test.go
@@ -132,6 +132,33 @@
 	e.enqueue(schedule.RunEnded{Agent: testAgent, Run: work.Run{Task: work.Task{Job: id}, ID: 1}, Outcome: work.Done})
 }
 
+// A request that was recent when it was read was claimed in its entry's own register only, also when
+// the entry had been paused since and claimed it again.
+func TestARecentRequestIsClaimedElsewhereTheSecondTime(t *testing.T) {
+	entries := newEntries(t, 5)
+	const id = "0000000000000001"
+	entries[0].submit(t.Context(), id)
+	entries[0].await(t, id)
+	unaware := 0 // entries whose own registers don't have the job
+	for _, e := range entries[1:] {
+		calls := &jobCalls{d: e.Dispatcher, job: id, until: clock.Now() + testPatience, recent: true}
+		first, err := calls.Claim(t.Context(), e.claims.Another(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(first) > 0 {
+			continue // it is an arbiter of the job
+		}
+		unaware++
+		if again, err := calls.Claim(t.Context(), e.claims.Another(), nil); err != nil || len(again) == 0 {
+			t.Errorf("the second claim of %s names nobody (%v), want the holder", e.cfg.Self.Incarnation, err)
+		}
+	}
+	if unaware == 0 {
+		t.Error("all entries are arbiters of the job, want some that aren't")
+	}
+}
+
 // Two entries that lost each other both ran a job that its caller had submitted to both. A third one
 // that reaches both tells them of each other.
 func TestEntriesThatLostEachOtherRunAJobOnce(t *testing.T) {
