daemon: requests of the older path are bounded in time and header; a request costs no system calls for intake

Older path (entry/, api/, control plane): net/http took headers of a megabyte there too, and a body that no handler reads, such as that of a request without a valid token, could keep its connection for ever: its server discards it without a deadline. Its listeners get a read timeout of 30 s, an idle timeout of 75 s and headers of 16 KB. Bodies that are read have body_timeout and max_bytes_in_flight already.

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -24,6 +24,9 @@
 	// rules returns the limits of a request.
 	rules func() intake.Rules
 	open  map[intake.ID]*callerConn
+	// origin is the begin of the times of the core, which aren't by package clock: a look at
+	// that takes a system call.
+	origin time.Time
 	// lastArrival is when the last connection was accepted or the last request began to
 	// arrive, by package clock.
 	lastArrival time.Duration
@@ -34,10 +37,13 @@
 func newConnections(limits intake.Limits, rules func() intake.Rules, report shedReport) *connections {
 	return &connections{
 		report: report, core: intake.New(limits), rules: rules,
-		open: map[intake.ID]*callerConn{}, lastArrival: clock.Now(),
+		open: map[intake.ID]*callerConn{}, origin: time.Now(), lastArrival: clock.Now(),
 	}
 }
 
+// now returns the time of the core.
+func (cs *connections) now() time.Duration { return time.Since(cs.origin) }
+
 // track makes the server's connections tracked. It returns the listener that the server
 // must serve. The deadlines of reads are those of package intake, not of the server.
 func (cs *connections) track(server *http.Server, l net.Listener) net.Listener {
@@ -73,7 +79,7 @@
 	defer cs.mu.Unlock()
 	cs.core.HeaderReleased(c.id)
 	if noBody {
-		cs.core.BodyWhole(clock.Now(), c.id)
+		cs.core.BodyWhole(cs.now(), c.id)
 	}
 }
 
@@ -81,7 +87,7 @@
 func (cs *connections) ended(c *callerConn) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.core.Hold(clock.Now(), c.id, 0) // less memory is never refused
+	cs.core.Hold(cs.now(), c.id, 0) // less memory is never refused
 }
 
 // trackedListener accepts connections that are tracked.
@@ -113,13 +119,12 @@
 // add tracks a new connection. It returns nil if the connection is refused.
 func (cs *connections) add(tcp *net.TCPConn) *callerConn {
 	cs.mu.Lock()
-	now := clock.Now()
-	id, actions := cs.core.Open(now)
+	id, actions := cs.core.Open(cs.now())
 	victims := cs.victims(actions)
 	var c *callerConn
 	if id != 0 {
-		cs.lastArrival = now
-		c = &callerConn{TCPConn: tcp, id: id, connections: cs, acceptedAt: now}
+		cs.lastArrival = clock.Now()
+		c = &callerConn{TCPConn: tcp, id: id, connections: cs, acceptedAt: cs.lastArrival}
 		cs.open[id] = c
 	}
 	cs.mu.Unlock()
@@ -248,10 +253,10 @@
 	defer cs.mu.Unlock()
 	switch state {
 	case http.StateActive:
-		cs.core.HeaderWhole(clock.Now(), c.id)
+		cs.core.HeaderWhole(cs.now(), c.id)
 	case http.StateIdle:
 		c.busy, c.answered = false, true
-		cs.core.Answered(clock.Now(), c.id, c.linesRead)
+		cs.core.Answered(cs.now(), c.id, c.linesRead)
 	case http.StateClosed, http.StateHijacked:
 		delete(cs.open, c.id)
 		cs.core.Close(c.id)
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -8,7 +8,6 @@
 	"os"
 	"time"
 
-	"foxtaildock.example/dock/clock"
 	"foxtaildock.example/dock/intake"
 )
 
@@ -45,7 +44,6 @@
 	if c.interrupted || c.expired {
 		return nil // the read times out at once
 	}
-	now := clock.Now()
 	cs.core.SetRules(cs.rules())
 	deadline, ok := cs.core.Deadline(c.id)
 	if !ok {
@@ -54,7 +52,7 @@
 	if reason := cs.core.Refused(c.id); reason != intake.NoReason {
 		return &intake.Refusal{Reason: reason}
 	}
-	_ = c.TCPConn.SetReadDeadline(time.Now().Add(deadline - now)) // it fails only on a closed connection
+	_ = c.TCPConn.SetReadDeadline(cs.origin.Add(deadline)) // it fails only on a closed connection
 	return nil
 }
 
@@ -63,7 +61,7 @@
 func (c *callerConn) afterRead(read []byte, err error) (refused error, again bool) {
 	cs := c.connections
 	cs.mu.Lock()
-	now := clock.Now()
+	now := cs.now()
 	if len(read) > 0 {
 		c.linesRead = bytes.Count(read, []byte("\n"))
 		reason, actions := cs.core.Received(now, c.id, len(read), c.linesRead)
@@ -140,7 +138,7 @@
 	cs := c.connections
 	cs.mu.Lock()
 	before := cs.core.Refused(c.id)
-	reason, actions := call(cs.core, clock.Now(), c.id, bytes)
+	reason, actions := call(cs.core, cs.now(), c.id, bytes)
 	victims := cs.victims(actions)
 	cs.mu.Unlock()
 	cs.carryOut(victims)
@@ -157,7 +155,7 @@
 func (c *callerConn) BodyWhole() error {
 	c.connections.mu.Lock()
 	defer c.connections.mu.Unlock()
-	if reason := c.connections.core.BodyWhole(clock.Now(), c.id); reason != intake.NoReason {
+	if reason := c.connections.core.BodyWhole(c.connections.now(), c.id); reason != intake.NoReason {
 		return &intake.Refusal{Reason: reason}
 	}
 	if !c.interrupted {
@@ -185,10 +183,10 @@
 func (c *callerConn) Linger() {
 	cs := c.connections
 	cs.mu.Lock()
-	cs.core.Linger(clock.Now(), c.id)
+	cs.core.Linger(cs.now(), c.id)
 	deadline, ok := cs.core.Deadline(c.id)
 	if ok {
-		_ = c.TCPConn.SetReadDeadline(time.Now().Add(deadline - clock.Now())) // it fails only on a closed connection
+		_ = c.TCPConn.SetReadDeadline(cs.origin.Add(deadline)) // it fails only on a closed connection
 	}
 	cs.mu.Unlock()
 	if !ok || c.CloseWrite() != nil {
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -15,8 +15,19 @@
 	"golang.org/x/sys/unix"
 )
 
-// readHeaderTimeout is how long a client may take to send the header of a request.
-const readHeaderTimeout = 5 * time.Second
+// Limits of the requests at listeners whose connections aren't tracked.
+const (
+	// readHeaderTimeout is how long a client may take to send the header of a request, and
+	// readTimeout the whole request, unless its handler allows another time. Without it a body
+	// that nobody reads and that never comes keeps its connection for ever.
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	// idleTimeout is how long a connection may be open without a request.
+	idleTimeout = 75 * time.Second
+	// maxHeaderBytes is the size of the largest header, many times that of any client of this
+	// project.
+	maxHeaderBytes = 16 << 10
+)
 
 // listener is one HTTP listener of a daemon.
 type listener struct {
@@ -29,7 +40,9 @@
 
 // listen opens a listener for a plain HTTP server with the handler.
 func listen(name string, address netip.AddrPort, h http.Handler) (*listener, error) {
-	return listenWith(name, address, &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout})
+	return listenWith(name, address, &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	})
 }
 
 // listenWith opens a listener for a server.
