--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -56,6 +56,10 @@
 	return nil
 }
 
+// serverBuffer is the size of the buffer into which the server reads, in bytes. What it has read
+// ahead of the next request is in there.
+const serverBuffer = 4 << 10
+
 // afterRead records what was read. It returns an error if the request is refused, and whether to
 // read again since the read timed out too early.
 func (c *callerConn) afterRead(read []byte, err error) (refused error, again bool) {
@@ -63,7 +67,10 @@
 	cs.mu.Lock()
 	now := cs.now()
 	if len(read) > 0 {
-		c.linesRead = bytes.Count(read, []byte("\n"))
+		c.linesRead = 0
+		if len(read) <= serverBuffer { // more is read of a body only, and not kept
+			c.linesRead = bytes.Count(read, []byte("\n"))
+		}
 		reason, actions := cs.core.Received(now, c.id, len(read), c.linesRead)
 		victims := cs.victims(actions)
 		cs.mu.Unlock()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -13,15 +13,14 @@
 
 // The reasons.
 const (
-	NoReason         Reason = ""
-	TooManyConns     Reason = "too many connections"
-	NoRoom           Reason = "no room for the request"
-	GaveWay          Reason = "gave way to a request that makes progress"
-	HeaderTooLarge   Reason = "header too large"
-	HeaderTooSlow    Reason = "header too slow"
-	BodyTooSlow      Reason = "body too slow"
-	ConnectionIdle   Reason = "connection idle"
-	LingeredToTheEnd Reason = "caller still sent after its answer"
+	NoReason       Reason = ""
+	TooManyConns   Reason = "too many connections"
+	NoRoom         Reason = "no room for the request"
+	GaveWay        Reason = "gave way to a request that makes progress"
+	HeaderTooLarge Reason = "header too large"
+	HeaderTooSlow  Reason = "header too slow"
+	BodyTooSlow    Reason = "body too slow"
+	ConnectionIdle Reason = "connection idle"
 )
 
 // Action is a decision about another connection than the one that the call is about.
@@ -336,8 +335,6 @@
 		return c.refuse(k, HeaderTooSlow)
 	case receivingBody:
 		return c.refuse(k, BodyTooSlow)
-	case lingering:
-		return LingeredToTheEnd
 	default:
 		return ConnectionIdle
 	}
