--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -350,6 +350,24 @@
 	s.check()
 }
 
+// stopPatience is how long a stopping entry may take: several times its grace period. Only a
+// failing test waits as long.
+const stopPatience = 30 * time.Second
+
+// An entry that stops doesn't wait for requests that never come whole.
+func TestAnEntryStopsBesideACrowd(t *testing.T) {
+	s := startCrowdSite(t)
+	body := padded(MaxBody)
+	crowd := Open(s.address(), bodies, func(caller int, conn net.Conn) error {
+		_, err := fmt.Fprintf(conn, "%s%s", sized(crowdID(caller), len(body)), body[:len(body)-1])
+		return err
+	})
+	defer crowd.Close()
+	if err := s.Entries[0].Stop(stopPatience); err != nil {
+		t.Error(err)
+	}
+}
+
 // What our pages allow is served while nothing else goes on: a body and a header of the largest
 // size, a body that comes slowly and steadily, and a job of many tasks that is answered.
 func TestASingleRequestInsideTheLimitsIsServed(t *testing.T) {
