--- a/daemon/shed.go
+++ b/daemon/shed.go
@@ -56,6 +56,9 @@
 func (s *shedLog) shed(reason intake.Reason, count int) {
 	s.counter.Add(context.Background(), int64(count),
 		metric.WithAttributes(attribute.String("listener", s.listener), attribute.String("reason", string(reason))))
+	if reason == intake.ConnectionIdle {
+		return // usual: callers keep connections for their next requests
+	}
 	if total := s.due(reason, count); total > 0 {
 		s.log.Warn("callers shed", telemetry.Listener(s.listener), telemetry.ReasonText(string(reason)), telemetry.Count(total))
 	}
