daemon: a connection whose header is refused lets go of it before it lingers; receive buffers and the backlog are smaller

A trial with 152 MB and 1,200 callers that send a megabyte of header each took the entry to 168 MB: a refused connection lingered inside the read of its header, so that net/http kept up to 700 kB of fields for a second that nobody was charged for.

--- a/bench/crowd/crowd.go
+++ b/bench/crowd/crowd.go
@@ -4,6 +4,7 @@
 package crowd
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -54,3 +55,36 @@
 		_ = conn.Close() // the process may have closed it already
 	}
 }
+
+// patience is how long a caller that comes back waits for the end of its connection before it opens
+// the next one.
+const patience = 100 * time.Millisecond
+
+// Storm runs n callers until the context ends, each of which opens one connection after the other
+// and calls send on it: as soon as the process has closed it or answered, or after patience.
+func Storm(ctx context.Context, address string, n int, send func(caller int, conn net.Conn) error) {
+	var wait sync.WaitGroup
+	for i := range n {
+		wait.Go(func() {
+			for ctx.Err() == nil {
+				comeOnce(address, i, send)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+func comeOnce(address string, caller int, send func(caller int, conn net.Conn) error) {
+	conn, err := net.DialTimeout("tcp", address, patience)
+	if err != nil {
+		time.Sleep(patience) // refused
+		return
+	}
+	defer func() { _ = conn.Close() }()                // the process may have closed it already
+	_ = conn.SetDeadline(time.Now().Add(sendPatience)) // it fails only on a closed connection
+	if send(caller, conn) != nil {
+		return // refused
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	_, _ = conn.Read(make([]byte, 1)) // an answer, an end, or the time is over
+}
--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -350,6 +350,34 @@
 	s.check()
 }
 
+// stormTime is how long callers go on coming back before an ordinary job is submitted, and
+// returning is their number.
+const (
+	stormTime = 3 * time.Second
+	returning = 100
+)
+
+// Callers that come back as soon as they are refused.
+func TestCallersThatComeBackAtOnce(t *testing.T) {
+	s := startCrowdSite(t)
+	body := padded(MaxBody)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		Storm(ctx, s.address(), returning, func(caller int, conn net.Conn) error {
+			_, err := fmt.Fprintf(conn, "%s%s", sized(crowdID(caller), len(body)), body[:len(body)-1])
+			return err
+		})
+	}()
+	time.Sleep(stormTime)
+	s.serveOrdinary("beside callers that come back")
+	stop()
+	<-ended
+	s.serveOrdinary("after them")
+	s.check()
+}
+
 // stopPatience is how long a stopping entry may take: several times its grace period. Only a
 // failing test waits as long.
 const stopPatience = 30 * time.Second
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -158,7 +158,7 @@
 	for _, v := range victims {
 		cs.report.shed(v.action.Reason, 1)
 		if v.action.Close {
-			_ = v.conn.Close() // the caller may have left
+			_ = v.conn.TCPConn.Close() // the caller may have left
 		} else {
 			_ = v.conn.TCPConn.SetReadDeadline(past) // it fails only on a closed connection
 		}
@@ -195,6 +195,8 @@
 	expired bool
 	// interrupted is true while the server interrupts a read by a deadline of its own.
 	interrupted bool
+	// lingers is true once the connection was refused and only reads what still comes.
+	lingers atomic.Bool
 	// linesRead is the number of ends of lines in what was read last.
 	linesRead int
 	// answeredAt is when the last answer was ready to be sent, by package clock, 0 if none was.
@@ -258,11 +260,24 @@
 		c.busy, c.answered = false, true
 		cs.core.Answered(cs.now(), c.id, c.linesRead)
 	case http.StateClosed, http.StateHijacked:
-		delete(cs.open, c.id)
-		cs.core.Close(c.id)
+		if !c.lingers.Load() { // otherwise it is forgotten when it has lingered
+			cs.drop(c)
+		}
 	}
 }
 
+// forget stops tracking a connection.
+func (cs *connections) forget(c *callerConn) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.drop(c)
+}
+
+func (cs *connections) drop(c *callerConn) {
+	delete(cs.open, c.id)
+	cs.core.Close(c.id)
+}
+
 // connectionCounts are the numbers of open connections, and of those with a request in
 // progress.
 type connectionCounts struct{ open, busy int }
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -18,6 +19,9 @@
 // intake refuses the request.
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
+		if c.lingers.Load() {
+			return 0, net.ErrClosed
+		}
 		if refused := c.beforeRead(); refused != nil {
 			return 0, refused
 		}
@@ -96,7 +100,7 @@
 }
 
 // refuseHeader answers a request whose header can't be accepted. The server closes the connection
-// then.
+// then, which lets go of what it has of the header, and the connection lingers on its own.
 func (c *callerConn) refuseHeader(reason intake.Reason) error {
 	if reason == intake.NoReason {
 		return nil
@@ -110,17 +114,33 @@
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
 		status, http.StatusText(status), len(text), retry, text)
 	if err == nil {
-		c.Linger()
+		c.beginLinger()
 	}
 	return &intake.Refusal{Reason: reason}
 }
 
+// Close closes the connection, at once or after it has lingered.
+func (c *callerConn) Close() error {
+	if !c.lingers.Load() {
+		return c.TCPConn.Close()
+	}
+	go func() {
+		c.drain()
+		_ = c.TCPConn.Close() // the caller has left, or it has had its time
+		c.connections.forget(c)
+	}()
+	return nil
+}
+
 // writeTimeout is how long a caller may take to read an answer, as far as it doesn't fit the
 // buffers on its way.
 const writeTimeout = 10 * time.Second
 
-// Write writes a part of an answer.
+// Write writes a part of an answer. What the server writes after a refusal is dropped.
 func (c *callerConn) Write(p []byte) (int, error) {
+	if c.lingers.Load() {
+		return len(p), nil
+	}
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // it fails only on a closed connection
 	return c.TCPConn.Write(p)
 }
@@ -188,21 +208,32 @@
 // and the answer may be lost then; so Linger says that no more answers come and reads what does,
 // until the caller closes the connection or the time for it is over.
 func (c *callerConn) Linger() {
+	if c.beginLinger() {
+		c.drain()
+	}
+}
+
+// beginLinger tells the caller that no more answers come. It returns false if the connection has
+// ended.
+func (c *callerConn) beginLinger() bool {
 	cs := c.connections
 	cs.mu.Lock()
+	defer cs.mu.Unlock()
 	cs.core.Linger(cs.now(), c.id)
 	deadline, ok := cs.core.Deadline(c.id)
-	if ok {
-		_ = c.TCPConn.SetReadDeadline(cs.origin.Add(deadline)) // it fails only on a closed connection
-	}
-	cs.mu.Unlock()
-	if !ok || c.CloseWrite() != nil {
-		return
+	if !ok || c.TCPConn.SetReadDeadline(cs.origin.Add(deadline)) != nil || c.CloseWrite() != nil {
+		return false
 	}
+	c.lingers.Store(true)
+	return true
+}
+
+// drain reads until the caller closes the connection, or the time for it is over.
+func (c *callerConn) drain() {
 	buffer := make([]byte, lingerBuffer)
 	for {
 		if _, err := c.TCPConn.Read(buffer); err != nil {
-			return // the caller has closed the connection, or the time is over
+			return
 		}
 	}
 }
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -61,9 +61,31 @@
 	if err != nil {
 		return nil, fmt.Errorf("listener %s: %w", name, err)
 	}
+	if receiveBuffer > 0 {
+		shortenBacklog(socket)
+	}
 	return &listener{name: name, socket: socket, server: server}, nil
 }
 
+// backlog is how many connections may wait to be accepted at a bounded listener: those of a few
+// seconds without processor time. The operating system's own bound, some thousands, would let
+// as many receive buffers fill that nobody counts.
+const backlog = 512
+
+// shortenBacklog sets the backlog of a listening socket. An operating system that can't keeps its
+// own.
+func shortenBacklog(l net.Listener) {
+	tcp, ok := l.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return // the listener is closed
+	}
+	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), backlog) })
+}
+
 // setReceiveBuffer sets the size of the receive buffer of a listening socket, which its connections
 // get as well. An operating system that can't set it keeps its own.
 func setReceiveBuffer(c syscall.RawConn, size int) error {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -22,7 +22,10 @@
 	// connectionMemory is what a connection takes besides its receive buffer: two goroutines,
 	// buffers for reading and writing, and an ordinary header.
 	connectionMemory = 24 * kib
-	receiveBuffer    = 16 * kib
+	// receiveBuffer is the size that is asked for. Linux lets half as much again arrive in it, and
+	// receiveMemory leaves room for the packets' own size.
+	receiveBuffer = 8 * kib
+	receiveMemory = 2 * receiveBuffer
 	// connectionShare and bytesShare are the parts of the memory beyond ownMemory that
 	// connections and requests may take. The rest is for the jobs of other entries and agents,
 	// decoding, and garbage that isn't collected yet.
@@ -54,7 +57,7 @@
 		memory = unknownMemory
 	}
 	free := float64(max(memory-ownMemory, 0))
-	affordable := int(connectionShare * free / (connectionMemory + receiveBuffer))
+	affordable := int(connectionShare * free / (connectionMemory + receiveMemory))
 	return Limits{
 		Connections:   max(min(affordable, sockets(descriptors)-OwnSockets(descriptors)), minConnections),
 		Bytes:         max(int64(bytesShare*free), minBytes),
