dispatcher: other entries are told of 128 cancels at a time

Callers that don't behave: each DELETE makes a call to every other entry at once, so that callers on 1,000 connections took an entry among nine to 131 MB of 152 (trial; with 15 entries it would be more than it has). Now 128 cancels of callers are told at a time, and the others wait with little more than their connections; each is in force at its own entry at once. Entries that count as gone are told in as many goroutines at most, since they ask for the cancels that they missed.

--- a/dispatcher/cancel.go
+++ b/dispatcher/cancel.go
@@ -23,6 +23,9 @@
 const (
 	// cancelRetry is the pause before an entry that didn't answer is told again.
 	cancelRetry = 200 * time.Millisecond
+	// maxCancelsAtOnce is how many cancels of callers other entries are told at the same time. Each
+	// makes a call to every other entry, which takes some 15 KB, and is over in a few round trips.
+	maxCancelsAtOnce = 128
 	// maxUndelivered bounds the cancels that are kept for one entry; the oldest is dropped first.
 	maxUndelivered = 4096
 )
@@ -33,6 +36,9 @@
 	// queues are by address of the entry. One that is in the map has a goroutine that
 	// empties it.
 	queues map[string][]undelivered
+	// telling and tellingGone have a place for each cancel that other entries are being told, and
+	// for each that those are that count as gone.
+	telling, tellingGone chan struct{}
 }
 
 type undelivered struct {
@@ -45,8 +51,14 @@
 // the caller sees acknowledged outlives this entry.
 func (d *Dispatcher) Cancel(ctx context.Context, id work.JobID) bool {
 	found := d.cancelLocal(id)
-	found = d.cancelOnPeers(ctx, id) || found
-	go d.cancelOnGonePeers(id)
+	select {
+	case d.cancels.telling <- struct{}{}:
+		found = d.cancelOnPeers(ctx, id) || found
+		<-d.cancels.telling
+	case <-ctx.Done():
+		found = d.cancelOnPeers(ctx, id) || found // nobody is reached in time; all are told later
+	}
+	d.cancelOnGonePeers(id)
 	d.cfg.Log.Info("job cancelled", telemetry.JobID(string(id)), telemetry.OutcomeText(foundText(found)))
 	return found
 }
@@ -208,12 +220,25 @@
 	return found
 }
 
-// cancelOnGonePeers tells the entries that count as gone once, in case one of them is back.
+// cancelOnGonePeers tells the entries that count as gone once, in case one of them is back. While
+// many cancels are under way it leaves that to the entry, which asks for those that it missed.
 func (d *Dispatcher) cancelOnGonePeers(id work.JobID) {
-	d.links.callPeers(d.base, d.links.gonePeers(), func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) error {
-		_, err := cancelOn(ctx, peer, id)
-		return err
-	})
+	gone := d.links.gonePeers()
+	if len(gone) == 0 {
+		return
+	}
+	select {
+	case d.cancels.tellingGone <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-d.cancels.tellingGone }()
+		d.links.callPeers(d.base, gone, func(ctx context.Context, _ string, peer linkpbconnect.EntryPeerClient) error {
+			_, err := cancelOn(ctx, peer, id)
+			return err
+		})
+	}()
 }
 
 func cancelOn(ctx context.Context, peer linkpbconnect.EntryPeerClient, id work.JobID) (had bool, err error) {
--- a/dispatcher/cancel_test.go
+++ b/dispatcher/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -17,6 +18,7 @@
 	"foxtaildock.example/dock/rpc"
 	"foxtaildock.example/dock/rpc/linkpb"
 	"foxtaildock.example/dock/rpc/linkpb/linkpbconnect"
+	"foxtaildock.example/dock/schedule"
 	"foxtaildock.example/dock/work"
 )
 
@@ -115,3 +117,45 @@
 	d.links.addMember(directory.Member{Role: directory.RoleEntry, Address: address, Incarnation: "p"})
 	return d, peer, address
 }
+
+// busyTransport counts the calls that are under way at the same time, each of which takes a moment.
+type busyTransport struct {
+	whole    http.RoundTripper
+	mu       sync.Mutex
+	now, max int
+}
+
+func (b *busyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	b.count(1)
+	defer b.count(-1)
+	time.Sleep(5 * time.Millisecond)
+	return b.whole.RoundTrip(r)
+}
+
+func (b *busyTransport) count(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.now += n
+	b.max = max(b.max, b.now)
+}
+
+// Many callers that cancelled jobs at the same time made as many calls to each other entry, which
+// took the memory of the entry: 131 MB of 152 with 1,000 callers and nine entries.
+func TestManyCancelsAtOnceMakeFewCalls(t *testing.T) {
+	e := newEntries(t, 2)[0]
+	busy := &busyTransport{whole: e.network.whole}
+	e.links.peerClient.Transport = busy
+	var wait sync.WaitGroup
+	for i := range 4 * maxCancelsAtOnce {
+		wait.Go(func() { e.Cancel(t.Context(), work.JobID(fmt.Sprintf("%016x", i))) })
+	}
+	wait.Wait()
+	if busy.max > maxCancelsAtOnce+8 { // and a few others of the entry itself
+		t.Errorf("%d calls were under way at once, want about %d", busy.max, maxCancelsAtOnce)
+	}
+	e.queryCore(func(c *schedule.Core) {
+		if n := len(c.Cancelled()); n != 4*maxCancelsAtOnce {
+			t.Errorf("%d cancels are remembered, want all %d", n, 4*maxCancelsAtOnce)
+		}
+	})
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -113,6 +113,8 @@
 	}
 	d.links = newLinks(d)
 	d.cancels.queues = map[string][]undelivered{}
+	d.cancels.telling = make(chan struct{}, maxCancelsAtOnce)
+	d.cancels.tellingGone = make(chan struct{}, maxCancelsAtOnce)
 	d.stats.Store(&schedule.Stats{})
 	return d
 }
