--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -64,20 +64,19 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		platform.TrimHeader(r)
-		cs.began(c, r.ContentLength == 0)
+		cs.began(c, platform.TrimHeader(r), r.ContentLength == 0)
 		next.ServeHTTP(w, r)
 		c.answeredAt.Store(int64(clock.Now()))
 		cs.ended(c)
 	})
 }
 
-// began records that the handler of a request begins.
-func (cs *connections) began(c *callerConn, noBody bool) {
+// began records that the handler of a request begins, and how much memory its header still takes.
+func (cs *connections) began(c *callerConn, kept int64, noBody bool) {
 	cs.received(c)
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.core.HeaderReleased(c.id)
+	cs.core.HeaderReleased(c.id, kept)
 	if noBody {
 		cs.core.BodyWhole(cs.now(), c.id)
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -52,6 +52,8 @@
 	since time.Duration // begin of the phase
 	// charged is the memory for the request, in bytes.
 	charged int64
+	// kept is the part of it for what is kept of the header until the answer.
+	kept int64
 	// headerBytes and headerLines are what was read of the header.
 	headerBytes, headerLines int64
 	// received is what was read of the body, at lastByte for the last time. progress is the part
@@ -196,10 +198,12 @@
 	}
 }
 
-// HeaderReleased records that the header isn't kept any more.
-func (c *Core) HeaderReleased(id ID) {
+// HeaderReleased records that the header isn't kept any more but for so much memory, in bytes, which
+// stays charged until the answer.
+func (c *Core) HeaderReleased(id ID, kept int64) {
 	if k := c.conns[id]; k != nil {
-		c.setCharge(k, max(k.charged-k.headerMemory(), 0))
+		k.kept = min(kept, k.charged)
+		c.setCharge(k, k.kept)
 		k.headerBytes, k.headerLines = 0, 0
 	}
 }
@@ -279,7 +283,7 @@
 
 // refuse takes the charge of a request back and records why it is refused.
 func (c *Core) refuse(k *conn, r Reason) Reason {
-	k.shed = r
+	k.shed, k.kept = r, 0
 	c.setCharge(k, 0)
 	c.remove(k)
 	return r
@@ -305,7 +309,7 @@
 	if k == nil {
 		return NoReason, nil
 	}
-	return c.charge(now, k, bytes-k.charged)
+	return c.charge(now, k, k.kept+bytes-k.charged)
 }
 
 // Refused returns why the request of a connection is refused; NoReason if it isn't.
@@ -383,7 +387,7 @@
 	if k == nil {
 		return
 	}
-	k.headerBytes, k.headerLines, k.shed = 0, int64(linesAhead), NoReason
+	k.headerBytes, k.headerLines, k.kept, k.shed = 0, int64(linesAhead), 0, NoReason
 	k.since, k.progressAt, k.phase = now, now, idle
 	c.setCharge(k, k.headerMemory())
 	c.place(k)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -20,7 +20,7 @@
 	}
 	c.Received(now, id, 200, 6)
 	c.HeaderWhole(now, id)
-	c.HeaderReleased(id)
+	c.HeaderReleased(id, 0)
 	arrives(t, c, now, id, bytes)
 	return id
 }
@@ -154,12 +154,31 @@
 	}
 	c.Received(time.Second, id, 200, 6)
 	c.HeaderWhole(time.Second, id)
-	c.HeaderReleased(id)
+	c.HeaderReleased(id, 0)
 	if got := c.Stats().Bytes; got != 0 {
 		t.Errorf("charged are %d bytes once the header is dropped, want 0", got)
 	}
 }
 
+// What is kept of a header, such as a long path, takes memory until the request is answered.
+func TestWhatIsKeptOfAHeaderStaysCharged(t *testing.T) {
+	c := New(testLimits)
+	id, _ := c.Open(0)
+	c.Received(0, id, 16*kib, 6)
+	c.HeaderWhole(0, id)
+	c.HeaderReleased(id, 20*kib)
+	arrives(t, c, 0, id, 4*kib)
+	c.BodyWhole(0, id)
+	for _, job := range []int64{100, 0} { // while the job waits, and once its answer is ready
+		if c.Hold(0, id, job); c.Stats().Bytes != 20*kib+job {
+			t.Errorf("charged are %d bytes with a job of %d, want 20 KiB more than that", c.Stats().Bytes, job)
+		}
+	}
+	if c.Answered(0, id, 6); c.Stats().Bytes != 0 {
+		t.Errorf("charged are %d bytes after the answer, want 0", c.Stats().Bytes)
+	}
+}
+
 // A body that comes slowly and steadily is served; one that stops, or comes byte by byte for ever,
 // isn't.
 func TestBodiesNeedProgress(t *testing.T) {
@@ -240,7 +259,7 @@
 	case 1:
 		c.HeaderWhole(now, id)
 	case 2:
-		c.HeaderReleased(id)
+		c.HeaderReleased(id, int64(amount))
 	case 3:
 		c.Charge(now, id, int64(amount))
 	case 4:
