--- a/daemon/connections_test.go
+++ b/daemon/connections_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -220,19 +221,24 @@
 }
 
 // boundedServer is a tracked server that reads bodies as the callers' one does.
-func boundedServer(t *testing.T, limits intake.Limits) (*listener, *connections) {
+func boundedServer(t *testing.T, limits intake.Limits, report shedReport) (*listener, *connections) {
 	t.Helper()
 	l, err := listenBuffered("callers", netip.MustParseAddrPort("127.0.0.1:0"), plainServer(platform.NewCallerHandler(refusing{})), limits.ReceiveBuffer)
 	if err != nil {
 		t.Fatal(err)
 	}
-	tracked := newConnections(limits, func() intake.Rules { return intake.DefaultRules }, noReport{})
+	tracked := newConnections(limits, func() intake.Rules { return intake.DefaultRules }, report)
 	l.socket = tracked.track(l.server, l.socket)
 	go l.serve(make(chan error, 1))
 	t.Cleanup(func() { _ = l.server.Close() })
 	return l, tracked
 }
 
+// shedCount counts what was shed.
+type shedCount struct{ atomic.Int64 }
+
+func (c *shedCount) shed(_ intake.Reason, count int) { c.Add(int64(count)) }
+
 // refusing is a dispatcher that takes no job.
 type refusing struct{ platform.Dispatcher }
 
@@ -271,12 +277,14 @@
 // A caller whose body gave way while it still sent got a reset in place of the answer.
 func TestARefusedCallerThatStillSendsSeesTheAnswer(t *testing.T) {
 	const half = 256 << 10
-	l, tracked := boundedServer(t, intake.Limits{Connections: 8, Bytes: 400 << 10, ReceiveBuffer: 16 << 10})
+	var gaveWay shedCount
+	l, tracked := boundedServer(t, intake.Limits{Connections: 8, Bytes: 400 << 10, ReceiveBuffer: 16 << 10}, &gaveWay)
 	first, second := dial(t, l), dial(t, l)
 	beginBody(t, first, 2*half, half)
 	await(t, "the first body", func() bool { return tracked.stats().Bytes >= half })
 	time.Sleep(300 * time.Millisecond) // without progress, so that it gives way
 	beginBody(t, second, 2*half, half)
+	await(t, "the first one to give way", func() bool { return gaveWay.Load() > 0 })
 	go func() {
 		for range half {
 			if _, err := first.Write([]byte(" ")); err != nil {
@@ -289,7 +297,7 @@
 
 // A crowd of idle connections locked other callers out, or took all descriptors.
 func TestIdleConnectionsGiveWayToNewOnes(t *testing.T) {
-	l, tracked := boundedServer(t, intake.Limits{Connections: 4, Bytes: 1 << 20, ReceiveBuffer: 16 << 10})
+	l, tracked := boundedServer(t, intake.Limits{Connections: 4, Bytes: 1 << 20, ReceiveBuffer: 16 << 10}, noReport{})
 	oldest := dial(t, l)
 	await(t, "the oldest connection", func() bool { return tracked.counts().open == 1 })
 	for range 7 {
@@ -311,7 +319,7 @@
 
 // A header that is too large got no answer, or the server read a megabyte of it.
 func TestALargeHeaderIsAnswered(t *testing.T) {
-	l, _ := boundedServer(t, intake.LimitsFor(0, 0))
+	l, _ := boundedServer(t, intake.LimitsFor(0, 0), noReport{})
 	c := dial(t, l)
 	if _, err := fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h.example\r\nX: %*s", 80<<10, ""); err != nil {
 		t.Fatal(err)
@@ -324,7 +332,7 @@
 
 // Requests on one connection are served one after the other, also those that were sent together.
 func TestRequestsThatAreSentTogetherAreServed(t *testing.T) {
-	l, _ := boundedServer(t, intake.LimitsFor(0, 0))
+	l, _ := boundedServer(t, intake.LimitsFor(0, 0), noReport{})
 	c := dial(t, l)
 	beginBody(t, c, 2, 2)
 	beginBody(t, c, 3, 3)
