--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -44,10 +44,10 @@
 // now returns the time of the core.
 func (cs *connections) now() time.Duration { return time.Since(cs.origin) }
 
-// track makes the server's connections tracked. It returns the listener that the server
-// must serve. The deadlines of reads are those of package intake, not of the server.
+// track makes the connections of a server tracked, which must have no timeouts of its own: the
+// deadlines of reads are those of package intake. It returns the listener that the server must
+// serve.
 func (cs *connections) track(server *http.Server, l net.Listener) net.Listener {
-	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0
 	server.ConnState = cs.stateChanged
 	server.ConnContext = platform.WithConnection
 	server.Handler = cs.trackRequests(server.Handler)
@@ -129,7 +129,7 @@
 	cs.mu.Unlock()
 	cs.carryOut(victims)
 	if c == nil {
-		cs.report.shed(intake.TooManyConns, 1)
+		cs.report.shed(intake.TooManyConns)
 	}
 	return c
 }
@@ -155,7 +155,7 @@
 // to end.
 func (cs *connections) carryOut(victims []victim) {
 	for _, v := range victims {
-		cs.report.shed(v.action.Reason, 1)
+		cs.report.shed(v.action.Reason)
 		if v.action.Close {
 			_ = v.conn.TCPConn.Close() // the caller may have left
 		} else {
--- a/daemon/connections_test.go
+++ b/daemon/connections_test.go
@@ -223,7 +223,7 @@
 // boundedServer is a tracked server that reads bodies as the callers' one does.
 func boundedServer(t *testing.T, limits intake.Limits, report shedReport) (*listener, *connections) {
 	t.Helper()
-	l, err := listenBuffered("callers", netip.MustParseAddrPort("127.0.0.1:0"), plainServer(platform.NewCallerHandler(refusing{})), limits.ReceiveBuffer)
+	l, err := listenBuffered("callers", netip.MustParseAddrPort("127.0.0.1:0"), &http.Server{Handler: platform.NewCallerHandler(refusing{})}, limits.ReceiveBuffer)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -237,7 +237,7 @@
 // shedCount counts what was shed.
 type shedCount struct{ atomic.Int64 }
 
-func (c *shedCount) shed(_ intake.Reason, count int) { c.Add(int64(count)) }
+func (c *shedCount) shed(intake.Reason) { c.Add(1) }
 
 // refusing is a dispatcher that takes no job.
 type refusing struct{ platform.Dispatcher }
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -60,10 +60,6 @@
 	return nil
 }
 
-// serverBuffer is the size of the buffer into which the server reads, in bytes. What it has read
-// ahead of the next request is in there.
-const serverBuffer = 4 << 10
-
 // afterRead records what was read. It returns an error if the request is refused, and whether to
 // read again since the read timed out too early.
 func (c *callerConn) afterRead(read []byte, err error) (refused error, again bool) {
@@ -72,7 +68,7 @@
 	now := cs.now()
 	if len(read) > 0 {
 		c.linesRead = 0
-		if len(read) <= serverBuffer { // more is read of a body only, and not kept
+		if len(read) <= intake.ReadAhead { // more is read of a body only, and not kept
 			c.linesRead = bytes.Count(read, []byte("\n"))
 		}
 		reason, actions := cs.core.Received(now, c.id, len(read), c.linesRead)
@@ -94,7 +90,7 @@
 	case reason == intake.NoReason:
 		return nil, true
 	case before == intake.NoReason:
-		cs.report.shed(reason, 1)
+		cs.report.shed(reason)
 	}
 	return nil, false
 }
@@ -105,7 +101,7 @@
 	if reason == intake.NoReason {
 		return nil
 	}
-	c.connections.report.shed(reason, 1)
+	c.connections.report.shed(reason)
 	status, retry := http.StatusServiceUnavailable, "Retry-After: 1\r\n"
 	if reason == intake.HeaderTooLarge {
 		status, retry = http.StatusRequestHeaderFieldsTooLarge, ""
@@ -173,7 +169,7 @@
 		return nil
 	}
 	if before == intake.NoReason {
-		cs.report.shed(reason, 1)
+		cs.report.shed(reason)
 	}
 	return &intake.Refusal{Reason: reason}
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -131,7 +131,7 @@
 
 // listenTracked opens a listener whose connections are tracked, and serves it in a goroutine.
 func (p *platformProcess) listenTracked(name string, address netip.AddrPort, h http.Handler, limits intake.Limits, rules func() intake.Rules) (*listener, *connections, error) {
-	l, err := listenBuffered(name, address, plainServer(h), limits.ReceiveBuffer)
+	l, err := listenBuffered(name, address, &http.Server{Handler: h}, limits.ReceiveBuffer)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -151,9 +151,6 @@
 	return p.listenSide("metrics", address, telemetry.NewHandler(p.metrics, ready))
 }
 
-// plainServer returns a server without timeouts, whose connections have to be tracked.
-func plainServer(h http.Handler) *http.Server { return &http.Server{Handler: h} }
-
 // close closes all listeners.
 func (p *platformProcess) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
@@ -165,8 +162,8 @@
 const closeTimeout = 100 * time.Millisecond
 
 // watchSettings reloads the settings file at each SIGHUP and logs the result. Only
-// the memory limit takes effect immediately; addresses and bounds take effect at the
-// next start.
+// the limits of memory and descriptors take effect immediately; addresses and bounds take
+// effect at the next start.
 func (p *platformProcess) watchSettings(ctx context.Context) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
--- a/daemon/shed.go
+++ b/daemon/shed.go
@@ -16,13 +16,13 @@
 // shedReport is told about connections and requests that give way or are refused before their
 // jobs are considered.
 type shedReport interface {
-	shed(reason intake.Reason, count int)
+	shed(reason intake.Reason)
 }
 
 // noReport tells nobody.
 type noReport struct{}
 
-func (noReport) shed(intake.Reason, int) {}
+func (noReport) shed(intake.Reason) {}
 
 // shedLogInterval is the interval between two log lines of the same listener and reason, since
 // a crowd would fill the log.
@@ -53,20 +53,20 @@
 		metric.WithDescription("Connections closed and requests refused before their jobs were considered, by listener and reason."))
 }
 
-func (s *shedLog) shed(reason intake.Reason, count int) {
-	s.counter.Add(context.Background(), int64(count),
+func (s *shedLog) shed(reason intake.Reason) {
+	s.counter.Add(context.Background(), 1,
 		metric.WithAttributes(attribute.String("listener", s.listener), attribute.String("reason", string(reason))))
 	if reason == intake.ConnectionIdle {
 		return // usual: callers keep connections for their next requests
 	}
-	if total := s.due(reason, count); total > 0 {
+	if total := s.due(reason); total > 0 {
 		s.log.Warn("callers shed", telemetry.Listener(s.listener), telemetry.ReasonText(string(reason)), telemetry.Count(total))
 	}
 }
 
 // due adds to the tally of a reason, and returns it if it is to be logged now, else 0. What comes
 // after the last line of a crowd is logged with the next one; the metric has it at once.
-func (s *shedLog) due(reason intake.Reason, count int) int {
+func (s *shedLog) due(reason intake.Reason) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
@@ -75,7 +75,7 @@
 		t = &shedTally{logged: now - shedLogInterval}
 		s.tallies[reason] = t
 	}
-	t.count += count
+	t.count++
 	if now-t.logged < shedLogInterval {
 		return 0
 	}
--- a/dispatcher/cancel.go
+++ b/dispatcher/cancel.go
@@ -53,11 +53,10 @@
 	found := d.cancelLocal(id)
 	select {
 	case d.cancels.telling <- struct{}{}:
-		found = d.cancelOnPeers(ctx, id) || found
-		<-d.cancels.telling
-	case <-ctx.Done():
-		found = d.cancelOnPeers(ctx, id) || found // nobody is reached in time; all are told later
+		defer func() { <-d.cancels.telling }()
+	case <-ctx.Done(): // nobody is reached in time; all are told later
 	}
+	found = d.cancelOnPeers(ctx, id) || found
 	d.cancelOnGonePeers(id)
 	d.cfg.Log.Info("job cancelled", telemetry.JobID(string(id)), telemetry.OutcomeText(foundText(found)))
 	return found
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -97,7 +97,7 @@
 func (c *Core) SetLimits(l Limits) { c.limits = l }
 
 // SetRules changes the limits of a single request.
-func (c *Core) SetRules(r Rules) { c.rules = r.WithDefaults() }
+func (c *Core) SetRules(r Rules) { c.rules = r.withDefaults() }
 
 // Stats are figures for the metrics. Bytes is the memory that is charged.
 type Stats struct {
@@ -178,7 +178,7 @@
 	}
 	k.headerBytes += int64(bytes)
 	k.headerLines += int64(lines)
-	if k.headerBytes > c.rules.MaxHeaderBytes+headerReadAhead {
+	if k.headerBytes > c.rules.MaxHeaderBytes+ReadAhead {
 		return c.refuse(k, HeaderTooLarge), nil
 	}
 	return c.charge(now, k, k.headerMemory()-k.charged)
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -92,8 +92,8 @@
 // DefaultRules apply where the operators give none.
 var DefaultRules = Rules{MaxHeaderBytes: 64 * kib, HeaderTimeout: 5 * time.Second, IdleTimeout: 75 * time.Second}
 
-// WithDefaults returns the rules with the default in place of each that is 0.
-func (r Rules) WithDefaults() Rules {
+// withDefaults returns the rules with the default in place of each that is 0.
+func (r Rules) withDefaults() Rules {
 	if r.MaxHeaderBytes <= 0 {
 		r.MaxHeaderBytes = DefaultRules.MaxHeaderBytes
 	}
@@ -138,6 +138,7 @@
 	headerLineMemory = 192
 	// headerByteFactor is how often a byte of a header is held: as read, and as a string.
 	headerByteFactor = 2
-	// headerReadAhead is how much may be read together with a header: the buffer of net/http.
-	headerReadAhead = 4 * kib
+	// ReadAhead is how much of what comes next may be read together with a header or a body, in bytes:
+	// the buffer of net/http.
+	ReadAhead = 4 * kib
 )
