--- a/dispatcher/claims_test.go
+++ b/dispatcher/claims_test.go
@@ -127,6 +127,22 @@
 	}
 }
 
+// awaitCallers waits until that many callers wait for a job's answer at this entry, or fails the test.
+// A copy elsewhere is one of them once its entry follows this one.
+func (e *testEntry) awaitCallers(t *testing.T, id work.JobID, want int) {
+	t.Helper()
+	for began := time.Now(); ; time.Sleep(time.Millisecond) {
+		n := 0
+		e.queryCore(func(*schedule.Core) { n = len(e.waiters[id]) })
+		if n == want {
+			return
+		}
+		if time.Since(began) > testPatience {
+			t.Fatalf("%d callers wait for job %s at %s, want %d", n, id, e.cfg.Self.Incarnation, want)
+		}
+	}
+}
+
 // done ends the only task of a job.
 func (e *testEntry) done(id work.JobID) {
 	e.enqueue(schedule.RunEnded{Agent: testAgent, Run: work.Run{Task: work.Task{Job: id}, ID: 1}, Outcome: work.Done})
@@ -171,6 +187,7 @@
 		first := a.submit(t.Context(), id)
 		a.await(t, id)
 		second := b.submit(t.Context(), id)
+		a.awaitCallers(t, id, 2)
 		time.Sleep(3 * claimTimeout)
 		if b.HasJob(id) {
 			t.Errorf("%s runs at both entries", id)
