--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -158,29 +158,20 @@
 	}
 }
 
-// crowdID returns the ID of a job of a crowd.
-func crowdID(caller int) string { return fmt.Sprintf("c%015x", caller) }
-
 // Many large bodies that stopped just short of their end filled the memory of an entry.
 func TestBodiesThatStopShortOfTheirEnd(t *testing.T) {
-	s := startCrowdSite(t)
-	body := padded(MaxBody)
-	s.endure(bodies, func(caller int, conn net.Conn) error {
-		_, err := fmt.Fprintf(conn, "%s%s", sized(crowdID(caller), len(body)), body[:len(body)-1])
-		return err
-	})
+	startCrowdSite(t).endure(bodies, unfinished)
 }
 
 // So did bodies that all callers sent piece by piece, at the same pace.
 func TestBodiesThatComePieceByPiece(t *testing.T) {
 	s := startCrowdSite(t)
-	body := padded(MaxBody)
 	const piece = 16 << 10
 	s.endure(bodies, func(caller int, conn net.Conn) error {
-		if _, err := conn.Write([]byte(sized(crowdID(caller), len(body)))); err != nil {
+		if _, err := conn.Write([]byte(sized(crowdID(caller), MaxBody))); err != nil {
 			return err
 		}
-		for rest := body[:len(body)-1]; len(rest) > 0; rest = rest[min(piece, len(rest)):] {
+		for rest := largest[:MaxBody-1]; len(rest) > 0; rest = rest[min(piece, len(rest)):] {
 			if _, err := conn.Write(rest[:min(piece, len(rest))]); err != nil {
 				return err
 			}
@@ -198,12 +189,11 @@
 	}{{"large chunks", 64 << 10}, {"small chunks", 8}} {
 		t.Run(c.name, func(t *testing.T) {
 			s := startCrowdSite(t)
-			body := padded(MaxBody)
 			s.endure(bodies, func(caller int, conn net.Conn) error {
 				if _, err := conn.Write([]byte(chunked(crowdID(caller)))); err != nil {
 					return err
 				}
-				return writeChunks(conn, body, c.size)
+				return writeChunks(conn, largest, c.size)
 			})
 		})
 	}
@@ -240,12 +230,9 @@
 		if _, err := fmt.Fprintf(conn, "%s%s", sized(crowdID(caller), len(body)), body); err != nil {
 			return err
 		}
-		line := make([]byte, len("HTTP/1.1 200"))
-		if _, err := conn.Read(line); err != nil {
-			return err
-		}
-		statuses[caller] = strings.TrimPrefix(string(line), "HTTP/1.1 ")
-		return nil
+		status, err := readStatus(conn)
+		statuses[caller] = status
+		return err
 	})
 	count := map[string]int{}
 	for caller, status := range statuses {
@@ -279,10 +266,9 @@
 // liked.
 func TestLargeHeadersBeforeBodiesThatNeverCome(t *testing.T) {
 	s := startCrowdSite(t)
-	fields := shortFields(MaxHeader - 200)
-	fields = fields[:strings.LastIndex(string(fields), "\r\n")]
+	fields := wholeFields(MaxHeader - 200)
 	s.endure(headers, func(caller int, conn net.Conn) error {
-		_, err := fmt.Fprintf(conn, "%s%s\r\n\r\n{", head(crowdID(caller), "Content-Length: 100"), fields)
+		_, err := fmt.Fprintf(conn, "%s%s\r\n{", head(crowdID(caller), "Content-Length: 100"), fields)
 		return err
 	})
 }
@@ -360,15 +346,11 @@
 // Callers that come back as soon as they are refused.
 func TestCallersThatComeBackAtOnce(t *testing.T) {
 	s := startCrowdSite(t)
-	body := padded(MaxBody)
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		Storm(ctx, s.address(), returning, func(caller int, conn net.Conn) error {
-			_, err := fmt.Fprintf(conn, "%s%s", sized(crowdID(caller), len(body)), body[:len(body)-1])
-			return err
-		})
+		Storm(ctx, s.address(), returning, unfinished)
 	}()
 	time.Sleep(stormTime)
 	s.serveOrdinary("beside callers that come back")
@@ -385,31 +367,25 @@
 // An entry that stops doesn't wait for requests that never come whole.
 func TestAnEntryStopsBesideACrowd(t *testing.T) {
 	s := startCrowdSite(t)
-	body := padded(MaxBody)
-	crowd := Open(s.address(), bodies, func(caller int, conn net.Conn) error {
-		_, err := fmt.Fprintf(conn, "%s%s", sized(crowdID(caller), len(body)), body[:len(body)-1])
-		return err
-	})
+	crowd := Open(s.address(), bodies, unfinished)
 	defer crowd.Close()
 	if err := s.Entries[0].Stop(stopPatience); err != nil {
 		t.Error(err)
 	}
 }
 
-// What our pages allow is served while nothing else goes on: a body and a header of the largest
-// size, a body that comes slowly and steadily, and a job of many tasks that is answered.
+// What our pages allow is served while nothing else goes on: a body, whole and in small chunks, and
+// a header of the largest size, and a body that comes slowly and steadily.
 func TestASingleRequestInsideTheLimitsIsServed(t *testing.T) {
 	s := startCrowdSite(t)
-	fields := shortFields(MaxHeader - 200)
-	fields = fields[:strings.LastIndex(string(fields), "\r\n")+2]
-	body := padded(MaxBody)
+	fields := wholeFields(MaxHeader - 200)
 	small := padded(400)
 	for i, c := range []struct {
 		name string
 		send func(conn net.Conn, id string) error
 	}{
 		{"largest body", func(conn net.Conn, id string) error {
-			_, err := fmt.Fprintf(conn, "%s%s", sized(id, len(body)), body)
+			_, err := fmt.Fprintf(conn, "%s%s", sized(id, MaxBody), largest)
 			return err
 		}},
 		{"largest header", func(conn net.Conn, id string) error {
@@ -420,7 +396,7 @@
 			if _, err := conn.Write([]byte(chunked(id))); err != nil {
 				return err
 			}
-			if err := writeChunks(conn, body, 8); err != nil {
+			if err := writeChunks(conn, largest, 8); err != nil {
 				return err
 			}
 			_, err := conn.Write([]byte("0\r\n\r\n"))
@@ -446,9 +422,8 @@
 		if err := c.send(conn, crowdID(i)); err != nil {
 			t.Errorf("%s: %v", c.name, err)
 		}
-		status := make([]byte, len("HTTP/1.1 200"))
-		if _, err := conn.Read(status); err != nil || string(status) != "HTTP/1.1 200" {
-			t.Errorf("%s: answered %q (%v), want HTTP/1.1 200", c.name, status, err)
+		if status, err := readStatus(conn); err != nil || status != "200" {
+			t.Errorf("%s: answered %q (%v), want 200", c.name, status, err)
 		}
 		_ = conn.Close()
 	}
--- a/bench/crowd/request.go
+++ b/bench/crowd/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 
@@ -70,6 +71,34 @@
 	return b.Bytes()[:n]
 }
 
+// wholeFields returns at most n bytes of such fields, of which none is cut.
+func wholeFields(n int) []byte {
+	fields := shortFields(n)
+	return fields[:bytes.LastIndex(fields, []byte("\r\n"))+2]
+}
+
+// unfinished sends a request with a body of the largest size but for its last byte.
+func unfinished(caller int, conn net.Conn) error {
+	_, err := fmt.Fprintf(conn, "%s%s", sized(crowdID(caller), MaxBody), largest[:MaxBody-1])
+	return err
+}
+
+// largest is a legal job as a body of the largest size.
+var largest = padded(MaxBody)
+
+// crowdID returns the ID of a job of a crowd.
+func crowdID(caller int) string { return fmt.Sprintf("c%015x", caller) }
+
+// readStatus reads the beginning of an answer and returns its status, or the error of a connection
+// that ends before.
+func readStatus(conn net.Conn) (string, error) {
+	line := make([]byte, len("HTTP/1.1 200"))
+	if _, err := io.ReadFull(conn, line); err != nil {
+		return "", err
+	}
+	return strings.TrimPrefix(string(line), "HTTP/1.1 "), nil
+}
+
 // fieldName returns the i-th of the shortest names.
 func fieldName(i int) string {
 	const letters = "abcdefghijklmnopqrstuvwxyz"
