daemon: a read of a caller takes the connections' mutex once less

What was read, and that the connection is busy, were recorded under two locks one after the other, and so were the begin of a request and the release of its header. No change of behaviour.

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -73,9 +73,9 @@
 
 // began records that the handler of a request begins, and how much memory its header still takes.
 func (cs *connections) began(c *callerConn, kept int64, noBody bool) {
-	cs.received(c)
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	cs.received(c)
 	cs.core.HeaderReleased(c.id, kept)
 	if noBody {
 		cs.core.BodyWhole(cs.now(), c.id)
@@ -209,10 +209,8 @@
 }
 
 // received records that a part of a request was read. A connection that has been expired
-// meanwhile stays open for the request.
+// meanwhile stays open for the request. It must be called with the mutex.
 func (cs *connections) received(c *callerConn) {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
 	if c.busy {
 		return
 	}
--- a/daemon/connections_test.go
+++ b/daemon/connections_test.go
@@ -211,7 +211,9 @@
 	}
 	defer func() { _ = accepted.Close() }()
 	tracked.closeIdle(0)
+	tracked.mu.Lock()
 	tracked.received(accepted.(*callerConn))
+	tracked.mu.Unlock()
 	if _, err := fmt.Fprint(peer, "body"); err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -15,8 +15,7 @@
 // This file has the reads and writes of a callerConn, whose deadlines and limits package intake
 // decides, and implements platform.Intake.
 
-// Read reads from the connection, and marks it as busy if anything was read. It fails if package
-// intake refuses the request.
+// Read reads from the connection. It fails if package intake refuses the request.
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
 		if c.lingers.Load() {
@@ -26,9 +25,6 @@
 			return 0, refused
 		}
 		n, err := c.TCPConn.Read(p)
-		if n > 0 {
-			c.connections.received(c)
-		}
 		refused, again := c.afterRead(p[:n], err)
 		switch {
 		case refused != nil:
@@ -60,13 +56,14 @@
 	return nil
 }
 
-// afterRead records what was read. It returns an error if the request is refused, and whether to
-// read again since the read timed out too early.
+// afterRead records what was read, and that the connection is busy if that is anything. It returns
+// an error if the request is refused, and whether to read again since the read timed out too early.
 func (c *callerConn) afterRead(read []byte, err error) (refused error, again bool) {
 	cs := c.connections
 	cs.mu.Lock()
 	now := cs.now()
 	if len(read) > 0 {
+		cs.received(c)
 		c.linesRead = 0
 		if len(read) <= intake.ReadAhead { // more is read of a body only, and not kept
 			c.linesRead = bytes.Count(read, []byte("\n"))
